design, message schema, transport with heartbeats and nonces

Starts the repository with the design page, the protobuf schema of messages, settings and documents, the interfaces to the platform and the engines, and the transport between processes.

Cause: the first transport tests failed with 'session shutdown' because errors.Wrap of go-faster/errors returns an error for a nil cause; it was not yamux or the deadline (a bare yamux pair passed). A second failure came from the timer pool that all yamux sessions of a process share, which testing/synctest does not permit across bubbles, so tests in virtual time use the in-memory mux of memnet and one test runs the real yamux path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Commands of the repository. `make demo` and `make test` need only Go and a C compiler.
+GO ?= go
+BIN := bin
+export CGO_ENABLED := 1
+
+.PHONY: all build test lint demo run bench capacity generate fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./standin/cmd/...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint build
+	$(GO) test ./...
+
+demo: build
+	bash demo/demo.sh
+
+run: build
+	bash demo/demo.sh --stay
+
+bench:
+	$(GO) test ./internal/bench -run '^TestPolicyTable$$' -v -count=1 -args -full
+
+capacity:
+	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms
+
+# Needs protoc on the PATH; the generated code is committed.
+generate:
+	mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=github.com/fulmardoor/fulmardoor \
+		api/wire/v1/wire.proto api/config/v1/config.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/hostlist/source.go
@@ -0,0 +1,30 @@
+// Package hostlist reads the platform's list of live and leaving hosts. The list lags behind the hosts.
+package hostlist
+
+import "context"
+
+// State of a host in the list.
+type State string
+
+const (
+	// Live hosts take work.
+	Live State = "live"
+	// Leaving hosts will be taken away by the platform.
+	Leaving State = "leaving"
+)
+
+// Host is one row of the list.
+type Host struct {
+	// Address is IP:port of the process on the host.
+	Address    string
+	Name       string
+	DataCentre string
+	// Role is "entry" or "sidecar".
+	Role  string
+	State State
+}
+
+// Source reads the whole list.
+type Source interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
--- /dev/null
+++ b/internal/kv/store.go
@@ -0,0 +1,73 @@
+// Package kv defines the interface to the platform's key-value service.
+package kv
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Errors of a Store.
+var (
+	// ErrNotFound means that the key does not exist.
+	ErrNotFound = errors.New("key not found")
+	// ErrConflict means that the key was not at the expected revision; nothing was written.
+	ErrConflict = errors.New("revision conflict")
+	// ErrUnavailable means that the service did not take the call; nothing was written.
+	ErrUnavailable = errors.New("key-value service unavailable")
+	// ErrOutcomeUnknown means that the answer to a write was lost; it may have taken effect.
+	ErrOutcomeUnknown = errors.New("outcome of write unknown")
+	// ErrCompacted means that a watch asked for a revision that the service no longer keeps.
+	ErrCompacted = errors.New("revision compacted")
+	// ErrLeaseNotFound means that the lease lapsed or was revoked.
+	ErrLeaseNotFound = errors.New("lease not found")
+)
+
+// Pair is a key with its value.
+type Pair struct {
+	Key   string
+	Value []byte
+	// ModRevision is the store's revision at which the pair was last written.
+	ModRevision int64
+	// LeaseID is the lease that the key is attached to; 0 for none.
+	LeaseID int64
+}
+
+// Event is a change of one key.
+type Event struct {
+	Pair    Pair
+	Deleted bool
+}
+
+// WatchUpdate is a group of changes up to Revision. Without events it is a progress notice, which confirms that
+// the watch has delivered everything up to Revision.
+type WatchUpdate struct {
+	Revision int64
+	Events   []Event
+	// Err ends the watch when not nil.
+	Err error
+}
+
+// Store is the platform's key-value service. All methods are safe for concurrent use.
+type Store interface {
+	// Get returns the pair of key. Errors: ErrNotFound, ErrUnavailable.
+	Get(ctx context.Context, key string) (Pair, error)
+	// List returns the pairs whose key has prefix, ordered by key, and the store's revision. Errors: ErrUnavailable.
+	List(ctx context.Context, prefix string) ([]Pair, int64, error)
+	// CompareAndSwap writes value if the key's ModRevision equals revision; revision 0 means that the key must not exist.
+	// lease 0 attaches no lease. It returns the new revision.
+	// Errors: ErrConflict, ErrUnavailable, ErrOutcomeUnknown, ErrLeaseNotFound.
+	CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error)
+	// Delete removes the key if its ModRevision equals revision. Errors as CompareAndSwap.
+	Delete(ctx context.Context, key string, revision int64) (int64, error)
+	// Watch sends changes of keys with prefix from revision on (inclusive). The channel closes after an update with Err or
+	// when ctx ends.
+	Watch(ctx context.Context, prefix string, revision int64) (<-chan WatchUpdate, error)
+	// GrantLease creates a lease with a time to live. Errors: ErrUnavailable, ErrOutcomeUnknown.
+	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
+	// RenewLease extends a lease by its time to live. Errors: ErrLeaseNotFound, ErrUnavailable.
+	RenewLease(ctx context.Context, lease int64) error
+	// RevokeLease ends a lease and deletes its keys.
+	RevokeLease(ctx context.Context, lease int64) error
+}
--- /dev/null
+++ b/internal/transport/nonce.go
@@ -0,0 +1,53 @@
+package transport
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+)
+
+// FenceWindow is the largest age of a nonce, on the clock of its issuer, with which work may start.
+const FenceWindow = 2 * time.Second
+
+// NewIncarnation draws the identity of a process. It is never 0.
+func NewIncarnation() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:]) // never fails
+		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
+			return id
+		}
+	}
+}
+
+// NonceIssuer issues and checks the nonces of one process.
+type NonceIssuer struct {
+	incarnation uint64
+	start       time.Time
+}
+
+// NewNonceIssuer returns an issuer for a process incarnation.
+func NewNonceIssuer(incarnation uint64) *NonceIssuer {
+	return &NonceIssuer{incarnation: incarnation, start: time.Now()}
+}
+
+// Issue returns a nonce of this moment.
+func (n *NonceIssuer) Issue() *wirev1.Nonce {
+	return &wirev1.Nonce{Incarnation: n.incarnation, IssuedMs: uint64(time.Since(n.start).Milliseconds())}
+}
+
+// Age returns the time since the nonce was issued; ok is false if another incarnation issued it.
+func (n *NonceIssuer) Age(nonce *wirev1.Nonce) (age time.Duration, ok bool) {
+	if nonce.GetIncarnation() != n.incarnation {
+		return 0, false
+	}
+	return time.Since(n.start) - time.Duration(nonce.GetIssuedMs())*time.Millisecond, true
+}
+
+// Fresh reports whether work that carries the nonce may start.
+func (n *NonceIssuer) Fresh(nonce *wirev1.Nonce) bool {
+	age, ok := n.Age(nonce)
+	return ok && age <= FenceWindow
+}
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,165 @@
+package transport
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	dialTimeout     = time.Second
+	minRedialDelay  = 50 * time.Millisecond
+	maxRedialDelay  = 2 * time.Second
+	redialGrowth    = 2
+	acceptRetryWait = 50 * time.Millisecond
+)
+
+// Message is any protobuf message.
+type Message = proto.Message
+
+// Dialer opens connections to a peer address.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Peer keeps one session to an address and dials a new one whenever it ends.
+type Peer struct {
+	address string
+	dialer  Dialer
+	opts    *Options
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	mu      sync.Mutex // guards the fields below
+	session *Session
+	changed chan struct{} // closed and replaced when session changes
+}
+
+// NewPeer starts to connect to address. Close stops it.
+func NewPeer(address string, dialer Dialer, opts *Options) *Peer {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Peer{
+		address: address,
+		dialer:  dialer,
+		opts:    opts,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		changed: make(chan struct{}),
+	}
+	go p.run(ctx)
+	return p
+}
+
+// Address returns the address that the peer connects to.
+func (p *Peer) Address() string { return p.address }
+
+// Session returns the live session, or nil.
+func (p *Peer) Session() *Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.session
+}
+
+// Wait returns the live session, waiting for one until ctx ends.
+func (p *Peer) Wait(ctx context.Context) (*Session, error) {
+	for {
+		p.mu.Lock()
+		session, changed := p.session, p.changed
+		p.mu.Unlock()
+		if session != nil {
+			return session, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Wrapf(ctx.Err(), "wait for session with %s", p.address)
+		case <-changed:
+		}
+	}
+}
+
+// Close ends the session and stops dialling.
+func (p *Peer) Close() {
+	p.cancel()
+	<-p.done
+}
+
+func (p *Peer) set(session *Session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.session = session
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Peer) run(ctx context.Context) {
+	defer close(p.done)
+	delay := minRedialDelay
+	for ctx.Err() == nil {
+		session, err := p.dial(ctx)
+		if err != nil {
+			p.opts.Logger.Debug("dial failed", zap.String("address", p.address), zap.Error(err))
+			sleep(ctx, jitter(delay))
+			delay = min(delay*redialGrowth, maxRedialDelay)
+			continue
+		}
+		delay = minRedialDelay
+		p.set(session)
+		select {
+		case <-ctx.Done():
+			session.Close()
+		case <-session.Done():
+		}
+		p.set(nil)
+	}
+}
+
+func (p *Peer) dial(ctx context.Context) (*Session, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(dialCtx, "tcp", p.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	return Client(conn, p.opts)
+}
+
+// jitter spreads redials after a failure that hits many processes at once.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Serve accepts sessions until the listener is closed. Handshakes run concurrently.
+func Serve(listener net.Listener, opts *Options) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			opts.Logger.Warn("accept failed", zap.Error(err))
+			time.Sleep(acceptRetryWait)
+			continue
+		}
+		go func() {
+			if _, err := Server(conn, opts); err != nil {
+				opts.Logger.Debug("handshake failed", zap.Error(err))
+				_ = conn.Close()
+			}
+		}()
+	}
+}
