places: the sidecar's authority over the places of its upstream

Waiters are granted strictly in fair order: skipping a head that cannot be granted yet would promise its place to another request.

--- /dev/null
+++ b/internal/places/queue.go
@@ -0,0 +1,201 @@
+package places
+
+import (
+	"math"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// waiter is a request in the waiting list.
+type waiter struct {
+	account  string
+	cost     float64
+	units    float64
+	tokens   bool
+	readyIn  time.Duration
+	priority int32
+	arrival  uint64
+
+	done        bool
+	reservation *Reservation
+	refusal     *verdict.Refusal
+	answered    chan struct{}
+}
+
+func newWaiter(request *wirev1.ReserveRequest) *waiter {
+	w := &waiter{
+		account:  request.GetAccount(),
+		cost:     max(1, float64(request.GetCostTokens())),
+		units:    float64(request.GetExpectedOutputTokens()),
+		readyIn:  time.Duration(request.GetReadyInMs()) * time.Millisecond,
+		priority: request.GetPriority(),
+		answered: make(chan struct{}),
+	}
+	w.tokens = w.units > 0
+	if !w.tokens {
+		w.units = w.cost
+	}
+	return w
+}
+
+func (w *waiter) grant(r *Reservation) {
+	w.done = true
+	w.reservation = r
+	close(w.answered)
+}
+
+func (w *waiter) refuse(refusal *verdict.Refusal) {
+	w.done = true
+	w.refusal = refusal
+	close(w.answered)
+}
+
+// answer may be called once answered is closed.
+func (w *waiter) answer() (*Reservation, error) {
+	if w.refusal != nil {
+		return nil, w.refusal
+	}
+	return w.reservation, nil
+}
+
+// before reports whether w is served before o within an account.
+func (w *waiter) before(o *waiter) bool {
+	if w.priority != o.priority {
+		return w.priority > o.priority
+	}
+	return w.arrival < o.arrival
+}
+
+// accountQueue holds the waiting requests of one account.
+type accountQueue struct {
+	name string
+	// tag is the virtual start time of the account's next request.
+	tag     float64
+	waiters []*waiter
+}
+
+// fairList is a waiting list with start-time fair queueing over accounts. Within an account the order is priority, then
+// arrival.
+type fairList struct {
+	accounts map[string]*accountQueue
+	// virtual is the start tag of the request granted last.
+	virtual  float64
+	arrivals uint64
+	size     int
+}
+
+func newFairList() fairList {
+	return fairList{accounts: make(map[string]*accountQueue)}
+}
+
+func (l *fairList) len() int {
+	return l.size
+}
+
+func (l *fairList) push(w *waiter) {
+	l.arrivals++
+	w.arrival = l.arrivals
+	q := l.accounts[w.account]
+	if q == nil {
+		q = &accountQueue{name: w.account}
+		l.accounts[w.account] = q
+	}
+	if len(q.waiters) == 0 {
+		q.tag = max(q.tag, l.virtual)
+	}
+	i := len(q.waiters)
+	for i > 0 && w.before(q.waiters[i-1]) {
+		i--
+	}
+	q.waiters = append(q.waiters, nil)
+	copy(q.waiters[i+1:], q.waiters[i:])
+	q.waiters[i] = w
+	l.size++
+}
+
+// head returns the next request, or nil.
+func (l *fairList) head() *waiter {
+	var best *accountQueue
+	for _, q := range l.accounts {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		if best == nil || q.tag < best.tag || (q.tag == best.tag && q.waiters[0].arrival < best.waiters[0].arrival) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.waiters[0]
+}
+
+// pop removes a granted request and charges its account.
+func (l *fairList) pop(w *waiter) {
+	q := l.accounts[w.account]
+	l.virtual = max(l.virtual, q.tag)
+	q.tag += w.cost
+	l.remove(w)
+}
+
+// remove takes a request off the list without a charge.
+func (l *fairList) remove(w *waiter) {
+	q := l.accounts[w.account]
+	for i, o := range q.waiters {
+		if o == w {
+			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			l.size--
+			break
+		}
+	}
+	l.forgetIdle()
+}
+
+// settle replaces the charged cost of an ended reservation by the cost that was served.
+func (l *fairList) settle(account string, charged, served float64) {
+	if q := l.accounts[account]; q != nil {
+		q.tag += served - charged
+	}
+}
+
+// forgetIdle drops accounts without waiting requests whose tag has no effect any more, so that the list stays bounded by
+// the accounts in use.
+func (l *fairList) forgetIdle() {
+	if len(l.accounts) <= 2*l.size+maxIdleAccounts {
+		return
+	}
+	for name, q := range l.accounts {
+		if len(q.waiters) == 0 && q.tag <= l.virtual {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// maxIdleAccounts is the number of idle accounts that are kept without a look at their tags.
+const maxIdleAccounts = 64
+
+// each calls visit for the requests that are served before a new request of an account; for all if account is empty.
+func (l *fairList) each(account string, visit func(*waiter)) {
+	limit := math.Inf(1)
+	if account != "" {
+		limit = l.virtual
+		if q := l.accounts[account]; q != nil {
+			limit = max(q.tag, l.virtual)
+			for _, w := range q.waiters {
+				limit += w.cost
+			}
+		}
+	}
+	for _, q := range l.accounts {
+		tag := q.tag
+		for _, w := range q.waiters {
+			if tag > limit {
+				break
+			}
+			visit(w)
+			tag += w.cost
+		}
+	}
+}
