--- /dev/null
+++ b/cmd/fulmardoor-entry/main.go
@@ -0,0 +1,160 @@
+// Command fulmardoor-entry is the process on an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	"github.com/fulmardoor/fulmardoor/internal/entry"
+	"github.com/fulmardoor/fulmardoor/internal/hostlist"
+	"github.com/fulmardoor/fulmardoor/internal/hostlist/httpsd"
+	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
+	"github.com/fulmardoor/fulmardoor/internal/process"
+	"github.com/fulmardoor/fulmardoor/internal/settings"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+)
+
+const (
+	handoffTimeout    = 3 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+func main() {
+	config := &cli.StringFlag{Name: "config", Usage: "settings file in INI", Required: true}
+	root := &cli.Command{
+		Name: "fulmardoor-entry", Usage: "entry process of the fulmardoor router", Version: process.Version,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "serve until SIGTERM", Flags: []cli.Flag{config}, Action: run},
+			{Name: "check-config", Usage: "check the settings file and exit", Flags: []cli.Flag{config}, Action: check},
+		},
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "fulmardoor-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func load(cmd *cli.Command) (*configv1.EntrySettings, error) {
+	s := new(configv1.EntrySettings)
+	if err := settings.Load(cmd.String("config"), s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := load(cmd); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	s, err := load(cmd)
+	if err != nil {
+		return err
+	}
+	logger, level, err := process.Logger(s.GetProcess())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	dialer, err := process.NewPeerDialer(s.GetPeers())
+	if err != nil {
+		return err
+	}
+	e := entry.New(entry.Config{
+		Settings: s, Dialer: dialer, Logger: logger, Hosts: hosts(s.GetPlatform()),
+		Store: etcdhttp.New(s.GetPlatform().GetStoreUrl(), http.DefaultClient, s.GetPlatform().GetCallTimeout().AsDuration()),
+	})
+	return serve(e, s, logger, level)
+}
+
+func hosts(s *configv1.PlatformSettings) hostlist.Source {
+	if s.GetHostListUrl() == "" {
+		return nil
+	}
+	return httpsd.New(s.GetHostListUrl(), http.DefaultClient)
+}
+
+// serve opens the listeners, runs until the first stop signal and then stops gracefully.
+func serve(e *entry.Entry, s *configv1.EntrySettings, logger *zap.Logger, level zap.AtomicLevel) error {
+	peers, err := process.PeerListener(s.GetPeers())
+	if err != nil {
+		return err
+	}
+	callers := s.GetCallers()
+	public, err := process.Listen("callers.listen", callers.GetListen(), callers.GetCertificateFile(), callers.GetKeyFile())
+	if err != nil {
+		return err
+	}
+	admin, err := process.Listen("admin.listen", s.GetAdmin().GetListen(), "", "")
+	if err != nil {
+		return err
+	}
+	operations := e.OperationsHandler()
+	operations.Handle("/log-level", level)
+	publicServer := &http.Server{
+		Handler: e.CallerHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+	adminServer := &http.Server{Handler: operations, ReadHeaderTimeout: readHeaderTimeout}
+	stop, cut := process.Signals()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run(ctx)
+	failed := make(chan error, 3)
+	go func() { failed <- transport.Serve(peers, e.Options()) }()
+	go func() { failed <- publicServer.Serve(public) }()
+	go func() { failed <- adminServer.Serve(admin) }()
+	logger.Info("serving", zap.String("callers", callers.GetListen()), zap.String("peers", s.GetPeers().GetListen()))
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "listener failed")
+	case <-stop.Done():
+	}
+	left := shutDown(e, s, publicServer, cut)
+	_ = adminServer.Close()
+	_ = peers.Close()
+	e.Close()
+	if left > 0 {
+		logger.Error("stopped with running requests", zap.Int("cut", left))
+		return errors.Errorf("%d requests were cut", left)
+	}
+	logger.Info("stopped, no request was cut")
+	return nil
+}
+
+// shutDown lets the balancer notice, hands over the ledger and waits for running requests. It returns how many were cut.
+func shutDown(e *entry.Entry, s *configv1.EntrySettings, server *http.Server, cut <-chan struct{}) int {
+	handoff, cancel := context.WithTimeout(context.Background(), handoffTimeout)
+	defer cancel()
+	e.BeginStop(handoff)
+	select {
+	case <-cut:
+	case <-time.After(s.GetCallers().GetDrainDelay().AsDuration()):
+	}
+	wait, cancelWait := context.WithTimeout(context.Background(), s.GetCallers().GetDrainLimit().AsDuration())
+	defer cancelWait()
+	go func() {
+		select {
+		case <-cut:
+			cancelWait()
+		case <-wait.Done():
+		}
+	}()
+	// Shutdown closes the listener and waits for running requests.
+	if err := server.Shutdown(wait); err != nil {
+		_ = server.Close()
+	}
+	return e.WaitIdle(wait)
+}
--- a/internal/call/registry.go
+++ b/internal/call/registry.go
@@ -127,6 +127,19 @@
 	return running
 }
 
+// Undelivered counts the calls that run or whose answer a stream is still delivering.
+func (r *Registry) Undelivered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, c := range r.calls {
+		if c.undelivered() {
+			count++
+		}
+	}
+	return count
+}
+
 // Query answers what became of a call and, with bar set, keeps an unknown call from starting.
 func (r *Registry) Query(req *wirev1.QueryRequest) *wirev1.QueryReply {
 	r.mu.Lock()
@@ -180,6 +193,17 @@
 	}
 }
 
+func (c *Call) undelivered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outcome == nil {
+		return true
+	}
+	last := c.first + uint64(len(c.frames)) - 1
+	waiting := time.Since(c.finishedAt) < c.resumeWindow
+	return c.acked < last && (c.attached || waiting)
+}
+
 func (c *Call) expired(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/entry/completion.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/openai"
+	"github.com/fulmardoor/fulmardoor/internal/retry"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// completion is one request of a model.
+type completion struct {
+	*request
+	model  *configv1.Document_Model
+	in     *openai.Request
+	writer *openai.Writer
+	w      http.ResponseWriter
+
+	promptTokens int
+	maxTokens    int
+	// delivered are the output tokens that the caller already has.
+	delivered  []string
+	firstToken time.Time
+	lastToken  time.Time
+	gapSum     time.Duration
+}
+
+// serveCompletion handles requests of the completions or chat API.
+func (e *Entry) serveCompletion(kind openai.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req := e.newRequest(w, r)
+		defer req.close()
+		c, err := e.prepareCompletion(kind, req, w, r)
+		if err != nil {
+			e.writeRefusal(w, req.name, err)
+			return
+		}
+		go e.watchKey(req.ctx, req.caller, req.cancel)
+		c.serve()
+	}
+}
+
+// prepareCompletion checks everything that can be refused before any work.
+func (e *Entry) prepareCompletion(
+	kind openai.Kind, req *request, w http.ResponseWriter, r *http.Request,
+) (*completion, error) {
+	if err := e.conf.Admit(); err != nil {
+		return nil, err
+	}
+	snapshot := e.conf.Current()
+	// The key comes before the body, so that nobody without a key makes the process read or parse one. Whether the model
+	// is open is known only with the body, so a missing key is judged after it.
+	who, keyErr := identify(snapshot, r, false)
+	if keyErr != nil && verdict.As(keyErr).Reason != wirev1.Reason_REASON_KEY_MISSING {
+		return nil, keyErr
+	}
+	body, err := e.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	in, err := openai.ParseRequest(kind, body)
+	if err != nil {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "%v", err)
+	}
+	model, err := findModel(snapshot, in.Model)
+	if err != nil {
+		return nil, err
+	}
+	if keyErr != nil && !model.GetOpen() {
+		return nil, keyErr
+	}
+	req.caller = who
+	c := &completion{request: req, model: model, in: in, w: w, writer: openai.NewWriter(w, in, "cmpl-"+req.name)}
+	c.promptTokens = openai.CountTokens(in.Prompt)
+	c.maxTokens = in.MaxTokens
+	if c.maxTokens == 0 {
+		c.maxTokens = int(model.GetDefaultMaxTokens())
+	}
+	return c, nil
+}
+
+func findModel(snapshot *confsync.Snapshot, name string) (*configv1.Document_Model, error) {
+	model, ok := snapshot.Model(name)
+	if !ok {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_UNKNOWN_MODEL, "the model %q is not served here", name)
+	}
+	return model, nil
+}
+
+func (c *completion) serve() {
+	c.e.budget.Request()
+	for {
+		outcome, err := c.attempt()
+		if err == nil {
+			c.complete(outcome)
+			return
+		}
+		if c.ctx.Err() != nil {
+			c.fail(c.endCause(err))
+			return
+		}
+		refusal := verdict.As(err)
+		if !c.mayRetry(refusal) {
+			c.fail(refusal)
+			return
+		}
+		c.e.metrics.Retried("model")
+		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
+			field("delivered", len(c.delivered)))
+	}
+}
+
+func (c *completion) mayRetry(refusal *verdict.Refusal) bool {
+	if !retryable(refusal) {
+		return false
+	}
+	// Running a prompt twice has no lasting effect, so model requests count as idempotent.
+	if retry.Decide(refusal.Verdict, true, len(c.delivered) > 0, true) == retry.GiveUp {
+		return false
+	}
+	return c.e.budget.Allow()
+}
+
+func (c *completion) endCause(err error) error {
+	if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+// attempt runs prefill and decode once. After an earlier attempt it continues from the delivered tokens.
+func (c *completion) attempt() (*wirev1.Outcome, error) {
+	// The first charge comes before any work or place, so that an account over its rate costs one question only.
+	if err := c.authorize(c.tokens()); err != nil {
+		return nil, err
+	}
+	prompt := c.in.Prompt + strings.Join(c.delivered, "")
+	plan, err := c.plan(prompt)
+	if err != nil {
+		return nil, err
+	}
+	place, err := c.reserveDecode(plan)
+	if err != nil {
+		return nil, err
+	}
+	defer place.close()
+	place.upstream.calls.Add(1)
+	defer place.upstream.calls.Add(-1)
+	prefilled, err := c.prefill(plan, prompt)
+	if err != nil {
+		return nil, err
+	}
+	defer prefilled.release()
+	return c.decode(plan, place, prefilled)
+}
+
+func (c *completion) tokens() uint64 { return uint64(c.promptTokens + c.maxTokens) }
+
+// complete ends the answer and settles the charge.
+func (c *completion) complete(outcome *wirev1.Outcome) {
+	usage := openai.Usage{
+		PromptTokens: c.promptTokens, CompletionTokens: len(c.delivered),
+		TotalTokens: c.promptTokens + len(c.delivered),
+	}
+	c.settle(uint64(usage.TotalTokens), verdict.Ran)
+	if err := c.writer.End(outcome.GetFinishReason(), usage); err != nil {
+		c.e.metrics.CallerLost()
+		return
+	}
+	c.e.metrics.Served("model", c.model.GetName())
+	c.e.metrics.Latency(c.model.GetName(), c.targetsMet())
+}
+
+// targetsMet reports whether both latency targets were met.
+func (c *completion) targetsMet() bool {
+	if c.firstToken.IsZero() || c.firstToken.Sub(c.begin) > c.model.GetFirstTokenTarget().AsDuration() {
+		return false
+	}
+	gaps := len(c.delivered) - 1
+	return gaps < 1 || c.gapSum/time.Duration(gaps) <= c.model.GetTokenGapTarget().AsDuration()
+}
+
+func (c *completion) fail(err error) {
+	refusal := *verdict.As(err)
+	used := uint64(0)
+	if len(c.delivered) > 0 {
+		refusal.Verdict = verdict.Ran
+		used = uint64(c.promptTokens + len(c.delivered))
+	}
+	c.settle(used, refusal.Verdict)
+	if c.ctx.Err() != nil && errors.Is(context.Cause(c.ctx), context.Canceled) {
+		c.e.metrics.CallerLost()
+		c.e.events.Record("caller_gone", c.name, "")
+		return
+	}
+	if !c.writer.Begun() {
+		c.e.writeRefusal(c.w, c.name, &refusal)
+		return
+	}
+	c.e.noteRefusal(c.name, &refusal)
+	_ = c.writer.Fail(errorBody(&refusal, c.name)) // the caller may be gone
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,244 @@
+// Package entry is the process on an entry host: callers' HTTP, keys, rate charges, routing and retries.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/events"
+	"github.com/fulmardoor/fulmardoor/internal/hostlist"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/ledger"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
+	"github.com/fulmardoor/fulmardoor/internal/retry"
+	"github.com/fulmardoor/fulmardoor/internal/scheduler"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+)
+
+const (
+	eventCapacity    = 32768
+	keyCheckInterval = time.Second
+	retryPause       = 50 * time.Millisecond
+	// reserveGrace is added to the wait of a reservation for the way there and back.
+	reserveGrace = 250 * time.Millisecond
+)
+
+// Config configures an Entry.
+type Config struct {
+	Settings *configv1.EntrySettings
+	Store    kv.Store
+	// Hosts may be nil.
+	Hosts hostlist.Source
+	// Dialer connects to other processes; nil for TCP.
+	Dialer transport.Dialer
+	// Seed of the random choices of the scheduler; 0 draws one.
+	Seed   uint64
+	Logger *zap.Logger
+}
+
+// Entry is the state of the process.
+type Entry struct {
+	settings  *configv1.EntrySettings
+	store     kv.Store
+	hosts     hostlist.Source
+	logger    *zap.Logger
+	hello     *wirev1.Hello
+	sequence  atomic.Uint64
+	conf      *confsync.Node
+	ledger    *ledger.Node
+	scheduler *scheduler.Scheduler
+	budget    *retry.Budget
+	events    *events.Recorder
+	metrics   *metrics.Entry
+	upstreams *upstreamPool
+	members   *memberTable
+
+	mu       sync.Mutex // guards the fields below
+	running  int
+	stopping bool
+	idle     chan struct{} // closed when stopping and nothing runs
+}
+
+// New returns an entry that serves after Run has started.
+func New(cfg Config) *Entry {
+	process := cfg.Settings.GetProcess()
+	incarnation := transport.NewIncarnation()
+	e := &Entry{
+		settings: cfg.Settings,
+		store:    cfg.Store,
+		hosts:    cfg.Hosts,
+		logger:   cfg.Logger,
+		hello: &wirev1.Hello{
+			Role: wirev1.Role_ROLE_ENTRY, Incarnation: incarnation, Host: process.GetHost(),
+			DataCentre: process.GetDataCentre(), Process: process.GetName(),
+			Address: cfg.Settings.GetPeers().GetListen(), ProtocolVersion: transport.ProtocolVersion,
+		},
+		scheduler: scheduler.New(scheduler.Config{DataCentre: process.GetDataCentre(), Random: randomSource(cfg.Seed)}),
+		budget:    retry.NewBudget(),
+		events:    events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
+		metrics:   metrics.NewEntry(),
+		idle:      make(chan struct{}),
+	}
+	e.upstreams = newUpstreamPool(cfg.Dialer, e.Options())
+	e.members = newMemberTable(e.hello, cfg.Settings.GetCallers().GetEntries(), e.upstreams.dialer, e.Options(), cfg.Logger)
+	e.conf = confsync.New(confsync.Config{
+		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: cfg.Store,
+		Members: configMembers{e.members}, Peers: configPeers{e.members, e.upstreams}, Logger: cfg.Logger,
+	})
+	e.conf.Subscribe(e.applySnapshot)
+	e.ledger = ledger.New(ledger.Config{
+		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: cfg.Store,
+		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Logger: cfg.Logger,
+	})
+	return e
+}
+
+// randomSource returns nil, for a source seeded at random, if seed is 0.
+func randomSource(seed uint64) rand.Source {
+	if seed == 0 {
+		return nil
+	}
+	return rand.NewPCG(seed, seed)
+}
+
+// accountLimits adapts the configuration to the ledger.
+type accountLimits struct{ conf *confsync.Node }
+
+// Limits implements ledger.LimitSource.
+func (a accountLimits) Limits(account string) (ledger.Limits, bool) {
+	declared, ok := a.conf.Current().Account(account)
+	if !ok {
+		return ledger.Limits{}, false
+	}
+	return ledger.Limits{Rate: declared.GetRate(), Burst: declared.GetBurst()}, true
+}
+
+// Options returns the options of sessions with other processes.
+func (e *Entry) Options() *transport.Options {
+	return &transport.Options{
+		Hello:             e.hello,
+		HeartbeatInterval: e.settings.GetPeers().GetHeartbeatInterval().AsDuration(),
+		Heartbeat:         e.heartbeat,
+		OnHeartbeat:       e.onHeartbeat,
+		OnOpen:            func(s *transport.Session) { e.members.opened(s) },
+		Handler:           e,
+		Logger:            e.logger,
+	}
+}
+
+// Run keeps configuration, membership and ledger until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { e.conf.Run(ctx) })
+	running.Go(func() { e.ledger.Run(ctx) })
+	running.Go(func() { e.members.run(ctx, e.hosts) })
+	running.Wait()
+}
+
+// Events returns the recorder of the process.
+func (e *Entry) Events() *events.Recorder { return e.events }
+
+func (e *Entry) applySnapshot(snapshot *confsync.Snapshot) {
+	e.upstreams.apply(snapshot.Upstreams())
+	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
+	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
+}
+
+func (e *Entry) heartbeat() *wirev1.Heartbeat {
+	beat := &wirev1.Heartbeat{}
+	e.conf.FillHeartbeat(beat)
+	e.mu.Lock()
+	beat.Leaving = e.stopping
+	e.mu.Unlock()
+	return beat
+}
+
+func (e *Entry) onHeartbeat(session *transport.Session, beat *wirev1.Heartbeat) {
+	if session.Remote().GetRole() == wirev1.Role_ROLE_ENTRY {
+		e.conf.OnHeartbeat(session.Remote().GetProcess(), beat)
+	}
+}
+
+func (e *Entry) nextCallID() *wirev1.CallID {
+	return &wirev1.CallID{Incarnation: e.hello.GetIncarnation(), Sequence: e.sequence.Add(1)}
+}
+
+// begin counts a request in; ok is false while the process stops for good.
+func (e *Entry) begin() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running++
+}
+
+func (e *Entry) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	e.signalIdle()
+}
+
+// signalIdle closes idle when the process stops and nothing runs. The caller holds mu.
+func (e *Entry) signalIdle() {
+	if !e.stopping || e.running > 0 {
+		return
+	}
+	select {
+	case <-e.idle:
+	default:
+		close(e.idle)
+	}
+}
+
+// Ready reports whether the balancer should send callers here.
+func (e *Entry) Ready() error {
+	e.mu.Lock()
+	stopping := e.stopping
+	e.mu.Unlock()
+	if stopping {
+		return errStopping
+	}
+	return e.conf.Admit()
+}
+
+// BeginStop fails readiness, so that the balancer sends no new callers, and hands the ledger shards to their successors.
+func (e *Entry) BeginStop(ctx context.Context) {
+	e.mu.Lock()
+	e.stopping = true
+	e.signalIdle()
+	e.mu.Unlock()
+	e.events.Record("stopping", "", "")
+	e.ledger.Handoff(ctx)
+}
+
+// WaitIdle waits until no request runs or ctx ends. It returns the number of requests that still run.
+func (e *Entry) WaitIdle(ctx context.Context) int {
+	select {
+	case <-ctx.Done():
+	case <-e.idle:
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// Close ends all sessions.
+func (e *Entry) Close() {
+	e.upstreams.close()
+	e.members.close()
+}
+
+func field(name string, value any) *wirev1.Header {
+	return &wirev1.Header{Name: name, Value: fmt.Sprint(value)}
+}
+
+func requestName(id *wirev1.CallID) string { return call.FromWire(id).String() }
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/hostlist"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	hostListInterval = 5 * time.Second
+	// forgetAfter is the time after which an entry process that the host list no longer names and that does not answer is
+	// dropped from the member table.
+	forgetAfter = 2 * time.Minute
+)
+
+// member is another entry process.
+type member struct {
+	address string
+	peer    *transport.Peer
+	// name and dataCentre are empty until the first session.
+	name       string
+	dataCentre string
+	lastSeen   time.Time
+	fixed      bool // named in the settings
+	listed     bool // named in the host list
+}
+
+// memberTable keeps a session to each other entry process.
+type memberTable struct {
+	self   *wirev1.Hello
+	dialer transport.Dialer
+	opts   *transport.Options
+	logger *zap.Logger
+
+	mu        sync.Mutex // guards byAddress and its members
+	byAddress map[string]*member
+}
+
+func newMemberTable(
+	self *wirev1.Hello, addresses string, dialer transport.Dialer, opts *transport.Options, logger *zap.Logger,
+) *memberTable {
+	t := &memberTable{self: self, dialer: dialer, opts: opts, logger: logger, byAddress: make(map[string]*member)}
+	for address := range strings.SplitSeq(addresses, ",") {
+		if address = strings.TrimSpace(address); address != "" && address != self.GetAddress() {
+			t.byAddress[address] = t.connect(address, true)
+		}
+	}
+	return t
+}
+
+func (t *memberTable) connect(address string, fixed bool) *member {
+	return &member{
+		address: address, peer: transport.NewPeer(address, t.dialer, t.opts), fixed: fixed, lastSeen: time.Now(),
+	}
+}
+
+// run follows the platform's host list until ctx ends. The list only adds candidates; a session decides who is alive.
+func (t *memberTable) run(ctx context.Context, source hostlist.Source) {
+	for source != nil && pause(ctx, hostListInterval) {
+		hosts, err := source.Hosts(ctx)
+		if err != nil {
+			t.logger.Debug("host list not read", zap.Error(err))
+			continue
+		}
+		t.applyList(hosts)
+	}
+}
+
+func (t *memberTable) applyList(hosts []hostlist.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.byAddress {
+		m.listed = false
+	}
+	for _, host := range hosts {
+		if host.Role != "entry" || host.Address == t.self.GetAddress() {
+			continue
+		}
+		if t.byAddress[host.Address] == nil {
+			t.byAddress[host.Address] = t.connect(host.Address, false)
+		}
+		t.byAddress[host.Address].listed = true
+	}
+	for address, m := range t.byAddress {
+		gone := !m.fixed && !m.listed && m.peer.Session() == nil && time.Since(m.lastSeen) > forgetAfter
+		if gone {
+			delete(t.byAddress, address)
+			go m.peer.Close()
+		}
+	}
+}
+
+// opened notes the name of the process behind a session.
+func (t *memberTable) opened(session *transport.Session) {
+	remote := session.Remote()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.byAddress[remote.GetAddress()]; m != nil {
+		m.name, m.dataCentre, m.lastSeen = remote.GetProcess(), remote.GetDataCentre(), time.Now()
+	}
+}
+
+// alive returns the members with a live session.
+func (t *memberTable) alive() []*member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*member
+	for _, m := range t.byAddress {
+		if m.name != "" && m.peer.Session() != nil {
+			m.lastSeen = time.Now()
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// close ends all sessions.
+func (t *memberTable) close() {
+	t.mu.Lock()
+	list := make([]*member, 0, len(t.byAddress))
+	for _, m := range t.byAddress {
+		list = append(list, m)
+	}
+	t.mu.Unlock()
+	for _, m := range list {
+		m.peer.Close()
+	}
+}
+
+// ledgerMembers adapts the table to the ledger: names of the entry processes that are believed alive.
+type ledgerMembers struct{ table *memberTable }
+
+// Entries implements ledger.Members.
+func (l ledgerMembers) Entries() []string {
+	names := []string{l.table.self.GetProcess()}
+	for _, m := range l.table.alive() {
+		names = append(names, m.name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Call implements ledger.Network.
+func (t *memberTable) Call(ctx context.Context, process string, open *wirev1.StreamOpen, reply proto.Message) error {
+	for _, m := range t.alive() {
+		if m.name != process {
+			continue
+		}
+		if session := m.peer.Session(); session != nil {
+			return session.Call(ctx, open, reply)
+		}
+	}
+	return verdict.Refuse(wirev1.Reason_REASON_LEDGER_UNAVAILABLE, "no session with %s", process)
+}
+
+// configMembers adapts the table to confsync: every known entry process, alive or not, and its own.
+type configMembers struct{ table *memberTable }
+
+// Entries implements confsync's source of members.
+func (c configMembers) Entries() []confsync.Member {
+	t := c.table
+	list := []confsync.Member{{Process: t.self.GetProcess(), DataCentre: t.self.GetDataCentre()}}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.byAddress {
+		name := m.name
+		if name == "" {
+			name = m.address
+		}
+		list = append(list, confsync.Member{Process: name, DataCentre: m.dataCentre})
+	}
+	return list
+}
+
+// configPeers lists the processes that configuration is pushed to: entries first, then sidecars.
+type configPeers struct {
+	table     *memberTable
+	upstreams *upstreamPool
+}
+
+// Peers implements confsync's source of peers.
+func (c configPeers) Peers() []confsync.Peer {
+	var peers []confsync.Peer
+	for _, m := range c.table.alive() {
+		if session := m.peer.Session(); session != nil {
+			peers = append(peers, confsync.SessionPeer{Session: session})
+		}
+	}
+	for _, u := range c.upstreams.all() {
+		if session := u.peer.Session(); session != nil {
+			peers = append(peers, confsync.SessionPeer{Session: session})
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// chargeReuse is the age at which a charge is exchanged for a new one before work starts, so that a charge and the start of
+// its work are never further apart than the window that the ledger allows for.
+const chargeReuse = transport.FenceWindow / 2
+
+// ledgerDeadline limits the wait for the ledger while the owner of an account's shard changes.
+const ledgerDeadline = 10 * time.Second
+
+// request is what model requests and calls of plain services have in common.
+type request struct {
+	e      *Entry
+	id     *wirev1.CallID
+	name   string
+	begin  time.Time
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	caller caller
+
+	chargeID  *wirev1.CallID
+	charged   uint64
+	chargedAt time.Time
+}
+
+func (e *Entry) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	e.begin()
+	id := e.nextCallID()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	req := &request{e: e, id: id, name: requestName(id), begin: time.Now(), ctx: ctx, cancel: cancel}
+	w.Header().Set(headerRequestID, req.name)
+	e.events.Record("received", req.name, "", field("method", r.Method), field("path", r.URL.Path))
+	return req
+}
+
+func (r *request) close() {
+	r.cancel(nil)
+	r.e.events.Record("ended", r.name, "", field("elapsed_ms", time.Since(r.begin).Milliseconds()))
+	r.e.end()
+}
+
+func (r *request) event(upstream string) func(kind string) {
+	return func(kind string) { r.e.events.Record(kind, r.name, upstream) }
+}
+
+// authorize checks key and configuration again and makes sure that the account was charged recently. The caller of
+// authorize holds a nonce that it got before.
+func (r *request) authorize(tokens uint64) error {
+	if err := r.e.recheck(r.caller); err != nil {
+		return err
+	}
+	if r.caller.account == "" {
+		return nil
+	}
+	if r.chargeID != nil && time.Since(r.chargedAt) < chargeReuse {
+		return nil
+	}
+	return r.charge(tokens)
+}
+
+func (r *request) charge(tokens uint64) error {
+	ctx, cancel := context.WithTimeout(r.ctx, ledgerDeadline)
+	defer cancel()
+	id := r.e.nextCallID()
+	asked := time.Now()
+	if err := r.e.ledger.Charge(ctx, id, r.caller.account, tokens, r.chargeID); err != nil {
+		return err
+	}
+	r.chargeID, r.charged, r.chargedAt = id, tokens, asked
+	r.e.events.Record("charged", r.name, "", field("account", r.caller.account), field("tokens", tokens))
+	return nil
+}
+
+// settle returns the unused part of the charge. Work that may have run keeps its whole charge.
+func (r *request) settle(used uint64, v verdict.Verdict) {
+	if r.chargeID == nil {
+		return
+	}
+	if v == verdict.MayHaveRun {
+		used = r.charged
+	}
+	r.e.ledger.Settle(r.chargeID, r.caller.account, used)
+	r.chargeID = nil
+}
+
+// noteFailure keeps an upstream that failed a request from being chosen again at once.
+func (r *request) noteFailure(upstream string, err error) {
+	if err != nil && r.ctx.Err() == nil && retryable(verdict.As(err)) {
+		r.e.scheduler.ObserveFailure(upstream)
+	}
+}
+
+// retryable reports whether another attempt can end better. Refusals that concern the request itself cannot.
+func retryable(refusal *verdict.Refusal) bool {
+	switch refusal.Reason {
+	case wirev1.Reason_REASON_NO_PLACE, wirev1.Reason_REASON_LEAVING, wirev1.Reason_REASON_STALE_NONCE,
+		wirev1.Reason_REASON_BARRED, wirev1.Reason_REASON_STALLED, wirev1.Reason_REASON_UPSTREAM_UNREACHABLE,
+		wirev1.Reason_REASON_UPSTREAM_BROKE, wirev1.Reason_REASON_UPSTREAM_ERROR, wirev1.Reason_REASON_EVICTED,
+		wirev1.Reason_REASON_NO_RESERVATION, wirev1.Reason_REASON_ENTRY_LOST, wirev1.Reason_REASON_NO_UPSTREAM,
+		wirev1.Reason_REASON_UPSTREAM_RESTARTED, wirev1.Reason_REASON_STOPPING, wirev1.Reason_REASON_UNKNOWN_CALL:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/respond.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/openai"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	headerRequestID = "X-Request-Id"
+	headerVerdict   = "Fulmardoor-Verdict"
+)
+
+func errorBody(refusal *verdict.Refusal, requestID string) openai.ErrorBody {
+	return openai.ErrorBody{
+		Message: refusal.Detail, Type: "fulmardoor_refusal", Code: verdict.ReasonName(refusal.Reason),
+		Verdict: refusal.Verdict.String(), RequestID: requestID,
+	}
+}
+
+// writeRefusal answers a request of which no byte was answered yet.
+func (e *Entry) writeRefusal(w http.ResponseWriter, requestID string, err error) {
+	refusal := verdict.As(err)
+	e.noteRefusal(requestID, refusal)
+	header := w.Header()
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	header.Set("Content-Type", "application/json")
+	header.Set(headerVerdict, refusal.Verdict.String())
+	w.WriteHeader(refusal.HTTPStatus())
+	if err := json.NewEncoder(w).Encode(openai.Error{Error: errorBody(refusal, requestID)}); err != nil {
+		e.logger.Debug("refusal not written", zap.String("request", requestID), zap.Error(err))
+	}
+}
+
+func (e *Entry) noteRefusal(requestID string, refusal *verdict.Refusal) {
+	reason := verdict.ReasonName(refusal.Reason)
+	e.events.Record("refused", requestID, "", field("reason", reason), field("verdict", refusal.Verdict))
+	e.metrics.Refused(reason, refusal.Verdict.String())
+	e.logger.Info("request refused", zap.String("request", requestID), zap.String("reason", reason),
+		zap.Stringer("verdict", refusal.Verdict), zap.String("detail", refusal.Detail))
+}
+
+// readBody reads a request body within the limit.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := e.settings.GetCallers().GetMaxBodyBytes()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_BODY_TOO_LARGE, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "the body could not be read")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+)
+
+var errStopping = errors.New("the process is stopping")
+
+// ServeStream implements transport.Handler for streams of other entries and of sidecars.
+func (e *Entry) ServeStream(
+	ctx context.Context, _ *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
+) {
+	reply := e.handle(ctx, open)
+	if reply == nil {
+		e.logger.Warn("stream of unknown kind refused")
+		return
+	}
+	if err := stream.Send(reply); err != nil {
+		e.logger.Debug("reply not sent", zap.Error(err))
+	}
+}
+
+func (e *Entry) handle(ctx context.Context, open *wirev1.StreamOpen) transport.Message {
+	switch kind := open.GetKind().(type) {
+	case *wirev1.StreamOpen_Charge:
+		return e.ledger.HandleCharge(ctx, kind.Charge)
+	case *wirev1.StreamOpen_Settle:
+		return e.ledger.HandleSettle(ctx, kind.Settle)
+	case *wirev1.StreamOpen_Promise:
+		return e.ledger.HandlePromise(ctx, kind.Promise)
+	case *wirev1.StreamOpen_Handoff:
+		return e.ledger.HandleHandoff(ctx, kind.Handoff)
+	case *wirev1.StreamOpen_ConfigPush:
+		return e.conf.HandlePush(ctx, kind.ConfigPush)
+	case *wirev1.StreamOpen_ConfigPull:
+		return e.conf.HandlePull(kind.ConfigPull)
+	case *wirev1.StreamOpen_EventQuery:
+		return e.events.Query(kind.EventQuery)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/headers"
+	"github.com/fulmardoor/fulmardoor/internal/retry"
+	"github.com/fulmardoor/fulmardoor/internal/scheduler"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	headerIdempotencyKey    = "Idempotency-Key"
+	headerIdempotencyRepeat = "Idempotency-Repeat"
+)
+
+// serviceRequest is one call of a plain service.
+type serviceRequest struct {
+	*request
+	route *configv1.Document_Route
+	work  *wirev1.HTTPWork
+	w     http.ResponseWriter
+	// begun is set when bytes of the answer went to the caller.
+	begun bool
+}
+
+// findRoute returns the route with the longest matching path.
+func findRoute(routes []*configv1.Document_Route, method, path string) *configv1.Document_Route {
+	var best *configv1.Document_Route
+	for _, route := range routes {
+		if !pathCovers(route.GetPath(), path) || !methodListed(route.GetMethods(), method) {
+			continue
+		}
+		if best == nil || len(route.GetPath()) > len(best.GetPath()) {
+			best = route
+		}
+	}
+	return best
+}
+
+// pathCovers reports whether path is prefix or lies below it.
+func pathCovers(prefix, path string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
+}
+
+func methodListed(methods, method string) bool {
+	if methods == "" {
+		return true
+	}
+	listed := strings.FieldsFunc(methods, func(r rune) bool { return r == ',' || r == ' ' })
+	return slices.Contains(listed, method)
+}
+
+// serveService handles requests of plain services.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	req := e.newRequest(w, r)
+	defer req.close()
+	if err := e.conf.Admit(); err != nil {
+		e.writeRefusal(w, req.name, err)
+		return
+	}
+	snapshot := e.conf.Current()
+	route := findRoute(snapshot.Routes(), r.Method, r.URL.Path)
+	if route == nil {
+		e.writeRefusal(w, req.name, verdict.Refuse(wirev1.Reason_REASON_NO_ROUTE, "no route for %s %s", r.Method, r.URL.Path))
+		return
+	}
+	c, err := identify(snapshot, r, route.GetOpen())
+	if err != nil {
+		e.writeRefusal(w, req.name, err)
+		return
+	}
+	body, err := e.readBody(w, r)
+	if err != nil {
+		e.writeRefusal(w, req.name, err)
+		return
+	}
+	req.caller = c
+	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
+	s.serve()
+}
+
+// serviceWork copies the request without the key and the headers of the caller's connection.
+func serviceWork(r *http.Request, route *configv1.Document_Route, body []byte) *wirev1.HTTPWork {
+	work := &wirev1.HTTPWork{
+		Method: r.Method, Path: r.URL.RequestURI(), Body: body, Idempotent: route.GetIdempotent(),
+		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
+		Repeat:         r.Header.Get(headerIdempotencyRepeat) == "true",
+		TimeoutMs:      uint32(route.GetTimeout().AsDuration().Milliseconds()),
+	}
+	headers.EachRequest(r.Header, func(name, value string) {
+		work.Headers = append(work.Headers, &wirev1.Header{Name: name, Value: value})
+	})
+	return work
+}
+
+func (s *serviceRequest) serve() {
+	s.e.budget.Request()
+	for {
+		err := s.attempt()
+		if err == nil {
+			s.e.metrics.Served("service", s.route.GetPool())
+			return
+		}
+		if s.ctx.Err() != nil {
+			err = s.endCause(err)
+		}
+		refusal := verdict.As(err)
+		again := s.ctx.Err() == nil && retryable(refusal) &&
+			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
+		if again && s.e.budget.Allow() {
+			s.e.metrics.Retried("service")
+			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)))
+			continue
+		}
+		s.fail(refusal)
+		return
+	}
+}
+
+// fail ends the request. After the first byte only a broken connection tells the caller that the answer is not whole.
+func (s *serviceRequest) fail(refusal *verdict.Refusal) {
+	s.settle(0, refusal.Verdict)
+	if !s.begun {
+		s.e.writeRefusal(s.w, s.name, refusal)
+		return
+	}
+	s.e.noteRefusal(s.name, refusal)
+	panic(http.ErrAbortHandler)
+}
+
+func (s *serviceRequest) attempt() error {
+	u, err := s.choose()
+	if err != nil {
+		return err
+	}
+	u.calls.Add(1)
+	defer u.calls.Add(-1)
+	session := u.peer.Session()
+	if session == nil {
+		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
+	}
+	nonce, err := freshNonce(s.ctx, session)
+	if err != nil {
+		return err
+	}
+	if err := s.authorize(s.route.GetCostTokens()); err != nil {
+		return err
+	}
+	x := &exchange{
+		peer: u.peer, logger: s.e.logger, onFrame: s.onFrame, onEvent: s.event(u.name),
+		request: &wirev1.ExecuteRequest{
+			Call: s.e.nextCallID(), Nonce: nonce, Account: s.caller.account, ChargedTokens: s.route.GetCostTokens(),
+			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
+		},
+	}
+	s.e.events.Record("dispatched", s.name, u.name, field("call", call.FromWire(x.request.GetCall())))
+	outcome, err := x.run(s.ctx)
+	if err == nil {
+		err = outcomeError(outcome)
+	}
+	s.noteFailure(u.name, err)
+	return err
+}
+
+// choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host.
+func (s *serviceRequest) choose() (*upstream, error) {
+	list := s.e.upstreams.find(s.route.GetPool(), wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	want := &scheduler.Request{Account: s.caller.account, Model: s.route.GetPool()}
+	var chosen []scheduler.Candidate
+	if key := s.work.GetIdempotencyKey(); key != "" {
+		hash := xxhash.Sum64String(s.caller.account + "\x00" + key)
+		if one, ok := s.e.scheduler.ServiceByKey(hash, want, candidates(list)); ok {
+			chosen = append(chosen, one)
+		}
+	} else {
+		chosen = s.e.scheduler.Service(want, candidates(list))
+	}
+	if len(chosen) == 0 {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s accepts work now", s.route.GetPool())
+	}
+	s.e.scheduler.ObserveChoice(chosen[0].Upstream)
+	return byName(list, chosen[:1])[0], nil
+}
+
+func (s *serviceRequest) onFrame(frame *wirev1.Frame) error {
+	switch body := frame.GetBody().(type) {
+	case *wirev1.Frame_HttpHead:
+		s.begun = true
+		for _, h := range body.HttpHead.GetHeaders() {
+			s.w.Header().Add(h.GetName(), h.GetValue())
+		}
+		s.w.Header().Set(headerRequestID, s.name)
+		s.w.WriteHeader(int(body.HttpHead.GetStatus()))
+	case *wirev1.Frame_HttpBody:
+		if _, err := s.w.Write(body.HttpBody); err != nil {
+			return errors.Wrap(err, "write to caller")
+		}
+	}
+	return nil
+}
+
+// endCause explains why the request's context ended.
+func (s *serviceRequest) endCause(err error) error {
+	if cause := context.Cause(s.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,135 @@
+// Package process has what the programs share: logger, TLS, listeners and the two stop signals.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+)
+
+// Version is set at build time.
+var Version = "0.1.0"
+
+// Logger returns a JSON logger to standard error and its level, which can be changed while the process runs.
+func Logger(settings *configv1.ProcessSettings) (*zap.Logger, zap.AtomicLevel, error) {
+	level, err := zap.ParseAtomicLevel(settings.GetLogLevel())
+	if err != nil {
+		return nil, level, errors.Wrap(err, "log level")
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = level
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	logger, err := cfg.Build()
+	if err != nil {
+		return nil, level, errors.Wrap(err, "build logger")
+	}
+	return logger.With(zap.String("process", settings.GetName()), zap.String("host", settings.GetHost()),
+		zap.String("data_centre", settings.GetDataCentre())), level, nil
+}
+
+// Signals returns a context that ends at the first stop signal and a channel that is closed at the second.
+func Signals() (first context.Context, second <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	again := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		close(again)
+	}()
+	return ctx, again
+}
+
+// Listen opens a TCP listener, with TLS if certificate files are named. The error names the setting.
+func Listen(setting, address, certificateFile, keyFile string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "setting %s", setting)
+	}
+	if certificateFile == "" {
+		return listener, nil
+	}
+	reloader := &certificateReloader{certificateFile: certificateFile, keyFile: keyFile}
+	if _, err := reloader.load(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: reloader.server}), nil
+}
+
+// PeerListener opens the listener for other processes. With certificates both sides must show one of the authority.
+func PeerListener(settings *configv1.PeerSettings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.GetListen())
+	if err != nil {
+		return nil, errors.Wrap(err, "setting peers.listen")
+	}
+	if settings.GetCertificateFile() == "" {
+		return listener, nil
+	}
+	config, err := peerTLS(settings)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, config), nil
+}
+
+// PeerDialer connects to other processes.
+type PeerDialer struct {
+	dialer net.Dialer
+	config *tls.Config
+}
+
+// NewPeerDialer returns a dialer for plain TCP, or for TLS if certificate files are named.
+func NewPeerDialer(settings *configv1.PeerSettings) (*PeerDialer, error) {
+	if settings.GetCertificateFile() == "" {
+		return &PeerDialer{}, nil
+	}
+	config, err := peerTLS(settings)
+	if err != nil {
+		return nil, err
+	}
+	return &PeerDialer{config: config}, nil
+}
+
+// DialContext implements transport.Dialer.
+func (d *PeerDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.config == nil {
+		return d.dialer.DialContext(ctx, network, address)
+	}
+	dialer := tls.Dialer{NetDialer: &d.dialer, Config: d.config}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func peerTLS(settings *configv1.PeerSettings) (*tls.Config, error) {
+	reloader := &certificateReloader{certificateFile: settings.GetCertificateFile(), keyFile: settings.GetKeyFile()}
+	if _, err := reloader.load(); err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(settings.GetAuthorityFile())
+	if err != nil {
+		return nil, errors.Wrap(err, "setting peers.authority_file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("setting peers.authority_file: no certificate in %s", settings.GetAuthorityFile())
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+		GetCertificate: reloader.server, GetClientCertificate: reloader.client,
+	}, nil
+}
--- /dev/null
+++ b/internal/sidecar/serve.go
@@ -0,0 +1,323 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/places"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// implicitWaitMillis is the longest wait for a place of a call that was not reserved before.
+const implicitWaitMillis = 500
+
+// ServeStream implements transport.Handler.
+func (s *Sidecar) ServeStream(
+	ctx context.Context, _ *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
+) {
+	switch kind := open.GetKind().(type) {
+	case *wirev1.StreamOpen_Reserve:
+		s.serveReserve(ctx, kind.Reserve, stream)
+	case *wirev1.StreamOpen_Execute:
+		s.serveExecute(ctx, kind.Execute, stream)
+	case *wirev1.StreamOpen_Resume:
+		s.serveResume(ctx, kind.Resume, stream)
+	case *wirev1.StreamOpen_Query:
+		s.reply(stream, s.calls.Query(kind.Query))
+	case *wirev1.StreamOpen_Cancel:
+		s.reply(stream, s.cancelCall(kind.Cancel))
+	case *wirev1.StreamOpen_Quote:
+		s.reply(stream, s.quote(kind.Quote))
+	case *wirev1.StreamOpen_Nonce:
+		s.reply(stream, &wirev1.NonceReply{Nonce: s.issuer.Issue()})
+	case *wirev1.StreamOpen_Order:
+		s.reply(stream, s.order(ctx, kind.Order))
+	case *wirev1.StreamOpen_ConfigPush:
+		s.reply(stream, s.conf.HandlePush(ctx, kind.ConfigPush))
+	case *wirev1.StreamOpen_ConfigPull:
+		s.reply(stream, s.conf.HandlePull(kind.ConfigPull))
+	case *wirev1.StreamOpen_EventQuery:
+		s.reply(stream, s.events.Query(kind.EventQuery))
+	default:
+		s.logger.Warn("stream of unknown kind refused")
+	}
+}
+
+func (s *Sidecar) reply(stream *transport.Stream, message transport.Message) {
+	if err := stream.Send(message); err != nil {
+		s.logger.Debug("reply not sent", zap.Error(err))
+	}
+}
+
+func (s *Sidecar) quote(req *wirev1.QuoteRequest) *wirev1.QuoteReply {
+	load := s.load()
+	reply := s.upstream.Quote(req, load)
+	reply.Accepting = load.GetAccepting()
+	reply.Nonce = s.issuer.Issue()
+	return reply
+}
+
+// serveReserve holds a place until the stream closes or a call begins on it.
+func (s *Sidecar) serveReserve(ctx context.Context, req *wirev1.ReserveRequest, stream *transport.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// The entry sends nothing more; the end of the stream withdraws the request.
+		_ = stream.Recv(new(wirev1.ReserveReply))
+		cancel()
+	}()
+	id := call.FromWire(req.GetCall())
+	reservation, err := s.places.Reserve(ctx, req)
+	if err != nil {
+		refusal := verdict.As(err)
+		s.reply(stream, &wirev1.ReserveReply{
+			Reason: refusal.Reason, Nonce: s.issuer.Issue(), RetryAfterMs: uint32(refusal.RetryAfter.Milliseconds()),
+		})
+		return
+	}
+	s.addReservation(id, reservation)
+	s.events.Record("place_reserved", id.String(), s.settings.GetUpstream().GetName())
+	s.reply(stream, &wirev1.ReserveReply{Granted: true, Nonce: s.issuer.Issue()})
+	<-ctx.Done()
+	if left := s.takeReservation(id); left != nil {
+		left.Release()
+	}
+}
+
+func (s *Sidecar) addReservation(id call.ID, reservation *places.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reservations[id] = reservation
+}
+
+// takeReservation removes the reservation of a call, so that exactly one caller begins or releases it.
+func (s *Sidecar) takeReservation(id call.ID) *places.Reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reservation := s.reservations[id]
+	delete(s.reservations, id)
+	return reservation
+}
+
+// serveExecute runs a call, or refuses it with a truthful "not run", and delivers its answer.
+func (s *Sidecar) serveExecute(ctx context.Context, req *wirev1.ExecuteRequest, stream *transport.Stream) {
+	id := call.FromWire(req.GetCall())
+	reservation, err := s.begin(ctx, req)
+	if err != nil {
+		s.refuse(id, err, stream)
+		return
+	}
+	c, started, err := s.calls.Start(req)
+	if err == nil && !started {
+		reservation.Release()
+		s.events.Record("answer_replayed", id.String(), s.settings.GetUpstream().GetName())
+		s.observe(ctx, c, stream)
+		return
+	}
+	if err != nil {
+		reservation.Release()
+		s.refuse(id, err, stream)
+		return
+	}
+	go s.run(c, reservation, req)
+	s.deliver(ctx, c, stream, 1)
+}
+
+// begin takes the real place for a call. A call without a reservation gets one if a place is free soon.
+func (s *Sidecar) begin(ctx context.Context, req *wirev1.ExecuteRequest) (*places.Reservation, error) {
+	if err := s.checkRepeat(req); err != nil {
+		return nil, err
+	}
+	id := call.FromWire(req.GetCall())
+	reservation := s.takeReservation(id)
+	if reservation == nil {
+		var err error
+		reservation, err = s.places.Reserve(ctx, &wirev1.ReserveRequest{
+			Call: req.GetCall(), Account: req.GetAccount(), CostTokens: req.GetChargedTokens(), WaitMs: implicitWaitMillis,
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := reservation.Begin(ctx); err != nil {
+		reservation.Release()
+		return nil, err
+	}
+	return reservation, nil
+}
+
+// checkRepeat refuses a request that its caller marks as a repeat when the first attempt is not remembered.
+func (s *Sidecar) checkRepeat(req *wirev1.ExecuteRequest) error {
+	work := req.GetWork().GetHttp()
+	if !work.GetRepeat() || s.calls.Repeated(req.GetAccount(), work.GetIdempotencyKey()) {
+		return nil
+	}
+	return &verdict.Refusal{
+		Verdict: verdict.MayHaveRun, Reason: wirev1.Reason_REASON_EARLIER_RUN_UNKNOWN,
+		Detail: "the first attempt with this idempotency key is not remembered here, it may have run",
+	}
+}
+
+func (s *Sidecar) refuse(id call.ID, err error, stream *transport.Stream) {
+	refusal := verdict.As(err)
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		refusal = verdict.Refuse(wirev1.Reason_REASON_CANCELLED, "the call was withdrawn before it began")
+	}
+	s.events.Record("call_refused", id.String(), s.settings.GetUpstream().GetName(),
+		field("reason", verdict.ReasonName(refusal.Reason)))
+	outcome := &wirev1.Outcome{
+		Verdict: refusal.Verdict.Wire(), Reason: refusal.Reason, Detail: refusal.Detail, Nonce: s.issuer.Issue(),
+	}
+	s.reply(stream, &wirev1.Frame{Number: 1, Body: &wirev1.Frame_Outcome{Outcome: outcome}})
+}
+
+func (s *Sidecar) run(c *call.Call, reservation *places.Reservation, req *wirev1.ExecuteRequest) {
+	defer reservation.Release()
+	name := s.settings.GetUpstream().GetName()
+	s.events.Record("call_started", c.ID.String(), name)
+	outcome := s.upstream.Run(c, req.GetWork(), reservation.Progress)
+	outcome.Nonce = s.issuer.Issue()
+	if outcome.GetVerdict() == wirev1.Verdict_VERDICT_NOT_RUN {
+		s.calls.Forget(c)
+	}
+	s.events.Record("call_ended", c.ID.String(), name,
+		field("verdict", verdict.FromWire(outcome.GetVerdict())), field("reason", verdict.ReasonName(outcome.GetReason())),
+		field("output_tokens", outcome.GetOutputTokens()))
+	c.Finish(outcome)
+}
+
+func (s *Sidecar) serveResume(ctx context.Context, req *wirev1.ResumeRequest, stream *transport.Stream) {
+	c := s.calls.Get(call.FromWire(req.GetCall()))
+	if c == nil {
+		outcome := &wirev1.Outcome{
+			Verdict: wirev1.Verdict_VERDICT_MAY_HAVE_RUN, Reason: wirev1.Reason_REASON_UNKNOWN_CALL, Nonce: s.issuer.Issue(),
+		}
+		s.reply(stream, &wirev1.Frame{Number: req.GetNextFrame(), Body: &wirev1.Frame_Outcome{Outcome: outcome}})
+		return
+	}
+	s.events.Record("answer_resumed", c.ID.String(), s.settings.GetUpstream().GetName(),
+		field("next_frame", req.GetNextFrame()))
+	s.deliver(ctx, c, stream, req.GetNextFrame())
+}
+
+// deliver sends the frames of a call from a number on and takes acknowledgements.
+func (s *Sidecar) deliver(ctx context.Context, c *call.Call, stream *transport.Stream, next uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	generation := c.Attach()
+	defer c.Detach(generation)
+	go func() {
+		defer cancel()
+		receiveAcks(c, stream)
+	}()
+	s.sendFrames(ctx, c, stream, generation, next)
+	if c.Outcome() != nil {
+		<-ctx.Done() // the last acknowledgement or the end of the stream
+	}
+}
+
+func receiveAcks(c *call.Call, stream *transport.Stream) {
+	for {
+		ack := new(wirev1.FrameAck)
+		if err := stream.Recv(ack); err != nil {
+			return
+		}
+		c.Ack(ack.GetNumber())
+	}
+}
+
+func (s *Sidecar) sendFrames(
+	ctx context.Context, c *call.Call, stream *transport.Stream, generation int, next uint64,
+) {
+	for {
+		frame, err := c.Next(ctx, generation, next)
+		if err != nil {
+			return
+		}
+		if err := stream.Send(frame); err != nil {
+			return
+		}
+		if frame.GetOutcome() != nil {
+			return
+		}
+		next++
+	}
+}
+
+// observe sends the remembered answer of a call to a caller that repeated it.
+func (s *Sidecar) observe(ctx context.Context, c *call.Call, stream *transport.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for stream.Recv(new(wirev1.FrameAck)) == nil {
+			continue
+		}
+	}()
+	s.sendFrames(ctx, c, stream, call.Observer, 1)
+	<-ctx.Done()
+}
+
+func (s *Sidecar) cancelCall(req *wirev1.CancelRequest) *wirev1.CancelReply {
+	id := call.FromWire(req.GetCall())
+	if reservation := s.takeReservation(id); reservation != nil {
+		reservation.Release()
+	}
+	c := s.calls.Get(id)
+	if c == nil {
+		return &wirev1.CancelReply{State: wirev1.CallState_CALL_STATE_UNKNOWN}
+	}
+	s.upstream.Release(id)
+	if c.Outcome() != nil {
+		return &wirev1.CancelReply{State: wirev1.CallState_CALL_STATE_FINISHED}
+	}
+	s.events.Record("call_cancelled", id.String(), s.settings.GetUpstream().GetName())
+	c.Cancel(call.ErrCancelled)
+	return &wirev1.CancelReply{State: wirev1.CallState_CALL_STATE_RUNNING}
+}
+
+// order carries out an operator's order if its fencing number is the highest seen.
+func (s *Sidecar) order(ctx context.Context, req *wirev1.OrderRequest) *wirev1.OrderReply {
+	s.mu.Lock()
+	highest := s.highestOrder
+	stale := req.GetFencingNumber() <= highest
+	if !stale {
+		s.highestOrder = req.GetFencingNumber()
+		highest = s.highestOrder
+	}
+	s.mu.Unlock()
+	reply := &wirev1.OrderReply{HighestFencingNumber: highest}
+	if stale {
+		reply.Reason = wirev1.Reason_REASON_STALE_ORDER
+		reply.Detail = "a newer order was seen"
+		return reply
+	}
+	if err := s.carryOut(ctx, req); err != nil {
+		reply.Detail = err.Error()
+		return reply
+	}
+	s.events.Record("order_accepted", "", s.settings.GetUpstream().GetName(),
+		field("fencing_number", req.GetFencingNumber()))
+	reply.Accepted = true
+	return reply
+}
+
+func (s *Sidecar) carryOut(ctx context.Context, req *wirev1.OrderRequest) error {
+	switch kind := req.GetKind().(type) {
+	case *wirev1.OrderRequest_Drain:
+		s.setLeaving(func(l *leaving) { l.operator = true })
+		return nil
+	case *wirev1.OrderRequest_ReturnToService:
+		s.setLeaving(func(l *leaving) { l.operator = false })
+		return nil
+	case *wirev1.OrderRequest_Engine:
+		return s.upstream.Order(ctx, req.GetFencingNumber(), kind.Engine)
+	default:
+		return errors.New("order of unknown kind")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/service.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/headers"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	bodyChunkBytes     = 32 << 10
+	serviceDialTimeout = 2 * time.Second
+	idleConnections    = 32
+	// stallLimit is the time without any answer, while calls are running, after which a plain service counts as stalled.
+	stallLimit = 10 * time.Second
+)
+
+// ServiceUpstream runs calls of a plain HTTP service.
+type ServiceUpstream struct {
+	baseURL string
+	// idempotent reuses connections. net/http repeats a request on its own when a reused connection turns out to be
+	// closed and the request has an Idempotency-Key header, so calls that may not be repeated use once.
+	idempotent *http.Transport
+	once       *http.Transport
+
+	mu         sync.Mutex // guards the fields below
+	running    int
+	lastAnswer time.Time
+}
+
+// NewServiceUpstream returns the upstream at a base URL.
+func NewServiceUpstream(baseURL string) *ServiceUpstream {
+	dialer := &net.Dialer{Timeout: serviceDialTimeout}
+	return &ServiceUpstream{
+		baseURL: baseURL,
+		idempotent: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+		},
+		once: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+	}
+}
+
+// Start implements Upstream.
+func (u *ServiceUpstream) Start(context.Context) error { return nil }
+
+// Run implements Upstream.
+func (u *ServiceUpstream) Run(c *call.Call, work *wirev1.Work, _ func(int)) *wirev1.Outcome {
+	u.begin()
+	defer u.end()
+	httpWork := work.GetHttp()
+	if httpWork == nil {
+		return notRun(wirev1.Reason_REASON_MALFORMED, "the upstream is a plain service")
+	}
+	ctx, cancel := context.WithCancel(c.Context())
+	if limit := httpWork.GetTimeoutMs(); limit > 0 {
+		ctx, cancel = context.WithTimeout(c.Context(), time.Duration(limit)*time.Millisecond)
+	}
+	defer cancel()
+	req, err := u.request(ctx, c.ID, httpWork)
+	if err != nil {
+		return notRun(wirev1.Reason_REASON_MALFORMED, err.Error())
+	}
+	transport := u.once
+	if httpWork.GetIdempotent() {
+		transport = u.idempotent
+	}
+	response, err := transport.RoundTrip(req)
+	if err != nil {
+		return u.failure(ctx, c, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	u.answered()
+	return u.copyAnswer(ctx, c, response)
+}
+
+func (u *ServiceUpstream) request(ctx context.Context, id call.ID, work *wirev1.HTTPWork) (*http.Request, error) {
+	body := bytes.NewReader(work.GetBody())
+	req, err := http.NewRequestWithContext(ctx, work.GetMethod(), u.baseURL+work.GetPath(), body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	for _, h := range work.GetHeaders() {
+		req.Header.Add(h.GetName(), h.GetValue())
+	}
+	req.Header.Set("X-Request-Id", id.String())
+	return req, nil
+}
+
+// failure gives the verdict on a call without an answer. Only a failed dial proves that nothing ran.
+func (u *ServiceUpstream) failure(ctx context.Context, c *call.Call, err error) *wirev1.Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return notRun(wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, "no connection to the upstream")
+	}
+	outcome := &wirev1.Outcome{
+		Verdict: wirev1.Verdict_VERDICT_MAY_HAVE_RUN, Reason: wirev1.Reason_REASON_UPSTREAM_BROKE,
+		Detail: "the upstream broke the connection before its answer",
+	}
+	if ctx.Err() != nil {
+		outcome.Reason, outcome.Detail = cancelReason(c.Context())
+	}
+	return outcome
+}
+
+func (u *ServiceUpstream) copyAnswer(ctx context.Context, c *call.Call, response *http.Response) *wirev1.Outcome {
+	head := &wirev1.HTTPHead{Status: uint32(response.StatusCode)}
+	headers.EachResponse(response.Header, func(name, value string) {
+		head.Headers = append(head.Headers, &wirev1.Header{Name: name, Value: value})
+	})
+	ran := &wirev1.Outcome{Verdict: wirev1.Verdict_VERDICT_RAN}
+	if err := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpHead{HttpHead: head}}); err != nil {
+		ran.Reason, ran.Detail = cancelReason(c.Context())
+		return ran
+	}
+	for {
+		chunk := make([]byte, bodyChunkBytes)
+		n, err := response.Body.Read(chunk)
+		if n > 0 {
+			if emitErr := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpBody{HttpBody: chunk[:n]}}); emitErr != nil {
+				ran.Reason, ran.Detail = cancelReason(c.Context())
+				return ran
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return ran
+		}
+		if err != nil {
+			ran.Reason, ran.Detail = wirev1.Reason_REASON_UPSTREAM_BROKE, "the upstream broke off its answer"
+			if ctx.Err() != nil {
+				ran.Reason, ran.Detail = cancelReason(c.Context())
+			}
+			return ran
+		}
+	}
+}
+
+// cancelReason says why a call's context ended.
+func cancelReason(ctx context.Context) (wirev1.Reason, string) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, call.ErrEntryLost):
+		return wirev1.Reason_REASON_ENTRY_LOST, cause.Error()
+	case errors.Is(cause, call.ErrCancelled):
+		return wirev1.Reason_REASON_CANCELLED, cause.Error()
+	case errors.Is(cause, call.ErrStalled):
+		return wirev1.Reason_REASON_STALLED, cause.Error()
+	case errors.Is(cause, call.ErrStopping):
+		return wirev1.Reason_REASON_STOPPING, cause.Error()
+	default:
+		return wirev1.Reason_REASON_DEADLINE, "the call took longer than its route permits"
+	}
+}
+
+func notRun(reason wirev1.Reason, detail string) *wirev1.Outcome {
+	return &wirev1.Outcome{Verdict: verdict.NotRun.Wire(), Reason: reason, Detail: detail}
+}
+
+func (u *ServiceUpstream) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.running == 0 {
+		u.lastAnswer = time.Now()
+	}
+	u.running++
+}
+
+func (u *ServiceUpstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+}
+
+func (u *ServiceUpstream) answered() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lastAnswer = time.Now()
+}
+
+// Stalled implements Upstream.
+func (u *ServiceUpstream) Stalled() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running > 0 && time.Since(u.lastAnswer) > stallLimit
+}
+
+// Probe implements Upstream with a request that any HTTP service answers.
+func (u *ServiceUpstream) Probe(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, u.baseURL+"/", nil)
+	if err != nil {
+		return errors.Wrap(err, "build probe")
+	}
+	response, err := u.once.RoundTrip(req)
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	u.answered()
+	if err := response.Body.Close(); err != nil {
+		return errors.Wrap(err, "close probe")
+	}
+	return nil
+}
+
+// Quote implements Upstream.
+func (u *ServiceUpstream) Quote(_ *wirev1.QuoteRequest, load *wirev1.Load) *wirev1.QuoteReply {
+	return &wirev1.QuoteReply{WaitMs: load.GetQueueMs()}
+}
+
+// FillLoad implements Upstream.
+func (u *ServiceUpstream) FillLoad(*wirev1.Load) {}
+
+// Release implements Upstream.
+func (u *ServiceUpstream) Release(call.ID) {}
+
+// Order implements Upstream.
+func (u *ServiceUpstream) Order(context.Context, uint64, *wirev1.EngineOrder) error {
+	return errors.New("a plain service takes no engine orders")
+}
--- /dev/null
+++ b/internal/sidecar/sessions.go
@@ -0,0 +1,90 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+)
+
+const (
+	probeTimeout  = 2 * time.Second
+	probeInterval = time.Second
+	idlePoll      = 50 * time.Millisecond
+)
+
+// field formats a field of an event.
+func field(name string, value any) *wirev1.Header {
+	return &wirev1.Header{Name: name, Value: fmt.Sprint(value)}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *Sidecar) load() *wirev1.Load {
+	upstream := s.settings.GetUpstream()
+	load := &wirev1.Load{Upstream: upstream.GetName(), Pool: upstream.GetPool(), EngineRole: s.role}
+	s.places.Load(load)
+	s.upstream.FillLoad(load)
+	return load
+}
+
+func (s *Sidecar) heartbeat() *wirev1.Heartbeat {
+	beat := &wirev1.Heartbeat{Nonce: s.issuer.Issue(), Load: s.load()}
+	s.conf.FillHeartbeat(beat)
+	s.mu.Lock()
+	beat.Leaving = s.leaving.any()
+	s.mu.Unlock()
+	return beat
+}
+
+func (s *Sidecar) onHeartbeat(session *transport.Session, beat *wirev1.Heartbeat) {
+	s.conf.OnHeartbeat(session.Remote().GetProcess(), beat)
+}
+
+func (s *Sidecar) addSession(session *transport.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions[session] = struct{}{}
+}
+
+func (s *Sidecar) removeSession(session *transport.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+func (s *Sidecar) sessionList() []*transport.Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*transport.Session, 0, len(s.sessions))
+	for session := range s.sessions {
+		list = append(list, session)
+	}
+	return list
+}
+
+// beatAll tells all entries the news without waiting for the heartbeat interval.
+func (s *Sidecar) beatAll() {
+	for _, session := range s.sessionList() {
+		session.BeatNow()
+	}
+}
+
+// Peers implements confsync's source of peers: the entries that are connected.
+func (s *Sidecar) Peers() []confsync.Peer {
+	var peers []confsync.Peer
+	for _, session := range s.sessionList() {
+		peers = append(peers, confsync.SessionPeer{Session: session})
+	}
+	return peers
+}
