--- /dev/null
+++ b/internal/hostlist/httpsd/source.go
@@ -0,0 +1,112 @@
+// Package httpsd reads the host list in the Prometheus HTTP service-discovery format.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/hostlist"
+)
+
+// Labels of a target group.
+const (
+	LabelName       = "__meta_fulmardoor_name"
+	LabelDataCentre = "__meta_fulmardoor_data_centre"
+	LabelRole       = "__meta_fulmardoor_role"
+	LabelState      = "__meta_fulmardoor_state"
+)
+
+// maxListBytes bounds the memory that a list may take; 13,000 hosts take about 3 MB.
+const maxListBytes = 64 << 20
+
+type source struct {
+	url    string
+	client *http.Client
+}
+
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// New returns a source that reads the list from url. A nil client means http.DefaultClient. The caller's context limits
+// the time of a read.
+func New(url string, client *http.Client) hostlist.Source {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &source{url: url, client: client}
+}
+
+// Hosts implements hostlist.Source. A host without a state is live; a state other than live counts as leaving, so that
+// a state this program does not know brings the host no new work. A malformed list is an error as a whole.
+func (s *source) Hosts(ctx context.Context) ([]hostlist.Host, error) {
+	groups, err := s.read(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(err, "host list %s", s.url)
+	}
+	var hosts []hostlist.Host
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			host, err := hostOf(target, group.Labels)
+			if err != nil {
+				return nil, errors.Wrapf(err, "host list %s", s.url)
+			}
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts, nil
+}
+
+func (s *source) read(ctx context.Context) ([]targetGroup, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "create request")
+	}
+	request.Header.Set("Accept", "application/json")
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %s", answer.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxListBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	if len(text) > maxListBytes {
+		return nil, errors.Errorf("list is larger than %d bytes", maxListBytes)
+	}
+	var groups []targetGroup
+	if err := json.Unmarshal(text, &groups); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	return groups, nil
+}
+
+func hostOf(target string, labels map[string]string) (hostlist.Host, error) {
+	if _, err := netip.ParseAddrPort(target); err != nil {
+		return hostlist.Host{}, errors.Wrapf(err, "target %q", target)
+	}
+	return hostlist.Host{
+		Address:    target,
+		Name:       labels[LabelName],
+		DataCentre: labels[LabelDataCentre],
+		Role:       labels[LabelRole],
+		State:      stateOf(labels[LabelState]),
+	}, nil
+}
+
+func stateOf(label string) hostlist.State {
+	if label == "" || label == string(hostlist.Live) {
+		return hostlist.Live
+	}
+	return hostlist.Leaving
+}
