kv: contract test over the in-memory store and the HTTP client

The same cases run over memory.Store and over etcdhttp against the platform stand-in. HTTP runs over in-memory connections inside synctest, so leases, progress notices, timeouts and silent watches are tested in virtual time.

--- /dev/null
+++ b/internal/kv/contract_test.go
@@ -0,0 +1,344 @@
+package kv_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+	"github.com/fulmardoor/fulmardoor/standin/platform"
+)
+
+const callTimeout = 2 * time.Second
+
+// pipeListener accepts in-memory connections, so that HTTP runs in virtual time.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// overHTTP returns a client of the platform stand-in over store and a function that stops the stand-in.
+func overHTTP(t *testing.T, store *memory.Store) (client *etcdhttp.Client, stop func()) {
+	t.Helper()
+	listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	handler := platform.New(platform.Options{Store: store})
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	transport := &http.Transport{DialContext: listener.dial}
+	stop = func() {
+		handler.Close()
+		transport.CloseIdleConnections()
+		server.Close()
+	}
+	t.Cleanup(stop)
+	return etcdhttp.New("http://platform", &http.Client{Transport: transport}, callTimeout), stop
+}
+
+// eachStore runs a case over the in-memory store and over HTTP, both in virtual time.
+func eachStore(t *testing.T, run func(t *testing.T, store kv.Store, backend *memory.Store)) {
+	t.Helper()
+	t.Run("memory", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			backend := memory.New(memory.Options{})
+			run(t, backend, backend)
+		})
+	})
+	t.Run("etcdhttp", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			backend := memory.New(memory.Options{})
+			client, _ := overHTTP(t, backend)
+			run(t, client, backend)
+		})
+	})
+}
+
+func wantErr(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("%s: error %v, want %v", what, got, want)
+	}
+}
+
+func put(t *testing.T, store kv.Store, key, value string, revision, lease int64) int64 {
+	t.Helper()
+	r, err := store.CompareAndSwap(t.Context(), key, []byte(value), revision, lease)
+	if err != nil {
+		t.Fatalf("put %s: %v", key, err)
+	}
+	return r
+}
+
+// Guards against a swap that overwrites another writer's value or loses its own.
+func TestCompareAndSwap(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, _ *memory.Store) {
+		ctx := t.Context()
+		_, err := store.Get(ctx, "a")
+		wantErr(t, "get of no key", err, kv.ErrNotFound)
+		first := put(t, store, "a", "1", 0, 0)
+		_, err = store.CompareAndSwap(ctx, "a", []byte("x"), 0, 0)
+		wantErr(t, "create over a key", err, kv.ErrConflict)
+		second := put(t, store, "a", "2\x00\xff", first, 0)
+		if second <= first {
+			t.Errorf("revision %d after %d", second, first)
+		}
+		_, err = store.CompareAndSwap(ctx, "a", []byte("x"), first, 0)
+		wantErr(t, "swap at an old revision", err, kv.ErrConflict)
+		pair, err := store.Get(ctx, "a")
+		if err != nil || string(pair.Value) != "2\x00\xff" || pair.ModRevision != second || pair.Key != "a" {
+			t.Errorf("got %+v, %v", pair, err)
+		}
+		_, err = store.Delete(ctx, "a", first)
+		wantErr(t, "delete at an old revision", err, kv.ErrConflict)
+		if r, err := store.Delete(ctx, "a", second); err != nil || r <= second {
+			t.Errorf("delete: revision %d, %v", r, err)
+		}
+		_, err = store.Get(ctx, "a")
+		wantErr(t, "get after delete", err, kv.ErrNotFound)
+		_, err = store.CompareAndSwap(ctx, "b", nil, 0, 99)
+		wantErr(t, "put on no lease", err, kv.ErrLeaseNotFound)
+		if _, err := store.CompareAndSwap(ctx, "b", make([]byte, memory.MaxValueBytes+1), 0, 0); err == nil ||
+			errors.Is(err, kv.ErrOutcomeUnknown) || errors.Is(err, kv.ErrUnavailable) {
+			t.Errorf("value over the limit: %v", err)
+		}
+	})
+}
+
+// Guards against a list that takes keys outside its prefix or loses their order.
+func TestList(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, _ *memory.Store) {
+		var last int64
+		for _, key := range []string{"p/b", "q", "p/a", "o\xff", "p0", "p/\xff\xff"} {
+			last = put(t, store, key, key, 0, 0)
+		}
+		for _, c := range []struct{ prefix, want string }{
+			{"p/", "p/a p/b p/\xff\xff"}, {"p/\xff", "p/\xff\xff"}, {"none", ""}, {"", "o\xff p/a p/b p/\xff\xff p0 q"},
+		} {
+			pairs, revision, err := store.List(t.Context(), c.prefix)
+			var keys []string
+			for _, pair := range pairs {
+				keys = append(keys, pair.Key)
+			}
+			if got := strings.Join(keys, " "); err != nil || got != c.want || revision != last {
+				t.Errorf("prefix %q: %q at %d, %v, want %q at %d", c.prefix, got, revision, err, c.want, last)
+			}
+		}
+	})
+}
+
+// Guards against keys that outlive their lease and leases that lapse although they were renewed.
+func TestLease(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, _ *memory.Store) {
+		ctx := t.Context()
+		lease, err := store.GrantLease(ctx, 2*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := put(t, store, "kept", "1", 0, lease)
+		put(t, store, "kept", "2", r, 0)
+		put(t, store, "x", "1", 0, lease)
+		put(t, store, "y", "1", 0, lease)
+		for range 3 {
+			time.Sleep(1500 * time.Millisecond)
+			if err := store.RenewLease(ctx, lease); err != nil {
+				t.Fatal(err)
+			}
+		}
+		updates, err := store.Watch(ctx, "", r+3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := nextEvents(t, updates)
+		for len(events) < 3 {
+			events = append(events, nextEvents(t, updates)...)
+		}
+		x, y := events[1], events[2]
+		if !x.Deleted || !y.Deleted || x.Pair.Key != "x" || x.Pair.ModRevision != y.Pair.ModRevision {
+			t.Errorf("lapse: %+v", events)
+		}
+		wantErr(t, "renew after lapse", store.RenewLease(ctx, lease), kv.ErrLeaseNotFound)
+		if _, err := store.Get(ctx, "kept"); err != nil {
+			t.Errorf("key taken off its lease: %v", err)
+		}
+		lease, _ = store.GrantLease(ctx, time.Minute)
+		put(t, store, "x", "1", 0, lease)
+		if err := store.RevokeLease(ctx, lease); err != nil {
+			t.Error(err)
+		}
+		_, err = store.Get(ctx, "x")
+		wantErr(t, "get after revocation", err, kv.ErrNotFound)
+		wantErr(t, "second revocation", store.RevokeLease(ctx, lease), kv.ErrLeaseNotFound)
+	})
+}
+
+func nextEvents(t *testing.T, updates <-chan kv.WatchUpdate) []kv.Event {
+	t.Helper()
+	for update := range updates {
+		if update.Err != nil {
+			t.Fatalf("watch: %v", update.Err)
+		}
+		if len(update.Events) > 0 {
+			return update.Events
+		}
+	}
+	t.Fatal("watch closed")
+	return nil
+}
+
+// Guards against a watch that misses or repeats changes, or confirms a revision it has not delivered.
+func TestWatch(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, backend *memory.Store) {
+		first := put(t, store, "p/a", "1", 0, 0)
+		put(t, store, "other", "1", 0, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		updates, err := store.Watch(ctx, "p/", first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e := nextEvents(t, updates); len(e) != 1 || e[0].Deleted || string(e[0].Pair.Value) != "1" {
+			t.Errorf("old change: %+v", e)
+		}
+		last := put(t, store, "other2", "1", 0, 0)
+		started := time.Now()
+		if u := <-updates; u.Err != nil || len(u.Events) != 0 || u.Revision != last {
+			t.Errorf("progress notice: %+v", u)
+		}
+		if waited := time.Since(started); waited > memory.DefaultProgressInterval {
+			t.Errorf("progress notice after %v", waited)
+		}
+		deleted, err := store.Delete(t.Context(), "p/a", first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e := nextEvents(t, updates); len(e) != 1 || !e[0].Deleted || e[0].Pair.ModRevision != deleted {
+			t.Errorf("delete: %+v", e)
+		}
+		cancel()
+		synctest.Wait()
+		if u, open := <-updates; open {
+			t.Errorf("update after the end: %+v", u)
+		}
+		backend.Compact(deleted)
+		updates, err = store.Watch(t.Context(), "p/", first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantErr(t, "watch at a compacted revision", (<-updates).Err, kv.ErrCompacted)
+		if u, open := <-updates; open {
+			t.Errorf("update after the error: %+v", u)
+		}
+	})
+}
+
+// Guards against an outage that is taken for a written value or that leaves a watch waiting.
+func TestOutage(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, backend *memory.Store) {
+		ctx := t.Context()
+		lease, _ := store.GrantLease(ctx, time.Hour)
+		updates, err := store.Watch(ctx, "", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		backend.SetFaults(memory.Faults{Down: true})
+		wantErr(t, "watch", (<-updates).Err, kv.ErrUnavailable)
+		_, err = store.Get(ctx, "a")
+		wantErr(t, "get", err, kv.ErrUnavailable)
+		_, _, err = store.List(ctx, "a")
+		wantErr(t, "list", err, kv.ErrUnavailable)
+		_, err = store.CompareAndSwap(ctx, "a", nil, 0, 0)
+		wantErr(t, "swap", err, kv.ErrUnavailable)
+		_, err = store.Watch(ctx, "a", 0)
+		wantErr(t, "start of watch", err, kv.ErrUnavailable)
+		wantErr(t, "renew", store.RenewLease(ctx, lease), kv.ErrUnavailable)
+		backend.SetFaults(memory.Faults{WritesPerSecond: 2, ReadsPerSecond: 2})
+		for range 2 {
+			_, err = store.Delete(ctx, "none", 0)
+			wantErr(t, "delete within the rate", err, nil)
+		}
+		_, err = store.Delete(ctx, "none", 0)
+		wantErr(t, "delete over the rate", err, kv.ErrUnavailable)
+		time.Sleep(500 * time.Millisecond)
+		put(t, store, "a", "1", 0, 0)
+	})
+}
+
+// Guards against a lost answer that is reported as a failed or a successful write.
+func TestLostAnswers(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, backend *memory.Store) {
+		ctx := t.Context()
+		backend.SetFaults(memory.Faults{LoseAnswers: 2})
+		_, err := store.CompareAndSwap(ctx, "a", []byte("1"), 0, 0)
+		wantErr(t, "swap", err, kv.ErrOutcomeUnknown)
+		pair, err := store.Get(ctx, "a")
+		if err != nil || string(pair.Value) != "1" {
+			t.Fatalf("value after a lost answer: %+v, %v", pair, err)
+		}
+		_, err = store.CompareAndSwap(ctx, "a", []byte("2"), 0, 0)
+		wantErr(t, "conflict", err, kv.ErrConflict)
+		_, err = store.Delete(ctx, "a", pair.ModRevision)
+		wantErr(t, "delete", err, kv.ErrOutcomeUnknown)
+		put(t, store, "a", "3", 0, 0)
+	})
+}
+
+// Guards against a late write that the caller takes for one that did not happen.
+func TestSlow(t *testing.T) {
+	eachStore(t, func(t *testing.T, store kv.Store, backend *memory.Store) {
+		backend.SetFaults(memory.Faults{Delay: 10 * time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := store.CompareAndSwap(ctx, "a", []byte("1"), 0, 0)
+		wantErr(t, "swap", err, kv.ErrOutcomeUnknown)
+		_, err = store.Get(ctx, "a")
+		wantErr(t, "get", err, kv.ErrUnavailable)
+		time.Sleep(5 * time.Second)
+		backend.SetFaults(memory.Faults{Delay: time.Second})
+		started := time.Now()
+		if pair, err := store.Get(t.Context(), "a"); err != nil || string(pair.Value) != "1" {
+			t.Errorf("late write: %+v, %v", pair, err)
+		}
+		if waited := time.Since(started); waited != time.Second {
+			t.Errorf("call took %v", waited)
+		}
+	})
+}
