stand-ins for a model engine and a plain service, HTTP client for engines

Purpose: the sidecar and the entry need engines and services to run against, in virtual time and over HTTP.

standin/engine.Core simulates an engine in time of package time and implements engine.Engine; Server offers it over HTTP in the style of vLLM; httpengine is the client. The account of a request travels in the context (engine.WithAccount) and in the field "user", because the audit must count tokens per account and the interface has no parameter for it. Ruled out: prometheus/common/expfmt for the load report. Its go.sum entries are missing and go.mod is not changed here; three gauges are read by hand.

--- /dev/null
+++ b/internal/engine/httpengine/engine.go
@@ -0,0 +1,165 @@
+// Package httpengine reaches a model engine over HTTP: OpenAI completions with vLLM's kv_transfer_params.
+package httpengine
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/engine"
+	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
+)
+
+var _ engine.Engine = (*Engine)(nil)
+
+// Engine is a model engine behind an HTTP address. It is safe for concurrent use.
+//
+// A call that fails without having sent anything returns engine.ErrUnreachable; one that fails later returns
+// engine.ErrBroken. If the caller's context ended, the error also matches the context's error.
+type Engine struct {
+	base   string
+	client *http.Client
+}
+
+// New returns the engine at a base URL, for example "http://127.0.0.1:8000". The client should have no overall timeout,
+// because a stream lasts as long as its answer; with nil, http.DefaultClient is used.
+func New(baseURL string, client *http.Client) *Engine {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Engine{base: strings.TrimSuffix(baseURL, "/"), client: client}
+}
+
+// Prefill implements engine.Engine.
+func (e *Engine) Prefill(ctx context.Context, requestID string, work *wirev1.PrefillWork) (engine.PrefillResult, error) {
+	request := &vllm.CompletionRequest{
+		Model:      work.GetModel(),
+		Prompt:     work.GetPrompt(),
+		MaxTokens:  1,
+		User:       engine.AccountFrom(ctx),
+		Priority:   -int(work.GetPriority()),
+		KVTransfer: &vllm.KVTransfer{DoRemoteDecode: true},
+	}
+	answer := new(vllm.CompletionResponse)
+	if err := e.call(ctx, http.MethodPost, "/v1/completions", requestID, request, answer); err != nil {
+		return engine.PrefillResult{}, err
+	}
+	return prefillResult(answer)
+}
+
+func prefillResult(answer *vllm.CompletionResponse) (engine.PrefillResult, error) {
+	kv := answer.KVTransfer
+	if kv == nil || kv.RemoteHandle == "" {
+		return engine.PrefillResult{}, errors.New("engine exported no KV cache")
+	}
+	result := engine.PrefillResult{Handle: &wirev1.KVHandle{
+		EngineAddress: kv.RemoteAddress,
+		Handle:        kv.RemoteHandle,
+		PromptTokens:  kv.RemoteTokens,
+		Bytes:         kv.RemoteBytes,
+	}}
+	if usage := answer.Usage; usage != nil {
+		result.PromptTokens = usage.PromptTokens
+		if usage.PromptDetails != nil {
+			result.CachedTokens = usage.PromptDetails.CachedTokens
+		}
+	}
+	return result, nil
+}
+
+// Decode implements engine.Engine. work.MaxTokens limits the whole answer, delivered tokens included; the result counts
+// only the tokens of this call.
+func (e *Engine) Decode(ctx context.Context, requestID string, work *wirev1.DecodeWork, emit func(text string) error) (engine.DecodeResult, error) {
+	remaining := int(work.GetMaxTokens()) - len(work.GetDelivered())
+	if remaining <= 0 {
+		return engine.DecodeResult{FinishReason: "length"}, nil
+	}
+	request := &vllm.CompletionRequest{
+		Model:      work.GetModel(),
+		Prompt:     work.GetPrompt() + strings.Join(work.GetDelivered(), ""),
+		MaxTokens:  remaining,
+		Stream:     true,
+		User:       engine.AccountFrom(ctx),
+		Priority:   -int(work.GetPriority()),
+		KVTransfer: importParams(work.GetHandle()),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := e.send(ctx, http.MethodPost, "/v1/completions", requestID, request)
+	if err != nil {
+		return engine.DecodeResult{}, err
+	}
+	defer response.Body.Close()
+	return readStream(ctx, response.Body, emit)
+}
+
+func importParams(handle *wirev1.KVHandle) *vllm.KVTransfer {
+	if handle.GetHandle() == "" {
+		return nil
+	}
+	return &vllm.KVTransfer{
+		DoRemotePrefill: true,
+		RemoteHandle:    handle.GetHandle(),
+		RemoteAddress:   handle.GetEngineAddress(),
+		RemoteTokens:    handle.GetPromptTokens(),
+		RemoteBytes:     handle.GetBytes(),
+	}
+}
+
+// Release implements engine.Engine.
+func (e *Engine) Release(ctx context.Context, handle string) error {
+	return e.call(ctx, http.MethodPost, "/release", "", &vllm.ReleaseRequest{Handle: handle}, nil)
+}
+
+// AbortAll implements engine.Engine.
+func (e *Engine) AbortAll(ctx context.Context) error {
+	return e.call(ctx, http.MethodPost, "/abort_requests", "", struct{}{}, nil)
+}
+
+// CacheEvents implements engine.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64, wait time.Duration) ([]engine.CacheEvent, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
+	answer := new(vllm.CacheEvents)
+	if err := e.call(ctx, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, answer); err != nil {
+		return nil, err
+	}
+	events := make([]engine.CacheEvent, 0, len(answer.Events))
+	for _, event := range answer.Events {
+		events = append(events, engine.CacheEvent(event))
+	}
+	return events, nil
+}
+
+// CacheState implements engine.Engine.
+func (e *Engine) CacheState(ctx context.Context) (engine.CacheState, error) {
+	answer := new(vllm.CacheState)
+	if err := e.call(ctx, http.MethodGet, "/kv_cache", "", nil, answer); err != nil {
+		return engine.CacheState{}, err
+	}
+	return engine.CacheState{Number: answer.Number, Hashes: answer.Hashes}, nil
+}
+
+// Order implements engine.Engine.
+func (e *Engine) Order(ctx context.Context, order engine.Order) error {
+	message := &vllm.Order{
+		FencingNumber: order.FencingNumber,
+		LoadModel:     order.Engine.GetLoadModel(),
+		Version:       order.Engine.GetVersion(),
+		LoadAdapter:   order.Engine.GetLoadAdapter(),
+	}
+	switch order.Engine.GetChangeRole() {
+	case wirev1.EngineRole_ENGINE_ROLE_PREFILL:
+		message.ChangeRole = vllm.RolePrefill
+	case wirev1.EngineRole_ENGINE_ROLE_DECODE:
+		message.ChangeRole = vllm.RoleDecode
+	}
+	return e.call(ctx, http.MethodPost, "/orders", "", message, nil)
+}
--- /dev/null
+++ b/internal/engine/httpengine/stream.go
@@ -0,0 +1,67 @@
+package httpengine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/engine"
+	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
+)
+
+// maxEvent is the longest event of a stream, bytes.
+const maxEvent = 1 << 20
+
+// readStream passes the tokens of a stream to emit. A stream without its end event is broken.
+func readStream(ctx context.Context, body io.Reader, emit func(text string) error) (engine.DecodeResult, error) {
+	var result engine.DecodeResult
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == vllm.StreamEnd {
+			return result, nil
+		}
+		if err := readEvent(data, &result, emit); err != nil {
+			return result, err
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return result, broken(ctx, err)
+	}
+	return result, broken(ctx, io.ErrUnexpectedEOF)
+}
+
+func readEvent(data string, result *engine.DecodeResult, emit func(text string) error) error {
+	event := new(vllm.CompletionResponse)
+	if err := json.Unmarshal([]byte(data), event); err != nil {
+		return errors.Wrap(err, "event of stream")
+	}
+	if event.Error != nil {
+		return codeError("in the stream", event.Error)
+	}
+	if event.Usage != nil {
+		result.PromptTokens = event.Usage.PromptTokens
+	}
+	for _, choice := range event.Choices {
+		if choice.FinishReason != "" {
+			result.FinishReason = choice.FinishReason
+		}
+		if choice.Text == "" {
+			continue
+		}
+		result.OutputTokens++
+		if err := emit(choice.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/engine/httpremote.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/fulmardoor/fulmardoor/internal/engine"
+)
+
+// confirmTimeout is the longest wait for the answer to a confirmed import.
+const confirmTimeout = 2 * time.Second
+
+// hold answers with the export and keeps it for as long as the connection lasts.
+func (s *Server) hold(w http.ResponseWriter, r *http.Request) {
+	hold, err := s.core.Hold(r.Context(), mux.Vars(r)["handle"])
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer hold.End(false)
+	writeJSON(w, &hold.Export)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return
+	}
+	select {
+	case <-hold.Lost:
+	case <-r.Context().Done():
+	case <-s.closing.Done():
+	}
+}
+
+// imported frees an export whose import is complete.
+func (s *Server) imported(w http.ResponseWriter, r *http.Request) {
+	s.core.confirmImport(mux.Vars(r)["handle"])
+	writeResult(w, nil)
+}
+
+func (c *Core) confirmImport(handle string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.exports[handle]; ok {
+		c.removeExport(e, exportImported)
+	}
+}
+
+// HTTPResolve returns a Config.Resolve for engines that are reached over HTTP at "host:port" or a URL.
+func HTTPResolve(client *http.Client) func(address string) Remote {
+	return func(address string) Remote {
+		if !strings.Contains(address, "://") {
+			address = "http://" + address
+		}
+		return &httpRemote{base: strings.TrimSuffix(address, "/"), client: client}
+	}
+}
+
+type httpRemote struct {
+	base   string
+	client *http.Client
+}
+
+// Hold implements Remote. The hold lasts as long as its HTTP request, at most until ctx ends.
+func (h *httpRemote) Hold(parent context.Context, handle string) (*Hold, error) {
+	ctx, cancel := context.WithCancel(parent)
+	path := h.base + "/kv_exports/" + url.PathEscape(handle)
+	response, err := h.post(ctx, path+"/hold")
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	hold := &Hold{}
+	if err := json.NewDecoder(response.Body).Decode(&hold.Export); err != nil {
+		cancel()
+		_ = response.Body.Close()
+		return nil, errors.Wrap(err, "read export")
+	}
+	lost := make(chan struct{})
+	go func() {
+		defer close(lost)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}()
+	hold.Lost = lost
+	hold.End = func(imported bool) {
+		if imported {
+			h.confirm(parent, path+"/imported")
+		}
+		cancel()
+	}
+	return hold, nil
+}
+
+// confirm reports a complete import. If the report is lost, the exporting engine evicts the export at the end of its
+// lifetime.
+func (h *httpRemote) confirm(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+	defer cancel()
+	if response, err := h.post(ctx, address); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+func (h *httpRemote) post(ctx context.Context, address string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "call exporting engine")
+	}
+	if response.StatusCode == http.StatusGone {
+		_ = response.Body.Close()
+		return nil, errors.Wrapf(engine.ErrEvicted, "%s", address)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("%s: %s", address, response.Status)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/standin/engine/memory.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/engine"
+	"github.com/fulmardoor/fulmardoor/internal/prefix"
+)
+
+// export is a KV cache that waits to be imported.
+type export struct {
+	info    Export
+	request string
+	account string
+	blocks  int
+	created time.Time
+	holds   int
+	// expired is set when the lifetime ended while the export was held.
+	expired bool
+	lost    chan struct{}
+	evict   *time.Timer
+}
+
+// exportEnd says how an export ended.
+type exportEnd int
+
+const (
+	exportImported exportEnd = iota
+	exportReleased
+	exportEvicted
+	exportAborted
+)
+
+func tokenCount(text string) int {
+	return prefix.TokenCount(text)
+}
+
+func blockHashes(prompt string, blockTokens int) []uint64 {
+	return prefix.BlockHashes(prompt, blockTokens)
+}
+
+// fullPrompt is the prompt followed by the delivered tokens.
+func fullPrompt(work *wirev1.DecodeWork) string {
+	prompt := work.GetPrompt()
+	size := len(prompt)
+	for _, text := range work.GetDelivered() {
+		size += len(text)
+	}
+	full := make([]byte, 0, size)
+	full = append(full, prompt...)
+	for _, text := range work.GetDelivered() {
+		full = append(full, text...)
+	}
+	return string(full)
+}
+
+func (c *Core) blocksFor(tokens int) int {
+	return (tokens + c.cfg.BlockTokens - 1) / c.cfg.BlockTokens
+}
+
+// takeMemory gives memory to a request at once or returns engine.ErrBusy.
+func (c *Core) takeMemory(r *request, blocks int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.tryTake(r, blocks) {
+		return errors.Wrap(engine.ErrBusy, "not enough free memory")
+	}
+	return nil
+}
+
+// waitMemory waits until the memory is free.
+func (c *Core) waitMemory(ctx context.Context, r *request, blocks int) error {
+	for {
+		c.mu.Lock()
+		taken := c.tryTake(r, blocks)
+		changed := c.changed
+		c.mu.Unlock()
+		if taken {
+			return nil
+		}
+		if err := waitChange(ctx, -1, changed); err != nil {
+			return err
+		}
+	}
+}
+
+// tryTake starts a request if its memory is free. The caller holds mu.
+func (c *Core) tryTake(r *request, blocks int) bool {
+	if c.blocksHeld+blocks > c.cfg.MemoryBlocks {
+		return false
+	}
+	c.blocksHeld += blocks
+	r.blocks = blocks
+	r.waiting = false
+	c.audit.begin(r)
+	c.noteLoad()
+	return true
+}
+
+// newExport moves the memory of a finished prefill to an export.
+func (c *Core) newExport(r *request, work *wirev1.PrefillWork, tokens int) *wirev1.KVHandle {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exportCount++
+	e := &export{
+		info: Export{
+			Handle:      fmt.Sprintf("%s-%d", c.cfg.Name, c.exportCount),
+			PromptBytes: len(work.GetPrompt()),
+			Tokens:      tokens,
+			Fingerprint: promptFingerprint(work.GetModel(), work.GetPrompt()),
+		},
+		request: r.id,
+		account: r.account,
+		blocks:  r.blocks,
+		created: time.Now(),
+		lost:    make(chan struct{}),
+	}
+	r.blocks = 0
+	e.evict = time.AfterFunc(c.cfg.ExportLifetime, func() { c.expire(e) })
+	c.exports[e.info.Handle] = e
+	c.audit.counts.ExportsCreated++
+	return &wirev1.KVHandle{
+		EngineAddress: c.cfg.Address,
+		Handle:        e.info.Handle,
+		PromptTokens:  uint32(tokens),
+		Bytes:         uint64(tokens) * uint64(c.cfg.KVBytesPerToken),
+	}
+}
+
+// expire evicts an export at the end of its lifetime, or at the end of the transfer in progress.
+func (c *Core) expire(e *export) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exports[e.info.Handle] != e {
+		return
+	}
+	if e.holds > 0 {
+		e.expired = true
+		return
+	}
+	c.removeExport(e, exportEvicted)
+}
+
+// removeExport frees the memory of an export. The caller holds mu.
+func (c *Core) removeExport(e *export, end exportEnd) {
+	delete(c.exports, e.info.Handle)
+	e.evict.Stop()
+	close(e.lost)
+	c.blocksHeld -= e.blocks
+	c.audit.exportEnded(e, end)
+	c.broadcast()
+}
+
+// Release implements engine.Engine.
+func (c *Core) Release(_ context.Context, handle string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return engine.ErrUnreachable
+	}
+	if e, ok := c.exports[handle]; ok {
+		c.removeExport(e, exportReleased)
+	}
+	return nil
+}
+
+// AbortAll implements engine.Engine.
+func (c *Core) AbortAll(context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return engine.ErrUnreachable
+	}
+	c.endAll(ErrAborted)
+	return nil
+}
+
+// endAll ends all requests with a cause and frees all exports. The caller holds mu.
+func (c *Core) endAll(cause error) {
+	for r := range c.requests {
+		r.cancel(cause)
+	}
+	for _, e := range c.exports {
+		c.removeExport(e, exportAborted)
+	}
+}
--- /dev/null
+++ b/standin/engine/tokens.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmardoor/fulmardoor/internal/prefix"
+)
+
+const tokenAlphabet = "abcdefghijklmnopqrstuvwxyz012345"
+
+// generator produces output tokens. Each token depends on the model and on all text before it, so an answer continued
+// with the delivered tokens appended to the prompt has the same rest.
+type generator struct {
+	digest *xxhash.Digest
+	// stopEvery ends the answer at one position in stopEvery; zero never ends it.
+	stopEvery int
+}
+
+func newGenerator(model, prompt string, stopEvery int) *generator {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(prompt)
+	return &generator{digest: digest, stopEvery: stopEvery}
+}
+
+// next returns the next token, or false at the end of the answer.
+func (g *generator) next() (string, bool) {
+	hash := g.digest.Sum64()
+	if g.stopEvery > 0 && (hash>>32)%uint64(g.stopEvery) == 0 {
+		return "", false
+	}
+	var text [prefix.BytesPerToken]byte
+	text[0] = ' '
+	for i := 1; i < len(text); i++ {
+		text[i] = tokenAlphabet[hash%uint64(len(tokenAlphabet))]
+		hash /= uint64(len(tokenAlphabet))
+	}
+	_, _ = g.digest.Write(text[:])
+	return string(text[:]), true
+}
+
+// Output returns the answer that every Core with the same MeanOutputTokens gives to a prompt, at most maxTokens long.
+func Output(model, prompt string, meanOutputTokens, maxTokens int) []string {
+	g := newGenerator(model, prompt, meanOutputTokens)
+	var tokens []string
+	for len(tokens) < maxTokens {
+		text, ok := g.next()
+		if !ok {
+			break
+		}
+		tokens = append(tokens, text)
+	}
+	return tokens
+}
+
+// promptFingerprint identifies what was prefilled.
+func promptFingerprint(model, prompt string) uint64 {
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], xxhash.Sum64String(model))
+	digest := xxhash.New()
+	_, _ = digest.Write(seed[:])
+	_, _ = digest.WriteString(prompt)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,83 @@
+package service
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+func book(t *testing.T, server *httptest.Server, id string) error {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/bookings", strings.NewReader("seats"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(HeaderBookingID, id)
+	request.Header.Set("Authorization", "Bearer secret")
+	response, err := server.Client().Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
+// Guards against an audit that misses a booking whose answer was lost, or that counts one which did not take effect.
+func TestBookings(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		fails  bool
+		runs   int
+	}{
+		{"sound", Faults{}, false, 1},
+		{"delayed", Faults{DelayMS: 1}, false, 1},
+		{"dropped before", Faults{DropBefore: true}, true, 0},
+		{"dropped after", Faults{DropAfter: true}, true, 1},
+		{"stalled before", Faults{StallBefore: true}, true, 0},
+		{"stalled after", Faults{StallAfter: true}, true, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			svc := New(0)
+			server := httptest.NewServer(svc.Handler())
+			defer server.Close()
+			svc.SetFaults(tc.faults)
+			if tc.faults.StallBefore || tc.faults.StallAfter {
+				svc.Stop()
+			}
+			if err := book(t, server, "b"); (err != nil) != tc.fails {
+				t.Errorf("booking: %v", err)
+			}
+			if runs := svc.Audit().Bookings["b"]; runs != tc.runs {
+				t.Errorf("%d runs, want %d", runs, tc.runs)
+			}
+		})
+	}
+}
+
+// Guards against a double run that is not reported, faults that outlast their count, and a key that goes unnoticed.
+func TestAudit(t *testing.T) {
+	svc := New(0)
+	server := httptest.NewServer(svc.Handler())
+	defer server.Close()
+	svc.SetFaults(Faults{DropAfter: true, Count: 1})
+	if book(t, server, "b") == nil {
+		t.Error("answer was not dropped")
+	}
+	if err := book(t, server, "b"); err != nil {
+		t.Errorf("second booking: %v", err)
+	}
+	response, err := server.Client().Get(server.URL + "/stock/plates/7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	a := svc.Audit()
+	if a.Bookings["b"] != 2 || len(a.DoubleRuns) != 1 || a.AuthorizationHeaders != 2 || a.Lookups != 1 || a.Running != 0 {
+		t.Errorf("audit: %+v", a)
+	}
+}
