settings, document and keys

Purpose: read settings files and team documents into the schema's messages and report every fault at once.

gopkg.in/ini.v1 reports no line numbers and stops at the first malformed line.

--- /dev/null
+++ b/internal/document/check.go
@@ -0,0 +1,163 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	"github.com/fulmardoor/fulmardoor/internal/settings"
+)
+
+// checker finds faults that concern more than one field.
+type checker struct {
+	document  *configv1.Document
+	positions *settings.Positions
+	faults    *settings.Faults
+}
+
+func (c *checker) run() {
+	c.accounts()
+	c.keys()
+	c.routes()
+	c.upstreams()
+}
+
+func (c *checker) fault(word, name, key, value, problem, allowed string) {
+	section := settings.SectionName(word, name)
+	c.faults.Add(settings.Fault{
+		File:    c.positions.File,
+		Line:    c.positions.Line(section, key),
+		Section: section,
+		Key:     key,
+		Value:   value,
+		Problem: problem,
+		Allowed: allowed,
+	})
+}
+
+// first notes the first section that uses a value and returns it if there is one already.
+func first(seen map[string]string, value, name string) (string, bool) {
+	if other, ok := seen[value]; ok {
+		return other, true
+	}
+	seen[value] = name
+	return "", false
+}
+
+func (c *checker) accounts() {
+	for _, account := range c.document.GetAccounts() {
+		if account.GetRate() == 0 || account.GetBurst()/MinBurstSeconds >= account.GetRate() {
+			continue
+		}
+		c.fault("account", account.GetName(), "burst", fmt.Sprint(account.GetBurst()),
+			"burst is less than 4 seconds of rate", fmt.Sprintf("at least %d", account.GetRate()*MinBurstSeconds))
+	}
+}
+
+func (c *checker) keys() {
+	accounts := map[string]bool{}
+	var names []string
+	for _, account := range c.document.GetAccounts() {
+		accounts[account.GetName()] = true
+		names = append(names, account.GetName())
+	}
+	hashes := map[string]string{}
+	for _, key := range c.document.GetKeys() {
+		if key.GetAccount() != "" && !accounts[key.GetAccount()] {
+			c.fault("key", key.GetName(), "account", key.GetAccount(), "no such account in this document", listed(names))
+		}
+		hash := strings.ToLower(key.GetSha256())
+		if other, taken := first(hashes, hash, key.GetName()); taken && hash != "" {
+			c.fault("key", key.GetName(), "sha256", "", fmt.Sprintf("same key as [key %q]", other), "")
+		}
+	}
+}
+
+// listed names what exists, cut to a readable length.
+func listed(names []string) string {
+	const maxListed = 12
+	if len(names) == 0 {
+		return "none declared"
+	}
+	if len(names) > maxListed {
+		return strings.Join(names[:maxListed], ", ") + " and others"
+	}
+	return strings.Join(names, ", ")
+}
+
+func (c *checker) routes() {
+	services := map[string]bool{}
+	for _, upstream := range c.document.GetUpstreams() {
+		if upstream.GetRole() == RoleService {
+			services[upstream.GetPool()] = true
+		}
+	}
+	byPath := map[string][]*configv1.Document_Route{}
+	for _, route := range c.document.GetRoutes() {
+		if pool := route.GetPool(); pool != "" && !services[pool] {
+			c.fault("route", route.GetName(), "pool", pool, "no upstream of role service has this pool", "")
+		}
+		path := CleanPath(route.GetPath())
+		if path == "" {
+			continue
+		}
+		for _, other := range byPath[path] {
+			if method := sharedMethod(route, other); method != "" {
+				c.fault("route", route.GetName(), "path", route.GetPath(),
+					fmt.Sprintf("same path and method (%s) as [route %q]", method, other.GetName()), "")
+				break
+			}
+		}
+		byPath[path] = append(byPath[path], route)
+	}
+}
+
+// CleanPath removes trailing slashes, so that "/a" and "/a/" are one path. The root stays "/".
+func CleanPath(path string) string {
+	clean := strings.TrimRight(path, "/")
+	if clean == "" && path != "" {
+		return "/"
+	}
+	return clean
+}
+
+// sharedMethod returns a method that both routes serve, or "".
+func sharedMethod(a, b *configv1.Document_Route) string {
+	for _, method := range knownMethods {
+		if Serves(a, method) && Serves(b, method) {
+			return method
+		}
+	}
+	return ""
+}
+
+// Serves reports whether the route covers the method.
+func Serves(route *configv1.Document_Route, method string) bool {
+	methods := Methods(route)
+	for _, candidate := range methods {
+		if candidate == method {
+			return true
+		}
+	}
+	return len(methods) == 0
+}
+
+func (c *checker) upstreams() {
+	models := map[string]bool{}
+	var names []string
+	for _, model := range c.document.GetModels() {
+		models[model.GetName()] = true
+		names = append(names, model.GetName())
+	}
+	addresses := map[string]string{}
+	for _, upstream := range c.document.GetUpstreams() {
+		name, pool, role := upstream.GetName(), upstream.GetPool(), upstream.GetRole()
+		if pool != "" && !models[pool] && (role == RolePrefill || role == RoleDecode) {
+			c.fault("upstream", name, "pool", pool, "no such model in this document", listed(names))
+		}
+		address := upstream.GetAddress()
+		if other, taken := first(addresses, address, name); taken && address != "" {
+			c.fault("upstream", name, "address", address, fmt.Sprintf("same address as [upstream %q]", other), "")
+		}
+	}
+}
