--- /dev/null
+++ b/cmd/fulmardoorctl/live.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmardoor/fulmardoor/internal/admin"
+	"github.com/fulmardoor/fulmardoor/internal/document"
+)
+
+func upstreamCommand() *cli.Command {
+	name := &cli.StringArg{Name: "name", UsageText: "NAME"}
+	order := []cli.Flag{
+		&cli.StringFlag{Name: "load-model"}, &cli.StringFlag{Name: "version"},
+		&cli.StringFlag{Name: "load-adapter"}, &cli.StringFlag{Name: "change-role", Usage: "prefill or decode"},
+	}
+	return &cli.Command{
+		Name: "upstream", Usage: "list, drain and return upstreams, and send engine orders",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "print the live state", Action: listUpstreams},
+			{Name: "drain", Usage: "stop new work on NAME until its sidecar restarts or return", Arguments: []cli.Argument{name},
+				Action: func(ctx context.Context, cmd *cli.Command) error { return sendOrder(ctx, cmd, "drain") }},
+			{Name: "return", Usage: "take NAME into service again", Arguments: []cli.Argument{name},
+				Action: func(ctx context.Context, cmd *cli.Command) error { return sendOrder(ctx, cmd, "return") }},
+			{Name: "leave", Usage: "declare NAME leaving in the team's document", Flags: []cli.Flag{teamFlag()},
+				Arguments: []cli.Argument{name}, Action: declareState(document.StateLeaving)},
+			{Name: "join", Usage: "declare NAME active in the team's document", Flags: []cli.Flag{teamFlag()},
+				Arguments: []cli.Argument{name}, Action: declareState(document.StateActive)},
+			{Name: "order", Usage: "send an engine order to NAME", Arguments: []cli.Argument{name}, Flags: order,
+				Action: func(ctx context.Context, cmd *cli.Command) error { return sendOrder(ctx, cmd, "engine") }},
+		},
+	}
+}
+
+func declareState(state string) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		return edit(ctx, cmd, func(text []byte) ([]byte, error) {
+			return document.SetUpstreamState(text, cmd.StringArg("name"), state)
+		})
+	}
+}
+
+func sendOrder(ctx context.Context, cmd *cli.Command, kind string) error {
+	reply, err := client(cmd).Order(ctx, cmd.StringArg("name"), kind, &admin.EngineOrder{
+		LoadModel: cmd.String("load-model"), Version: cmd.String("version"),
+		LoadAdapter: cmd.String("load-adapter"), ChangeRole: cmd.String("change-role"),
+	})
+	if err != nil {
+		return err
+	}
+	if !reply.Accepted {
+		return errors.Errorf("refused (%s): %s", reply.Reason, reply.Detail)
+	}
+	fmt.Printf("accepted with fencing number %d\n", reply.FencingNumber)
+	return nil
+}
+
+func listUpstreams(ctx context.Context, cmd *cli.Command) error {
+	list, err := client(cmd).Upstreams(ctx)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "upstream\tpool\trole\tdata centre\tstate\tfree\tplaces\twaiting\tqueue ms\tgap ms\trevision")
+	for _, u := range list {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%d\n", u.Name, u.Pool, u.Role, u.DataCentre,
+			upstreamState(u), u.Free, u.Places, u.Waiting, u.QueueMs, u.TokenGapMs, u.Revision)
+	}
+	return table.Flush()
+}
+
+func upstreamState(u admin.UpstreamStatus) string {
+	switch {
+	case !u.Connected:
+		return "not connected"
+	case u.Stalled:
+		return "stalled"
+	case u.Leaving || !u.Accepting:
+		return "leaving"
+	default:
+		return "accepting"
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{Name: "status", Usage: "print nodes, configuration and ledger shards", Action: printStatus}
+}
+
+func printStatus(ctx context.Context, cmd *cli.Command) error {
+	status, err := client(cmd).Status(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s on %s in %s: configuration revision %d, %s\n\n",
+		status.Process, status.Host, status.DataCentre, status.Revision, status.State)
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "node\trole\tdata centre\tconnected\trevision\tin force")
+	for _, n := range status.Nodes {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%d\t%t\n", n.Process, n.Role, n.DataCentre, n.Connected, n.Revision, n.InForce)
+	}
+	_, _ = fmt.Fprintln(table, "\nledger shard\towner\tsuccessor\tepoch\tstate")
+	for _, s := range status.Shards {
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\n", s.Shard, s.Owner, s.Successor, s.Epoch, s.State)
+	}
+	return table.Flush()
+}
+
+func eventsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "events", Usage: "print the event timeline over all processes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "request `ID`, as in the header X-Request-Id"},
+			&cli.StringFlag{Name: "upstream"},
+			&cli.Uint64Flag{Name: "revision", Usage: "configuration revision"},
+			&cli.BoolFlag{Name: "html", Usage: "print a self-contained HTML page"},
+		},
+		Action: printEvents,
+	}
+}
+
+func printEvents(ctx context.Context, cmd *cli.Command) error {
+	query := url.Values{}
+	query.Set("request", cmd.String("request"))
+	query.Set("upstream", cmd.String("upstream"))
+	if revision := cmd.Uint64("revision"); revision > 0 {
+		query.Set("revision", strconv.FormatUint(revision, 10))
+	}
+	if cmd.Bool("html") {
+		query.Set("format", "html")
+	}
+	text, err := client(cmd).Events(ctx, query)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(text)
+	return err
+}
