--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -59,7 +59,8 @@
 		return sidecar.NewServiceUpstream(s.GetUrl())
 	}
 	return sidecar.NewModelUpstream(sidecar.ModelConfig{
-		Engine: httpengine.New(s.GetUrl(), http.DefaultClient), Eviction: s.GetEviction().AsDuration(), Logger: logger,
+		Model: s.GetPool(), Engine: httpengine.New(s.GetUrl(), http.DefaultClient), Eviction: s.GetEviction().AsDuration(),
+		BlockTokens: int(s.GetBlockTokens()), Logger: logger,
 	})
 }
 
--- /dev/null
+++ b/internal/entry/backend.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/admin"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/settings"
+	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// orderPrefix is the place of the fencing numbers in the key-value service.
+const orderPrefix = "/fulmardoor/orders/"
+
+// OrderKey returns the key of an upstream's fencing number.
+func OrderKey(upstream string) string { return orderPrefix + upstream }
+
+// Document implements admin.Backend.
+func (e *Entry) Document(ctx context.Context, team string) ([]byte, int64, error) {
+	pair, err := e.store.Get(ctx, confsync.DocumentKey(team))
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return pair.Value, pair.ModRevision, nil
+}
+
+// Documents implements admin.Backend.
+func (e *Entry) Documents() []admin.DocumentInfo {
+	var list []admin.DocumentInfo
+	for _, d := range e.conf.Current().Documents() {
+		list = append(list, admin.DocumentInfo{Team: d.Team, Revision: d.Revision})
+	}
+	return list
+}
+
+// Apply implements admin.Backend.
+func (e *Entry) Apply(ctx context.Context, team string, text []byte, revision int64) (admin.ApplyReply, error) {
+	outcome, err := confsync.Apply(ctx, e.store, team, text, revision)
+	if err != nil {
+		return admin.ApplyReply{}, err
+	}
+	reply := admin.ApplyReply{Revision: outcome.Revision}
+	switch outcome.Kind {
+	case confsync.Accepted:
+		reply.Outcome = admin.OutcomeAccepted
+	case confsync.Rejected:
+		reply.Outcome = admin.OutcomeRejected
+		reply.Faults = faultLines(outcome.Faults)
+	case confsync.LostRace:
+		reply.Outcome = admin.OutcomeLostRace
+		reply.OtherText = string(outcome.OtherText)
+	default:
+		reply.Outcome = admin.OutcomeUnknown
+		reply.Detail = "the key-value service did not confirm the write"
+	}
+	e.events.Record("document_applied", "", "", field("team", team), field("outcome", reply.Outcome),
+		field("revision", reply.Revision))
+	return reply, nil
+}
+
+func faultLines(faults *settings.Faults) []string {
+	if faults == nil {
+		return nil
+	}
+	return strings.Split(faults.Error(), "\n")
+}
+
+// Status implements admin.Backend.
+func (e *Entry) Status() admin.Status {
+	revision := e.conf.Current().Revision
+	status := admin.Status{
+		Process: e.hello.GetProcess(), Host: e.hello.GetHost(), DataCentre: e.hello.GetDataCentre(),
+		Revision: revision, State: e.conf.State().String(),
+	}
+	for _, m := range e.members.all() {
+		status.Nodes = append(status.Nodes, nodeStatus(m.label(), "entry", m.peer.Session(), revision))
+	}
+	for _, u := range e.upstreams.all() {
+		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.peer.Session(), revision))
+	}
+	for _, s := range e.ledger.Status() {
+		status.Shards = append(status.Shards, admin.Shard{
+			Shard: s.Shard, Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: s.State.String(),
+		})
+	}
+	return status
+}
+
+func nodeStatus(name, role string, session *transport.Session, revision uint64) admin.NodeStatus {
+	node := admin.NodeStatus{Process: name, Role: role}
+	if session == nil {
+		return node
+	}
+	beat, _ := session.Heartbeat()
+	node.Connected = true
+	node.DataCentre = session.Remote().GetDataCentre()
+	node.Revision = beat.GetConfigRevision()
+	node.InForce = node.Revision >= revision
+	return node
+}
+
+// Upstreams implements admin.Backend.
+func (e *Entry) Upstreams(team string) []admin.UpstreamStatus {
+	snapshot := e.conf.Current()
+	var list []admin.UpstreamStatus
+	for _, u := range e.upstreams.all() {
+		if team != admin.AllTeams && snapshot.UpstreamTeam(u.name) != team {
+			continue
+		}
+		list = append(list, upstreamStatus(u))
+	}
+	return list
+}
+
+func upstreamStatus(u *upstream) admin.UpstreamStatus {
+	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
+	session := u.peer.Session()
+	if session == nil {
+		return status
+	}
+	beat, _ := session.Heartbeat()
+	load := beat.GetLoad()
+	status.Connected = true
+	status.DataCentre = session.Remote().GetDataCentre()
+	status.Accepting = load.GetAccepting()
+	status.Stalled = load.GetStalled()
+	status.Leaving = status.Leaving || beat.GetLeaving()
+	status.Places, status.Free, status.Waiting = load.GetPlaces(), load.GetPlacesFree(), load.GetWaiting()
+	status.QueueMs, status.TokenGapMs = load.GetQueueMs(), load.GetTokenGapMs()
+	status.Revision = beat.GetConfigRevision()
+	return status
+}
+
+// Order implements admin.Backend.
+func (e *Entry) Order(
+	ctx context.Context, team, name string, order *wirev1.OrderRequest,
+) (admin.OrderReply, error) {
+	u := e.upstreams.get(name)
+	if u == nil || (team != admin.AllTeams && e.conf.Current().UpstreamTeam(name) != team) {
+		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
+	}
+	session := u.peer.Session()
+	if session == nil {
+		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
+	}
+	number, err := e.nextFencingNumber(ctx, name)
+	if err != nil {
+		return admin.OrderReply{}, errors.Wrap(err, "fencing number")
+	}
+	order.FencingNumber = number
+	reply := new(wirev1.OrderReply)
+	if err := session.Call(ctx, &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Order{Order: order}}, reply); err != nil {
+		return admin.OrderReply{}, errors.Wrap(err, "send order; unknown whether it was carried out")
+	}
+	e.events.Record("order_sent", "", name, field("fencing_number", number), field("accepted", reply.GetAccepted()))
+	return admin.OrderReply{
+		Accepted: reply.GetAccepted(), FencingNumber: number,
+		Reason: verdict.ReasonName(reply.GetReason()), Detail: reply.GetDetail(),
+	}, nil
+}
+
+// nextFencingNumber takes a number that no one else got. A write whose answer was lost only skips a number.
+func (e *Entry) nextFencingNumber(ctx context.Context, name string) (uint64, error) {
+	for {
+		var last uint64
+		pair, err := e.store.Get(ctx, OrderKey(name))
+		if err != nil && !errors.Is(err, kv.ErrNotFound) {
+			return 0, err
+		}
+		if err == nil {
+			if last, err = strconv.ParseUint(string(pair.Value), 10, 64); err != nil {
+				return 0, errors.Wrap(err, "stored fencing number")
+			}
+		}
+		_, err = e.store.CompareAndSwap(ctx, OrderKey(name), strconv.AppendUint(nil, last+1, 10), pair.ModRevision, 0)
+		if err == nil {
+			return last + 1, nil
+		}
+		if !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrOutcomeUnknown) {
+			return 0, err
+		}
+		if !pause(ctx, retryPause) {
+			return 0, ctx.Err()
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,6 +131,7 @@
 		Heartbeat:         e.heartbeat,
 		OnHeartbeat:       e.onHeartbeat,
 		OnOpen:            func(s *transport.Session) { e.members.opened(s) },
+		Clock:             e.events,
 		Handler:           e,
 		Logger:            e.logger,
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -46,6 +46,7 @@
 	request *wirev1.ExecuteRequest
 	onFrame func(*wirev1.Frame) error
 	logger  *zap.Logger
+	clock   transport.Clock
 	onEvent func(kind string)
 
 	stream  *transport.Stream
@@ -64,6 +65,7 @@
 		outcome, frameErr, err := x.receive(ctx)
 		if outcome != nil {
 			x.finish()
+			x.clock.Observe(outcome.GetLamport())
 			return outcome, nil
 		}
 		if frameErr != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -125,15 +125,28 @@
 	return list
 }
 
-// close ends all sessions.
-func (t *memberTable) close() {
+// all returns every known member, alive or not.
+func (t *memberTable) all() []*member {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	list := make([]*member, 0, len(t.byAddress))
 	for _, m := range t.byAddress {
 		list = append(list, m)
 	}
-	t.mu.Unlock()
-	for _, m := range list {
+	return list
+}
+
+// label names a member for operators: by its process, or by its address before the first session.
+func (m *member) label() string {
+	if session := m.peer.Session(); session != nil {
+		return session.Remote().GetProcess()
+	}
+	return m.address
+}
+
+// close ends all sessions.
+func (t *memberTable) close() {
+	for _, m := range t.all() {
 		m.peer.Close()
 	}
 }
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -201,7 +201,7 @@
 func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
 	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
 	return &exchange{
-		peer: place.upstream.peer, logger: c.e.logger, onEvent: c.event(place.upstream.name),
+		peer: place.upstream.peer, logger: c.e.logger, clock: c.e.events, onEvent: c.event(place.upstream.name),
 		request: &wirev1.ExecuteRequest{
 			Call: place.request.GetCall(), Nonce: place.nonce, Account: c.caller.account, ChargedTokens: c.tokens(), Work: work,
 		},
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -158,7 +158,7 @@
 		return err
 	}
 	x := &exchange{
-		peer: u.peer, logger: s.e.logger, onFrame: s.onFrame, onEvent: s.event(u.name),
+		peer: u.peer, logger: s.e.logger, clock: s.e.events, onFrame: s.onFrame, onEvent: s.event(u.name),
 		request: &wirev1.ExecuteRequest{
 			Call: s.e.nextCallID(), Nonce: nonce, Account: s.caller.account, ChargedTokens: s.route.GetCostTokens(),
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -24,8 +24,10 @@
 	address string
 	pool    string
 	role    wirev1.EngineRole
-	leaving bool
-	peer    *transport.Peer
+	// roleName is the role as the document names it.
+	roleName string
+	leaving  bool
+	peer     *transport.Peer
 	// calls counts the calls that use the peer.
 	calls *atomic.Int64
 }
@@ -99,7 +101,7 @@
 	old := p.byName[d.GetName()]
 	next := &upstream{
 		name: d.GetName(), address: d.GetAddress(), pool: d.GetPool(),
-		role: role.Parse(d.GetRole()), leaving: d.GetState() == "leaving",
+		role: role.Parse(d.GetRole()), roleName: d.GetRole(), leaving: d.GetState() == "leaving",
 	}
 	p.byName[d.GetName()] = next
 	if old != nil && old.address == d.GetAddress() {
@@ -125,6 +127,13 @@
 	return found
 }
 
+// get returns the upstream with a name, or nil.
+func (p *upstreamPool) get(name string) *upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
 // all returns every upstream.
 func (p *upstreamPool) all() []*upstream {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/model.go
@@ -0,0 +1,218 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/engine"
+	"github.com/fulmardoor/fulmardoor/internal/prefix"
+	"github.com/fulmardoor/fulmardoor/internal/progress"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	releaseTimeout = time.Second
+	abortTimeout   = 5 * time.Second
+	abortRetry     = 500 * time.Millisecond
+	// assumedPrefillSpeed in tokens per second is used until the engine's speed is learnt.
+	assumedPrefillSpeed = 10000
+	probePrompt         = "probe"
+)
+
+// ModelConfig configures a ModelUpstream.
+type ModelConfig struct {
+	Model  string
+	Engine engine.Engine
+	// BlockTokens is the number of tokens of a KV block.
+	BlockTokens int
+	// Eviction is the time after which the engine evicts an export.
+	Eviction time.Duration
+	Logger   *zap.Logger
+}
+
+// ModelUpstream runs prefills and decodes on one model engine.
+type ModelUpstream struct {
+	cfg     ModelConfig
+	tracker *progress.Tracker
+	index   *prefix.Index
+
+	mu      sync.Mutex // guards exports
+	exports map[call.ID]string
+}
+
+// NewModelUpstream returns the upstream of one engine.
+func NewModelUpstream(cfg ModelConfig) *ModelUpstream {
+	return &ModelUpstream{
+		cfg: cfg, tracker: progress.NewTracker(), index: prefix.NewIndex(cfg.Engine, cfg.BlockTokens),
+		exports: make(map[call.ID]string),
+	}
+}
+
+// Start implements Upstream. It aborts what the engine still holds for an earlier process, before any new work: nobody
+// waits for that work any more.
+func (u *ModelUpstream) Start(ctx context.Context) error {
+	for {
+		abortCtx, cancel := context.WithTimeout(ctx, abortTimeout)
+		err := u.cfg.Engine.AbortAll(abortCtx)
+		cancel()
+		if err == nil {
+			break
+		}
+		u.cfg.Logger.Warn("engine does not answer", zap.Error(err))
+		sleep(ctx, abortRetry)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	go func() { _ = u.index.Run(ctx) }()
+	return nil
+}
+
+// Run implements Upstream.
+func (u *ModelUpstream) Run(c *call.Call, work *wirev1.Work, progress func(tokens int)) *wirev1.Outcome {
+	switch kind := work.GetKind().(type) {
+	case *wirev1.Work_Prefill:
+		return u.prefill(c, kind.Prefill)
+	case *wirev1.Work_Decode:
+		return u.decode(c, kind.Decode, progress)
+	default:
+		return notRun(wirev1.Reason_REASON_MALFORMED, "the upstream is a model engine")
+	}
+}
+
+func (u *ModelUpstream) prefill(c *call.Call, work *wirev1.PrefillWork) *wirev1.Outcome {
+	begin := time.Now()
+	id := u.tracker.Begin(progress.Prefill, prefix.TokenCount(work.GetPrompt()))
+	result, err := u.cfg.Engine.Prefill(c.Context(), c.ID.String(), work)
+	u.tracker.End(id, progress.Result{Completed: err == nil, ComputedTokens: result.PromptTokens - result.CachedTokens})
+	if err != nil {
+		return u.failure(c, err)
+	}
+	u.keepExport(c.ID, result.Handle.GetHandle())
+	done := &wirev1.PrefillDone{
+		Handle: result.Handle, CachedTokens: uint32(result.CachedTokens),
+		ElapsedMs: uint32(time.Since(begin).Milliseconds()),
+	}
+	if err := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_PrefillDone{PrefillDone: done}}); err != nil {
+		u.Release(c.ID)
+		return u.failure(c, err)
+	}
+	return &wirev1.Outcome{Verdict: verdict.Ran.Wire(), PromptTokens: uint32(result.PromptTokens)}
+}
+
+func (u *ModelUpstream) decode(c *call.Call, work *wirev1.DecodeWork, report func(tokens int)) *wirev1.Outcome {
+	id := u.tracker.Begin(progress.Decode, 0)
+	tokens := 0
+	result, err := u.cfg.Engine.Decode(c.Context(), c.ID.String(), work, func(text string) error {
+		tokens++
+		u.tracker.Token(id)
+		report(tokens)
+		return c.Emit(&wirev1.Frame{Body: &wirev1.Frame_Token{Token: &wirev1.Token{Text: text}}})
+	})
+	u.tracker.End(id, progress.Result{Completed: err == nil})
+	if err != nil {
+		outcome := u.failure(c, err)
+		outcome.OutputTokens = uint32(tokens)
+		if tokens > 0 {
+			outcome.Verdict = verdict.Ran.Wire()
+		}
+		return outcome
+	}
+	return &wirev1.Outcome{
+		Verdict: verdict.Ran.Wire(), PromptTokens: uint32(result.PromptTokens),
+		OutputTokens: uint32(result.OutputTokens), FinishReason: result.FinishReason,
+	}
+}
+
+// failure gives the verdict on work that the engine did not finish.
+func (u *ModelUpstream) failure(c *call.Call, err error) *wirev1.Outcome {
+	if c.Context().Err() != nil {
+		reason, detail := cancelReason(c.Context())
+		return &wirev1.Outcome{Verdict: verdict.MayHaveRun.Wire(), Reason: reason, Detail: detail}
+	}
+	switch {
+	case errors.Is(err, engine.ErrUnreachable):
+		return notRun(wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, "no connection to the engine")
+	case errors.Is(err, engine.ErrBusy):
+		return notRun(wirev1.Reason_REASON_NO_PLACE, "the engine has no room")
+	case errors.Is(err, engine.ErrEvicted):
+		return notRun(wirev1.Reason_REASON_EVICTED, "the KV cache was evicted before its import")
+	case errors.Is(err, engine.ErrBroken):
+		return &wirev1.Outcome{
+			Verdict: verdict.MayHaveRun.Wire(), Reason: wirev1.Reason_REASON_UPSTREAM_BROKE, Detail: "the engine broke off",
+		}
+	default:
+		u.cfg.Logger.Warn("engine error", zap.Stringer("call", c.ID), zap.Error(err))
+		return &wirev1.Outcome{
+			Verdict: verdict.MayHaveRun.Wire(), Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "the engine answered with an error",
+		}
+	}
+}
+
+func (u *ModelUpstream) keepExport(id call.ID, handle string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.exports[id] = handle
+	time.AfterFunc(u.cfg.Eviction, func() { u.Release(id) })
+}
+
+// Release implements Upstream: it frees the exported KV cache of a prefill, once.
+func (u *ModelUpstream) Release(id call.ID) {
+	u.mu.Lock()
+	handle, ok := u.exports[id]
+	delete(u.exports, id)
+	u.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := u.cfg.Engine.Release(ctx, handle); err != nil {
+		u.cfg.Logger.Debug("export not released, the engine evicts it", zap.Error(err))
+	}
+}
+
+// Quote implements Upstream.
+func (u *ModelUpstream) Quote(req *wirev1.QuoteRequest, load *wirev1.Load) *wirev1.QuoteReply {
+	cached := u.index.CachedTokens(req.GetBlockHashes())
+	missing := max(int(req.GetPromptTokens())-cached, 1)
+	speed := u.tracker.PrefillSpeed()
+	if speed == 0 {
+		speed = assumedPrefillSpeed
+	}
+	ready := float64(load.GetQueueMs()) + float64(missing)/speed*1000
+	return &wirev1.QuoteReply{WaitMs: load.GetQueueMs(), CachedTokens: uint32(cached), ReadyInMs: uint32(ready)}
+}
+
+// FillLoad implements Upstream.
+func (u *ModelUpstream) FillLoad(load *wirev1.Load) {
+	load.PrefillTokensPerSecond = u.tracker.PrefillSpeed()
+	load.TokenGapMs = float64(u.tracker.TokenGap()) / float64(time.Millisecond)
+}
+
+// Stalled implements Upstream.
+func (u *ModelUpstream) Stalled() bool { return u.tracker.Stalled() }
+
+// Probe implements Upstream: a short prefill must end.
+func (u *ModelUpstream) Probe(ctx context.Context) error {
+	result, err := u.cfg.Engine.Prefill(ctx, "probe", &wirev1.PrefillWork{Model: u.cfg.Model, Prompt: probePrompt})
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	if err := u.cfg.Engine.Release(ctx, result.Handle.GetHandle()); err != nil {
+		return errors.Wrap(err, "release probe")
+	}
+	u.tracker.Recovered()
+	return nil
+}
+
+// Order implements Upstream.
+func (u *ModelUpstream) Order(ctx context.Context, fencingNumber uint64, order *wirev1.EngineOrder) error {
+	return u.cfg.Engine.Order(ctx, engine.Order{FencingNumber: fencingNumber, Engine: order})
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -82,7 +82,7 @@
 	}
 	s.addReservation(id, reservation)
 	s.events.Record("place_reserved", id.String(), s.settings.GetUpstream().GetName())
-	s.reply(stream, &wirev1.ReserveReply{Granted: true, Nonce: s.issuer.Issue()})
+	s.reply(stream, &wirev1.ReserveReply{Granted: true, Nonce: s.issuer.Issue(), Lamport: s.events.Now()})
 	<-ctx.Done()
 	if left := s.takeReservation(id); left != nil {
 		left.Release()
@@ -182,6 +182,7 @@
 	s.events.Record("call_started", c.ID.String(), name)
 	outcome := s.upstream.Run(c, req.GetWork(), reservation.Progress)
 	outcome.Nonce = s.issuer.Issue()
+	outcome.Lamport = s.events.Now()
 	if outcome.GetVerdict() == wirev1.Verdict_VERDICT_NOT_RUN {
 		s.calls.Forget(c)
 	}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +13,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
+	"github.com/fulmardoor/fulmardoor/internal/progress"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -21,8 +21,6 @@
 	bodyChunkBytes     = 32 << 10
 	serviceDialTimeout = 2 * time.Second
 	idleConnections    = 32
-	// stallLimit is the time without any answer, while calls are running, after which a plain service counts as stalled.
-	stallLimit = 10 * time.Second
 )
 
 // ServiceUpstream runs calls of a plain HTTP service.
@@ -32,10 +30,7 @@
 	// closed and the request has an Idempotency-Key header, so calls that may not be repeated use once.
 	idempotent *http.Transport
 	once       *http.Transport
-
-	mu         sync.Mutex // guards the fields below
-	running    int
-	lastAnswer time.Time
+	tracker    *progress.Tracker
 }
 
 // NewServiceUpstream returns the upstream at a base URL.
@@ -43,6 +38,7 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &ServiceUpstream{
 		baseURL: baseURL,
+		tracker: progress.NewTracker(),
 		idempotent: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
 		},
@@ -55,8 +51,9 @@
 
 // Run implements Upstream.
 func (u *ServiceUpstream) Run(c *call.Call, work *wirev1.Work, _ func(int)) *wirev1.Outcome {
-	u.begin()
-	defer u.end()
+	id := u.tracker.Begin(progress.Call, 0)
+	answered := false
+	defer func() { u.tracker.End(id, progress.Result{Completed: answered}) }()
 	httpWork := work.GetHttp()
 	if httpWork == nil {
 		return notRun(wirev1.Reason_REASON_MALFORMED, "the upstream is a plain service")
@@ -79,7 +76,7 @@
 		return u.failure(ctx, c, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	u.answered()
+	answered = true
 	return u.copyAnswer(ctx, c, response)
 }
 
@@ -165,33 +162,8 @@
 	return &wirev1.Outcome{Verdict: verdict.NotRun.Wire(), Reason: reason, Detail: detail}
 }
 
-func (u *ServiceUpstream) begin() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.running == 0 {
-		u.lastAnswer = time.Now()
-	}
-	u.running++
-}
-
-func (u *ServiceUpstream) end() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.running--
-}
-
-func (u *ServiceUpstream) answered() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.lastAnswer = time.Now()
-}
-
 // Stalled implements Upstream.
-func (u *ServiceUpstream) Stalled() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.running > 0 && time.Since(u.lastAnswer) > stallLimit
-}
+func (u *ServiceUpstream) Stalled() bool { return u.tracker.Stalled() }
 
 // Probe implements Upstream with a request that any HTTP service answers.
 func (u *ServiceUpstream) Probe(ctx context.Context) error {
@@ -203,7 +175,7 @@
 	if err != nil {
 		return errors.Wrap(err, "probe")
 	}
-	u.answered()
+	u.tracker.Recovered()
 	if err := response.Body.Close(); err != nil {
 		return errors.Wrap(err, "close probe")
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -122,6 +122,7 @@
 		OnHeartbeat:       s.onHeartbeat,
 		OnOpen:            s.addSession,
 		OnClose:           s.removeSession,
+		Clock:             s.events,
 		Handler:           s,
 		Logger:            s.logger,
 	}
@@ -140,7 +141,7 @@
 // applySnapshot takes the upstream's state from the configuration.
 func (s *Sidecar) applySnapshot(snapshot *confsync.Snapshot) {
 	upstream, ok := snapshot.Upstream(s.settings.GetUpstream().GetName())
-	leavingNow := ok && upstream.GetState() == "leaving"
+	leavingNow := ok && upstream.GetState() == document.StateLeaving
 	s.events.Record("configuration_applied", "", s.settings.GetUpstream().GetName(),
 		field("revision", snapshot.Revision), field("leaving", leavingNow))
 	s.setLeaving(func(l *leaving) { l.document = leavingNow })
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -46,6 +46,12 @@
 	f(ctx, session, open, stream)
 }
 
+// Clock is a Lamport clock. Both methods must not block.
+type Clock interface {
+	Now() uint64
+	Observe(lamport uint64)
+}
+
 // Options configure the sessions of one process.
 type Options struct {
 	// Hello describes this process.
@@ -59,6 +65,8 @@
 	// OnOpen and OnClose are called once per session. They must not block.
 	OnOpen  func(session *Session)
 	OnClose func(session *Session)
+	// Clock is the Lamport clock of the process; nil for none.
+	Clock Clock
 	// Handler serves incoming streams. Nil closes them.
 	Handler Handler
 	// Logger is required.
@@ -206,6 +214,9 @@
 		return nil, errors.Wrap(ErrSessionClosed, err.Error())
 	}
 	stream := newStream(conn)
+	if s.opts.Clock != nil {
+		open = &wirev1.StreamOpen{Kind: open.GetKind(), Lamport: s.opts.Clock.Now()}
+	}
 	if err := stream.Send(open); err != nil {
 		_ = stream.Close()
 		return nil, err
@@ -319,6 +330,9 @@
 	if err := stream.Recv(open); err != nil {
 		return
 	}
+	if s.opts.Clock != nil {
+		s.opts.Clock.Observe(open.GetLamport())
+	}
 	if s.opts.Handler != nil {
 		s.opts.Handler.ServeStream(s.ctx, s, open, stream)
 	}
