--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	"github.com/fulmardoor/fulmardoor/internal/admin"
 	"github.com/fulmardoor/fulmardoor/internal/entry"
 	"github.com/fulmardoor/fulmardoor/internal/hostlist"
 	"github.com/fulmardoor/fulmardoor/internal/hostlist/httpsd"
@@ -98,11 +99,16 @@
 	if err != nil {
 		return err
 	}
-	admin, err := process.Listen("admin.listen", s.GetAdmin().GetListen(), "", "")
+	adminListener, err := process.Listen("admin.listen", s.GetAdmin().GetListen(), "", "")
+	if err != nil {
+		return err
+	}
+	operators, err := admin.ParseOperators(s.GetAdmin().GetOperators())
 	if err != nil {
 		return err
 	}
 	operations := e.OperationsHandler()
+	admin.Register(operations, e, operators, logger)
 	operations.Handle("/log-level", level)
 	publicServer := &http.Server{
 		Handler: e.CallerHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
@@ -115,7 +121,7 @@
 	failed := make(chan error, 3)
 	go func() { failed <- transport.Serve(peers, e.Options()) }()
 	go func() { failed <- publicServer.Serve(public) }()
-	go func() { failed <- adminServer.Serve(admin) }()
+	go func() { failed <- adminServer.Serve(adminListener) }()
 	logger.Info("serving", zap.String("callers", callers.GetListen()), zap.String("peers", s.GetPeers().GetListen()))
 	select {
 	case err := <-failed:
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -24,7 +24,7 @@
 
 // Document implements admin.Backend.
 func (e *Entry) Document(ctx context.Context, team string) ([]byte, int64, error) {
-	pair, err := e.store.Get(ctx, confsync.DocumentKey(team))
+	pair, err := e.store.Get(ctx, confsync.Prefix+team)
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil, 0, nil
 	}
@@ -37,19 +37,19 @@
 // Documents implements admin.Backend.
 func (e *Entry) Documents() []admin.DocumentInfo {
 	var list []admin.DocumentInfo
-	for _, d := range e.conf.Current().Documents() {
-		list = append(list, admin.DocumentInfo{Team: d.Team, Revision: d.Revision})
+	for _, d := range e.conf.Current().Teams() {
+		list = append(list, admin.DocumentInfo{Team: d.Team, Revision: d.GoodRevision})
 	}
 	return list
 }
 
 // Apply implements admin.Backend.
 func (e *Entry) Apply(ctx context.Context, team string, text []byte, revision int64) (admin.ApplyReply, error) {
-	outcome, err := confsync.Apply(ctx, e.store, team, text, revision)
+	outcome, err := confsync.Apply(ctx, e.store, team, text, uint64(revision))
 	if err != nil {
 		return admin.ApplyReply{}, err
 	}
-	reply := admin.ApplyReply{Revision: outcome.Revision}
+	reply := admin.ApplyReply{Revision: int64(outcome.Revision)}
 	switch outcome.Kind {
 	case confsync.Accepted:
 		reply.Outcome = admin.OutcomeAccepted
@@ -58,7 +58,7 @@
 		reply.Faults = faultLines(outcome.Faults)
 	case confsync.LostRace:
 		reply.Outcome = admin.OutcomeLostRace
-		reply.OtherText = string(outcome.OtherText)
+		reply.OtherText = string(outcome.Text)
 	default:
 		reply.Outcome = admin.OutcomeUnknown
 		reply.Detail = "the key-value service did not confirm the write"
@@ -90,7 +90,7 @@
 	}
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
-			Shard: s.Shard, Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: s.State.String(),
+			Shard: int(s.Shard), Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: string(s.State),
 		})
 	}
 	return status
@@ -111,10 +111,9 @@
 
 // Upstreams implements admin.Backend.
 func (e *Entry) Upstreams(team string) []admin.UpstreamStatus {
-	snapshot := e.conf.Current()
 	var list []admin.UpstreamStatus
 	for _, u := range e.upstreams.all() {
-		if team != admin.AllTeams && snapshot.UpstreamTeam(u.name) != team {
+		if team != admin.AllTeams && e.upstreamTeam(u.name) != team {
 			continue
 		}
 		list = append(list, upstreamStatus(u))
@@ -122,6 +121,18 @@
 	return list
 }
 
+// upstreamTeam returns the team whose document declares an upstream, empty for none.
+func (e *Entry) upstreamTeam(name string) string {
+	for _, team := range e.conf.Current().Teams() {
+		for _, u := range team.Document.GetUpstreams() {
+			if u.GetName() == name {
+				return team.Team
+			}
+		}
+	}
+	return ""
+}
+
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
 	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
 	session := u.peer.Session()
@@ -146,7 +157,7 @@
 	ctx context.Context, team, name string, order *wirev1.OrderRequest,
 ) (admin.OrderReply, error) {
 	u := e.upstreams.get(name)
-	if u == nil || (team != admin.AllTeams && e.conf.Current().UpstreamTeam(name) != team) {
+	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
 		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
 	}
 	session := u.peer.Session()
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -44,7 +44,7 @@
 }
 
 func (c caller) lookup(snapshot *confsync.Snapshot) (string, error) {
-	account, state := snapshot.Keys().Lookup(c.key)
+	account, state := snapshot.Key(c.key)
 	switch state {
 	case keys.Granted:
 		return account, nil
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -12,6 +12,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/confsync/wirepeer"
 	"github.com/fulmardoor/fulmardoor/internal/hostlist"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -207,12 +208,12 @@
 	var peers []confsync.Peer
 	for _, m := range c.table.alive() {
 		if session := m.peer.Session(); session != nil {
-			peers = append(peers, confsync.SessionPeer{Session: session})
+			peers = append(peers, wirepeer.New(session))
 		}
 	}
 	for _, u := range c.upstreams.all() {
 		if session := u.peer.Session(); session != nil {
-			peers = append(peers, confsync.SessionPeer{Session: session})
+			peers = append(peers, wirepeer.New(session))
 		}
 	}
 	return peers
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -14,11 +14,10 @@
 
 // ServeStream implements transport.Handler for streams of other entries and of sidecars.
 func (e *Entry) ServeStream(
-	ctx context.Context, _ *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
+	ctx context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
 ) {
-	reply := e.handle(ctx, open)
+	reply := e.handle(ctx, session.Remote().GetProcess(), open)
 	if reply == nil {
-		e.logger.Warn("stream of unknown kind refused")
 		return
 	}
 	if err := stream.Send(reply); err != nil {
@@ -26,23 +25,35 @@
 	}
 }
 
-func (e *Entry) handle(ctx context.Context, open *wirev1.StreamOpen) transport.Message {
+func (e *Entry) handle(ctx context.Context, process string, open *wirev1.StreamOpen) transport.Message {
 	switch kind := open.GetKind().(type) {
 	case *wirev1.StreamOpen_Charge:
 		return e.ledger.HandleCharge(ctx, kind.Charge)
 	case *wirev1.StreamOpen_Settle:
-		return e.ledger.HandleSettle(ctx, kind.Settle)
+		return e.settleReply(ctx, kind.Settle)
 	case *wirev1.StreamOpen_Promise:
 		return e.ledger.HandlePromise(ctx, kind.Promise)
 	case *wirev1.StreamOpen_Handoff:
 		return e.ledger.HandleHandoff(ctx, kind.Handoff)
 	case *wirev1.StreamOpen_ConfigPush:
-		return e.conf.HandlePush(ctx, kind.ConfigPush)
+		return e.conf.HandlePush(process, kind.ConfigPush)
 	case *wirev1.StreamOpen_ConfigPull:
 		return e.conf.HandlePull(kind.ConfigPull)
 	case *wirev1.StreamOpen_EventQuery:
 		return e.events.Query(kind.EventQuery)
 	default:
+		e.logger.Warn("stream of unknown kind refused", zap.String("peer", process))
 		return nil
 	}
 }
+
+// settleReply returns nil, which closes the stream without an answer, if this process cannot settle the charges; the
+// sender then asks the owner anew.
+func (e *Entry) settleReply(ctx context.Context, request *wirev1.SettleRequest) transport.Message {
+	reply, err := e.ledger.HandleSettle(ctx, request)
+	if err != nil {
+		e.logger.Debug("settlement refused", zap.Error(err))
+		return nil
+	}
+	return reply
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -33,34 +31,6 @@
 	begun bool
 }
 
-// findRoute returns the route with the longest matching path.
-func findRoute(routes []*configv1.Document_Route, method, path string) *configv1.Document_Route {
-	var best *configv1.Document_Route
-	for _, route := range routes {
-		if !pathCovers(route.GetPath(), path) || !methodListed(route.GetMethods(), method) {
-			continue
-		}
-		if best == nil || len(route.GetPath()) > len(best.GetPath()) {
-			best = route
-		}
-	}
-	return best
-}
-
-// pathCovers reports whether path is prefix or lies below it.
-func pathCovers(prefix, path string) bool {
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
-}
-
-func methodListed(methods, method string) bool {
-	if methods == "" {
-		return true
-	}
-	listed := strings.FieldsFunc(methods, func(r rune) bool { return r == ',' || r == ' ' })
-	return slices.Contains(listed, method)
-}
-
 // serveService handles requests of plain services.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	req := e.newRequest(w, r)
@@ -70,8 +40,8 @@
 		return
 	}
 	snapshot := e.conf.Current()
-	route := findRoute(snapshot.Routes(), r.Method, r.URL.Path)
-	if route == nil {
+	route, ok := snapshot.Route(r.Method, r.URL.Path)
+	if !ok {
 		e.writeRefusal(w, req.name, verdict.Refuse(wirev1.Reason_REASON_NO_ROUTE, "no route for %s %s", r.Method, r.URL.Path))
 		return
 	}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -18,7 +18,7 @@
 
 // ServeStream implements transport.Handler.
 func (s *Sidecar) ServeStream(
-	ctx context.Context, _ *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
+	ctx context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
 ) {
 	switch kind := open.GetKind().(type) {
 	case *wirev1.StreamOpen_Reserve:
@@ -38,7 +38,7 @@
 	case *wirev1.StreamOpen_Order:
 		s.reply(stream, s.order(ctx, kind.Order))
 	case *wirev1.StreamOpen_ConfigPush:
-		s.reply(stream, s.conf.HandlePush(ctx, kind.ConfigPush))
+		s.reply(stream, s.conf.HandlePush(session.Remote().GetProcess(), kind.ConfigPush))
 	case *wirev1.StreamOpen_ConfigPull:
 		s.reply(stream, s.conf.HandlePull(kind.ConfigPull))
 	case *wirev1.StreamOpen_EventQuery:
--- a/internal/sidecar/sessions.go
+++ b/internal/sidecar/sessions.go
@@ -7,6 +7,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/confsync/wirepeer"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 )
 
@@ -84,7 +85,7 @@
 func (s *Sidecar) Peers() []confsync.Peer {
 	var peers []confsync.Peer
 	for _, session := range s.sessionList() {
-		peers = append(peers, confsync.SessionPeer{Session: session})
+		peers = append(peers, wirepeer.New(session))
 	}
 	return peers
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/document"
 	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar/role"
@@ -68,8 +69,6 @@
 	sessions     map[*transport.Session]struct{}
 	leaving      leaving
 	highestOrder uint64
-	stopping     bool
-	stopped      chan struct{}
 }
 
 // leaving lists who asked the upstream to take no new work.
@@ -100,7 +99,6 @@
 		role:         role.Parse(cfg.Settings.GetUpstream().GetRole()),
 		reservations: make(map[call.ID]*places.Reservation),
 		sessions:     make(map[*transport.Session]struct{}),
-		stopped:      make(chan struct{}),
 	}
 	s.calls = call.NewRegistry(s.issuer, cfg.Settings.GetUpstream().GetResumeWindow().AsDuration())
 	s.conf = confsync.New(confsync.Config{
