--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	e := entry.New(entry.Config{
-		Settings: s, Dialer: dialer, Logger: logger, Hosts: hosts(s.GetPlatform()),
+		Settings: s, Connector: transport.TCP{Dialer: dialer}, Logger: logger, Hosts: hosts(s.GetPlatform()),
 		Store: etcdhttp.New(s.GetPlatform().GetStoreUrl(), http.DefaultClient, s.GetPlatform().GetCallTimeout().AsDuration()),
 	})
 	return serve(e, s, logger, level)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,8 +39,8 @@
 	Store    kv.Store
 	// Hosts may be nil.
 	Hosts hostlist.Source
-	// Dialer connects to other processes; nil for TCP.
-	Dialer transport.Dialer
+	// Connector connects to other processes.
+	Connector transport.Connector
 	// Seed of the random choices of the scheduler; 0 draws one.
 	Seed   uint64
 	Logger *zap.Logger
@@ -89,8 +89,8 @@
 		metrics:   metrics.NewEntry(),
 		idle:      make(chan struct{}),
 	}
-	e.upstreams = newUpstreamPool(cfg.Dialer, e.Options())
-	e.members = newMemberTable(e.hello, cfg.Settings.GetCallers().GetEntries(), e.upstreams.dialer, e.Options(), cfg.Logger)
+	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
+	e.members = newMemberTable(e.hello, cfg.Settings.GetCallers().GetEntries(), cfg.Connector, e.Options(), cfg.Logger)
 	e.conf = confsync.New(confsync.Config{
 		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: cfg.Store,
 		Members: configMembers{e.members}, Peers: configPeers{e.members, e.upstreams}, Logger: cfg.Logger,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -39,19 +39,19 @@
 
 // memberTable keeps a session to each other entry process.
 type memberTable struct {
-	self   *wirev1.Hello
-	dialer transport.Dialer
-	opts   *transport.Options
-	logger *zap.Logger
+	self      *wirev1.Hello
+	connector transport.Connector
+	opts      *transport.Options
+	logger    *zap.Logger
 
 	mu        sync.Mutex // guards byAddress and its members
 	byAddress map[string]*member
 }
 
 func newMemberTable(
-	self *wirev1.Hello, addresses string, dialer transport.Dialer, opts *transport.Options, logger *zap.Logger,
+	self *wirev1.Hello, addresses string, connector transport.Connector, opts *transport.Options, logger *zap.Logger,
 ) *memberTable {
-	t := &memberTable{self: self, dialer: dialer, opts: opts, logger: logger, byAddress: make(map[string]*member)}
+	t := &memberTable{self: self, connector: connector, opts: opts, logger: logger, byAddress: make(map[string]*member)}
 	for address := range strings.SplitSeq(addresses, ",") {
 		if address = strings.TrimSpace(address); address != "" && address != self.GetAddress() {
 			t.byAddress[address] = t.connect(address, true)
@@ -62,7 +62,7 @@
 
 func (t *memberTable) connect(address string, fixed bool) *member {
 	return &member{
-		address: address, peer: transport.NewPeer(address, t.dialer, t.opts), fixed: fixed, lastSeen: time.Now(),
+		address: address, peer: transport.NewPeer(address, t.connector, t.opts), fixed: fixed, lastSeen: time.Now(),
 	}
 }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,18 +65,15 @@
 
 // upstreamPool keeps a session to the sidecar of each upstream of the configuration.
 type upstreamPool struct {
-	dialer transport.Dialer
-	opts   *transport.Options
+	connector transport.Connector
+	opts      *transport.Options
 
 	mu     sync.Mutex // guards byName
 	byName map[string]*upstream
 }
 
-func newUpstreamPool(dialer transport.Dialer, opts *transport.Options) *upstreamPool {
-	if dialer == nil {
-		dialer = &net.Dialer{}
-	}
-	return &upstreamPool{dialer: dialer, opts: opts, byName: make(map[string]*upstream)}
+func newUpstreamPool(connector transport.Connector, opts *transport.Options) *upstreamPool {
+	return &upstreamPool{connector: connector, opts: opts, byName: make(map[string]*upstream)}
 }
 
 // apply connects new upstreams and drops those that the configuration no longer has.
@@ -111,7 +107,7 @@
 	if old != nil {
 		go old.retire()
 	}
-	next.peer, next.calls = transport.NewPeer(d.GetAddress(), p.dialer, p.opts), new(atomic.Int64)
+	next.peer, next.calls = transport.NewPeer(d.GetAddress(), p.connector, p.opts), new(atomic.Int64)
 }
 
 // find returns the upstreams of a pool and role that may take new work.
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -23,18 +24,40 @@
 // Message is any protobuf message.
 type Message = proto.Message
 
-// Dialer opens connections to a peer address.
+// Connector opens connections that carry streams to the address of another process.
+type Connector interface {
+	Connect(ctx context.Context, address string) (Mux, error)
+}
+
+// Dialer opens plain connections. *net.Dialer and *tls.Dialer implement it.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// TCP connects with yamux over the TCP or TLS connections of a Dialer.
+type TCP struct{ Dialer Dialer }
+
+// Connect implements Connector.
+func (t TCP) Connect(ctx context.Context, address string) (Mux, error) {
+	conn, err := t.Dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "start yamux client")
+	}
+	return mux, nil
+}
+
 // Peer keeps one session to an address and dials a new one whenever it ends.
 type Peer struct {
-	address string
-	dialer  Dialer
-	opts    *Options
-	cancel  context.CancelFunc
-	done    chan struct{}
+	address   string
+	connector Connector
+	opts      *Options
+	cancel    context.CancelFunc
+	done      chan struct{}
 
 	mu      sync.Mutex // guards the fields below
 	session *Session
@@ -42,15 +65,15 @@
 }
 
 // NewPeer starts to connect to address. Close stops it.
-func NewPeer(address string, dialer Dialer, opts *Options) *Peer {
+func NewPeer(address string, connector Connector, opts *Options) *Peer {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peer{
-		address: address,
-		dialer:  dialer,
-		opts:    opts,
-		cancel:  cancel,
-		done:    make(chan struct{}),
-		changed: make(chan struct{}),
+		address:   address,
+		connector: connector,
+		opts:      opts,
+		cancel:    cancel,
+		done:      make(chan struct{}),
+		changed:   make(chan struct{}),
 	}
 	go p.run(ctx)
 	return p
@@ -122,11 +145,13 @@
 func (p *Peer) dial(ctx context.Context) (*Session, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(dialCtx, "tcp", p.address)
+	mux, err := p.connector.Connect(dialCtx, p.address)
 	if err != nil {
-		return nil, errors.Wrap(err, "dial")
+		return nil, err
 	}
-	return Client(conn, p.opts)
+	timer := time.AfterFunc(HandshakeTimeout, func() { _ = mux.Close() })
+	defer timer.Stop()
+	return ClientMux(mux, p.opts)
 }
 
 // jitter spreads redials after a failure that hits many processes at once.
