--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -89,7 +89,7 @@
 func (u *ModelUpstream) prefill(c *call.Call, work *wirev1.PrefillWork) *wirev1.Outcome {
 	begin := time.Now()
 	id := u.tracker.Begin(progress.Prefill, prefix.TokenCount(work.GetPrompt()))
-	result, err := u.cfg.Engine.Prefill(c.Context(), c.ID.String(), work)
+	result, err := u.cfg.Engine.Prefill(engine.WithAccount(c.Context(), c.Account), c.ID.String(), work)
 	u.tracker.End(id, progress.Result{Completed: err == nil, ComputedTokens: result.PromptTokens - result.CachedTokens})
 	if err != nil {
 		return u.failure(c, err)
@@ -109,7 +109,8 @@
 func (u *ModelUpstream) decode(c *call.Call, work *wirev1.DecodeWork, report func(tokens int)) *wirev1.Outcome {
 	id := u.tracker.Begin(progress.Decode, 0)
 	tokens := 0
-	result, err := u.cfg.Engine.Decode(c.Context(), c.ID.String(), work, func(text string) error {
+	ctx := engine.WithAccount(c.Context(), c.Account)
+	result, err := u.cfg.Engine.Decode(ctx, c.ID.String(), work, func(text string) error {
 		tokens++
 		u.tracker.Token(id)
 		report(tokens)
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -28,11 +28,17 @@
 	baseURL string
 	// idempotent reuses connections. net/http repeats a request on its own when a reused connection turns out to be
 	// closed and the request has an Idempotency-Key header, so calls that may not be repeated use once.
-	idempotent *http.Transport
-	once       *http.Transport
+	idempotent http.RoundTripper
+	once       http.RoundTripper
 	tracker    *progress.Tracker
 }
 
+// NewServiceUpstreamOver returns the upstream at a base URL that is reached through a round tripper, which must send each
+// request at most once.
+func NewServiceUpstreamOver(baseURL string, transport http.RoundTripper) *ServiceUpstream {
+	return &ServiceUpstream{baseURL: baseURL, tracker: progress.NewTracker(), idempotent: transport, once: transport}
+}
+
 // NewServiceUpstream returns the upstream at a base URL.
 func NewServiceUpstream(baseURL string) *ServiceUpstream {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
--- a/internal/transport/memnet/network.go
+++ b/internal/transport/memnet/network.go
@@ -20,6 +20,7 @@
 	listeners map[string]*Listener
 	links     []*established
 	cut       map[pair]bool
+	dead      map[string]bool
 }
 
 type pair struct{ from, to string }
@@ -32,7 +33,7 @@
 
 // NewNetwork returns a network with a one-way delay.
 func NewNetwork(delay time.Duration) *Network {
-	return &Network{delay: delay, listeners: make(map[string]*Listener), cut: make(map[pair]bool)}
+	return &Network{delay: delay, listeners: make(map[string]*Listener), cut: make(map[pair]bool), dead: make(map[string]bool)}
 }
 
 // Listener accepts connections at an address.
@@ -50,6 +51,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners[address] = l
+	delete(n.dead, address)
 	return l
 }
 
@@ -87,7 +89,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.listeners[to]
-	if l == nil || n.cut[pair{from, to}] || n.cut[pair{to, from}] {
+	if l == nil || n.dead[from] || n.cut[pair{from, to}] || n.cut[pair{to, from}] {
 		return nil, ErrRefused
 	}
 	near, far := NewMuxPair(from, to, n.delay)
@@ -140,6 +142,7 @@
 // Kill closes the listener of a process and all its connections, as the death of the process does.
 func (n *Network) Kill(address string) {
 	n.mu.Lock()
+	n.dead[address] = true
 	l := n.listeners[address]
 	var own []*Mux
 	for _, link := range n.links {
