confsync: distribution of documents, freshness and apply

The change log keeps the newest change of each team only. A node applies a newer document at once, and counts its revision only over a gapless range, so that a revision in a heartbeat always means that everything up to it is held. Ruled out: counting the highest revision seen, which hides a missed change behind a later one; coalescing pushes, which has the same effect for a moment.

A confirmation has the time at which a read of the store's revision was sent. Ruled out: taking the arrival of progress notices or of heartbeats after a pause, which may have waited in a socket.

A write whose answer was lost is repeated with the same expected revision: it can succeed once only, and a conflict proves that no earlier copy can still take effect.

--- /dev/null
+++ b/internal/confsync/apply_test.go
@@ -0,0 +1,121 @@
+package confsync
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+)
+
+// Guards against outcomes that an operator must not be told: a change that is lost without notice, one that is said to
+// have failed and is in force, or one that replaces another operator's.
+func TestApplyOutcomes(t *testing.T) {
+	good := []byte(teamText("kilimo", 5))
+	cases := []struct {
+		name     string
+		prepare  func(s *fakeStore)
+		text     string
+		expected uint64
+		want     OutcomeKind
+		revision uint64
+		written  bool
+		failed   bool
+	}{
+		{name: "first version", want: Accepted, revision: 1, written: true},
+		{name: "two operators race", want: LostRace, revision: 1,
+			prepare: func(s *fakeStore) { s.write("kilimo", teamText("kilimo", 6)) }},
+		{name: "document is gone", want: LostRace, expected: 3},
+		{name: "answer lost after the write", want: Accepted, revision: 1, written: true,
+			prepare: func(s *fakeStore) { s.loseAnswers = 1 }},
+		{name: "store down", want: NotWritten, failed: true, prepare: func(s *fakeStore) { s.down = true }},
+		{name: "mistaken document", want: Rejected, text: "[document]\nteam = kilimo\n[acount \"a\"]\n"},
+		{name: "document of another team", want: Rejected, text: teamText("hakata", 5)},
+		{name: "account of another team", want: Rejected,
+			text:    "[document]\nteam = kilimo\n[account \"hakata-app\"]\nrate = 1\nburst = 4\n",
+			prepare: func(s *fakeStore) { s.write("hakata", teamText("hakata", 6)) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				if c.prepare != nil {
+					c.prepare(store)
+				}
+				text := good
+				if c.text != "" {
+					text = []byte(c.text)
+				}
+				outcome, err := Apply(context.Background(), store, "kilimo", text, c.expected)
+				if outcome.Kind != c.want || outcome.Revision != c.revision || (err != nil) != c.failed {
+					t.Errorf("%v at %d, error %v", outcome.Kind, outcome.Revision, err)
+				}
+				if c.want == LostRace && c.revision > 0 && string(outcome.Text) != teamText("kilimo", 6) {
+					t.Errorf("text of the other version: %q", outcome.Text)
+				}
+				if (outcome.Kind == Rejected) != (outcome.Faults != nil) {
+					t.Errorf("faults %v", outcome.Faults)
+				}
+				if written := strings.Contains(string(store.pairs[Prefix+"kilimo"].Value), "rate = 5"); written != c.written {
+					t.Errorf("written: %v", written)
+				}
+			})
+		})
+	}
+}
+
+// lossyStore loses answers and goes down at a chosen call.
+type lossyStore struct {
+	*fakeStore
+	afterSwap func(s *fakeStore)
+}
+
+func (s *lossyStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error) {
+	_, err := s.fakeStore.CompareAndSwap(ctx, key, value, revision, lease)
+	if s.afterSwap == nil {
+		return 0, err
+	}
+	s.afterSwap(s.fakeStore)
+	s.afterSwap = nil
+	return 0, kv.ErrOutcomeUnknown
+}
+
+// Guards against a guess where the outcome cannot be known: the store stays down after the answer was lost, or another
+// operator's version stands where this one may have been.
+func TestApplyUnknown(t *testing.T) {
+	cases := map[string]func(s *fakeStore){
+		"down":     func(s *fakeStore) { s.down = true },
+		"replaced": func(s *fakeStore) { s.write("kilimo", teamText("kilimo", 6)) },
+	}
+	for name, afterSwap := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &lossyStore{newFakeStore(), afterSwap}
+				outcome, err := Apply(context.Background(), store, "kilimo", []byte(teamText("kilimo", 5)), 0)
+				if outcome.Kind != Unknown || err != nil {
+					t.Errorf("%v, error %v", outcome.Kind, err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against operators who have to try again for each fault of a document.
+func TestApplyNamesEveryFault(t *testing.T) {
+	text := "[document]\nteam = kilimo\n[account \"a\"]\nrate = 10\nburst = 39\n[key \"k\"]\naccount = b\nsha256 = 0\n"
+	outcome, err := Apply(context.Background(), newFakeStore(), "kilimo", []byte(text), 0)
+	if err != nil || outcome.Kind != Rejected {
+		t.Fatalf("%v, error %v", outcome.Kind, err)
+	}
+	for _, line := range []string{"kilimo:5:", "kilimo:7:", "kilimo:8:"} {
+		if !strings.Contains(outcome.Faults.Error(), line) {
+			t.Errorf("no fault at %s in\n%v", line, outcome.Faults)
+		}
+	}
+	if errors.Is(err, kv.ErrConflict) {
+		t.Error("unexpected conflict")
+	}
+}
--- /dev/null
+++ b/internal/confsync/node_test.go
@@ -0,0 +1,265 @@
+package confsync
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// inFleet runs a test in virtual time with entries in two data centres.
+func inFleet(t *testing.T, entries int, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, newFakeStore())
+		f.store.write("kilimo", teamText("kilimo", 100))
+		f.addEntries(entries, 2)
+		time.Sleep(3 * time.Second)
+		test(f)
+		f.stopAll()
+		time.Sleep(2 * time.Second) // Ends the messages that are still under way.
+	})
+}
+
+func (f *fleet) wantRevision(team string, revision uint64, within time.Duration) {
+	f.t.Helper()
+	time.Sleep(within)
+	for name, n := range f.all() {
+		d, ok := n.Current().Team(team)
+		if !ok || d.Revision != revision {
+			f.t.Errorf("%s has %+v of team %s, want revision %d", name, d, team, revision)
+		}
+	}
+}
+
+func (f *fleet) wantState(want State, names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		if got := f.all()[name].State(); got != want {
+			age, known := f.all()[name].Age()
+			f.t.Errorf("%s is %v, want %v (age %v, known %v)", name, got, want, age, known)
+		}
+	}
+}
+
+// Guards against changes that do not reach entries that do not watch, and sidecars, in time; against more watchers than
+// wanted; and against documents that are listed again and again.
+func TestChangeReachesEveryProcess(t *testing.T) {
+	inFleet(t, 8, func(f *fleet) {
+		sidecar := f.start("sidecar-1", "dc-0", nil)
+		time.Sleep(2 * time.Second)
+		watching := 0
+		for _, n := range f.all() {
+			if n.IsWatching() {
+				watching++
+			}
+		}
+		if watching != 2*Watchers {
+			t.Errorf("%d watchers", watching)
+		}
+		lists := f.store.lists
+		revision := f.store.write("hakata", teamText("hakata", 50))
+		f.wantRevision("hakata", revision, 100*time.Millisecond)
+		if account, ok := sidecar.Current().Account("hakata-app"); !ok || account.Rate != 50 {
+			t.Errorf("account %v", account)
+		}
+		f.store.remove(Prefix + "hakata")
+		time.Sleep(100 * time.Millisecond)
+		for name, n := range f.all() {
+			if _, ok := n.Current().Team("hakata"); ok {
+				t.Errorf("%s still has the removed document", name)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if f.store.lists != lists {
+			t.Errorf("%d more lists", f.store.lists-lists)
+		}
+		f.wantState(Fresh, "sidecar-1", "entry-000", "entry-007")
+	})
+}
+
+// Guards against a freshness that depends on progress notices, which a store need not send.
+func TestFreshWithoutProgressNotices(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.store.set(func(s *fakeStore) { s.silent = true })
+		for range 20 {
+			f.store.set(func(s *fakeStore) { s.revision++ }) // Other keys of the store change.
+			time.Sleep(500 * time.Millisecond)
+			f.wantState(Fresh, "entry-000", "entry-001", "entry-002")
+		}
+	})
+}
+
+// Guards against a cut-off entry that goes on with old keys, and against one that never comes back.
+func TestIsolatedEntryStops(t *testing.T) {
+	inFleet(t, 5, func(f *fleet) {
+		lonely := f.all()["entry-003"]
+		f.cut(1, "entry-003")
+		f.gates["entry-003"].cut.Store(true)
+		time.Sleep(FreshnessLimit)
+		var refusal *verdict.Refusal
+		err := lonely.Admit()
+		if !errors.As(err, &refusal) || refusal.Reason != wirev1.Reason_REASON_ISOLATED || refusal.Verdict != verdict.NotRun {
+			t.Errorf("admit of the isolated entry: %v", err)
+		}
+		f.wantState(Fresh, "entry-000", "entry-001", "entry-002", "entry-004")
+		revision := f.store.write("kilimo", teamText("kilimo", 1))
+		f.cut(0, "entry-003")
+		f.gates["entry-003"].cut.Store(false)
+		f.wantRevision("kilimo", revision, time.Second)
+		f.wantState(Fresh, "entry-003")
+	})
+}
+
+// Guards against an outage of the store that stops entries, or that a restarted entry cannot ride out with the help of
+// its peers.
+func TestOutageDoesNotStop(t *testing.T) {
+	inFleet(t, 5, func(f *fleet) {
+		f.store.set(func(s *fakeStore) { s.down = true })
+		names := []string{"entry-000", "entry-001", "entry-002", "entry-003", "entry-004"}
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			for _, name := range names {
+				if err := f.all()[name].Admit(); err != nil {
+					t.Fatalf("%s: %v", name, err)
+				}
+			}
+		}
+		f.wantState(Outage, names...)
+		f.stop("entry-002")
+		n := f.startEntry("entry-002", "dc-0")
+		if err := n.Admit(); err == nil {
+			t.Error("admitted without configuration")
+		}
+		time.Sleep(time.Second)
+		f.wantState(Outage, "entry-002")
+		f.store.set(func(s *fakeStore) { s.down = false })
+		revision := f.store.write("kilimo", teamText("kilimo", 7))
+		f.wantRevision("kilimo", revision, 3*time.Second)
+		f.wantState(Fresh, names...)
+	})
+}
+
+// Guards against a minority without the store that takes its isolation for an outage.
+func TestMinorityIsIsolated(t *testing.T) {
+	inFleet(t, 5, func(f *fleet) {
+		f.store.set(func(s *fakeStore) { s.down = true })
+		f.cut(1, "entry-000", "entry-001")
+		time.Sleep(FreshnessLimit + time.Second)
+		f.wantState(Isolated, "entry-000", "entry-001")
+		f.wantState(Outage, "entry-002", "entry-003", "entry-004")
+	})
+}
+
+// Guards against heartbeats that waited in a socket while the process was paused and make it look fresh.
+func TestPauseIsNotFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, newFakeStore())
+		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
+		n := f.start("entry-000", "dc-0", &fakeStore{down: true})
+		time.Sleep(time.Second)
+		beat := &wirev1.Heartbeat{ConfigAgeMs: 100}
+		n.OnHeartbeat("entry-001", beat)
+		f.wantState(Fresh, "entry-000")
+		n.mu.Lock()
+		n.fresh.confirmed = n.fresh.confirmed.Add(-time.Minute)
+		n.fresh.lastTick = n.fresh.lastTick.Add(-time.Minute) // The clock went on without a tick.
+		n.mu.Unlock()
+		n.OnHeartbeat("entry-001", beat)
+		n.OnHeartbeat("entry-002", beat)
+		f.wantState(Isolated, "entry-000")
+		time.Sleep(distrustPeriod)
+		n.OnHeartbeat("entry-001", beat)
+		f.wantState(Fresh, "entry-000")
+		f.stopAll()
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against a faulty version that removes what was in force.
+func TestFaultyVersionKeepsTheLastGoodOne(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		revision := f.store.write("kilimo", "[document]\nteam = kilimo\n[account \"x\"]\nrate = none\n")
+		f.wantRevision("kilimo", revision, time.Second)
+		for name, n := range f.all() {
+			d, _ := n.Current().Team("kilimo")
+			if d.Faults == nil || !strings.Contains(d.Faults.Error(), "kilimo:4:") || d.GoodRevision != 1 {
+				t.Errorf("%s: %+v", name, d)
+			}
+			if _, ok := n.Current().Account("kilimo-app"); !ok {
+				t.Errorf("%s lost the good version", name)
+			}
+		}
+	})
+}
+
+// Guards against a team that takes over another team's account, key, model, upstream or route.
+func TestOlderClaimWins(t *testing.T) {
+	key, hash := keys.Generate()
+	text := func(team, account, model, path string) string {
+		return "[document]\nteam = " + team + "\n[account \"" + account + "\"]\nrate = 1\nburst = 4\n" +
+			"[key \"k-" + team + "\"]\naccount = " + account + "\nsha256 = " + hash + "\n" +
+			"[model \"" + model + "\"]\n[upstream \"u-" + team + "\"]\naddress = 10.0.0.1:7\npool = " + model + "\nrole = decode\n" +
+			"[upstream \"s-" + team + "\"]\naddress = 10.0.0." + "2:7\npool = shop-" + team + "\nrole = service\n" +
+			"[route \"r-" + team + "\"]\npath = " + path + "\npool = shop-" + team + "\n"
+	}
+	h := newHistory()
+	h.apply(batch{to: 9, documents: []*wirev1.Document{
+		{Team: "b", Revision: 9, Text: []byte(text("b", "app", "drafter", "/a/"))},
+		{Team: "a", Revision: 5, Text: []byte(text("a", "app", "drafter", "/a"))},
+	}})
+	s := h.snapshot(true, nil)
+	var sections []string
+	for _, c := range s.Conflicts() {
+		if c.Team != "b" {
+			t.Errorf("conflict of the older document: %+v", c)
+		}
+		sections = append(sections, c.Section)
+	}
+	want := `account "app",key "k-b",model "drafter",upstream "u-b",upstream "s-b",route "r-b"`
+	if got := strings.Join(sections, ","); got != want {
+		t.Errorf("conflicts %s, want %s", got, want)
+	}
+	if account, state := s.Key(key); account != "app" || state != keys.Granted {
+		t.Errorf("key: %s %v", account, state)
+	}
+	if pool := s.Pool("drafter", "decode"); len(pool) != 1 || pool[0].Name != "u-a" {
+		t.Errorf("pool %v", pool)
+	}
+	if r, ok := s.Route("POST", "/a/b/c"); !ok || r.Name != "r-a" {
+		t.Errorf("route %v", r)
+	}
+	if r, ok := s.Route("GET", "/ab"); ok {
+		t.Errorf("route %v covers another path", r)
+	}
+}
+
+// Guards against a peer that keeps removed documents because their removal was forgotten elsewhere.
+func TestWholeStateAfterForgottenRemovals(t *testing.T) {
+	source, lagging := newHistory(), newHistory()
+	first := &wirev1.Document{Team: "team-0", Revision: 1, Text: []byte(teamText("team-0", 1))}
+	for _, h := range []*history{&source, &lagging} {
+		h.apply(batch{to: 1, documents: []*wirev1.Document{first}})
+	}
+	for i := range uint64(maxRemoved + 1) {
+		team := "team-" + strings.Repeat("0", int(i)+1)
+		source.apply(batch{from: i + 1, to: i + 2, documents: []*wirev1.Document{{Team: team, Revision: i + 2, Deleted: true}}})
+	}
+	reply := source.since(lagging.revision)
+	if !reply.WholeState {
+		t.Fatal("no whole state")
+	}
+	lagging.apply(batch{documents: reply.Documents, to: reply.Revision, whole: true})
+	if r := lagging.teams["team-0"]; r != nil && !r.deleted {
+		t.Error("the removed document is kept")
+	}
+	if reply := source.since(2); reply.WholeState || len(reply.Documents) != maxRemoved {
+		t.Errorf("a short gap got %d documents, whole %v", len(reply.Documents), reply.WholeState)
+	}
+}
--- /dev/null
+++ b/internal/confsync/snapshot.go
@@ -0,0 +1,185 @@
+package confsync
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	"github.com/fulmardoor/fulmardoor/internal/document"
+	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/settings"
+)
+
+// TeamDocument is the state of one team's document. It is immutable.
+type TeamDocument struct {
+	Team string
+	// Revision is the store revision of the newest version, and Text is that version.
+	Revision uint64
+	Text     []byte
+	// Document is the version in force, with defaults; nil if there is none.
+	Document *configv1.Document
+	// GoodRevision is the revision of Document.
+	GoodRevision uint64
+	// Faults is a *settings.Faults if the newest version cannot be used.
+	Faults error
+}
+
+// Conflict is an entry of a document that is not in force, because an older document claims the same.
+type Conflict struct {
+	Team string
+	// Section is the entry, for example `account "vendor-app"`.
+	Section string
+	// Problem says what is claimed and by which team.
+	Problem string
+}
+
+// Snapshot is the configuration in force. It is immutable.
+type Snapshot struct {
+	// Revision is the store revision up to which all changes are contained.
+	Revision uint64
+
+	teams     map[string]*TeamDocument
+	conflicts []Conflict
+	keys      *keys.Table
+	accounts  map[string]*configv1.Document_Account
+	models    map[string]*configv1.Document_Model
+	upstreams map[string]*configv1.Document_Upstream
+	pools     map[string][]*configv1.Document_Upstream
+	routes    map[string][]*configv1.Document_Route
+}
+
+func emptySnapshot() *Snapshot { return newMerger().snapshot }
+
+// snapshot builds the snapshot of the present state. If no document changed, the lookups of previous are used again.
+func (h *history) snapshot(changed bool, previous *Snapshot) *Snapshot {
+	if !changed {
+		same := *previous
+		same.Revision = h.revision
+		return &same
+	}
+	m := newMerger()
+	m.snapshot.Revision = h.revision
+	var inForce []*TeamDocument
+	for team, r := range h.teams {
+		if r.deleted {
+			continue
+		}
+		m.snapshot.teams[team] = r.parsed
+		if r.parsed.Document != nil {
+			inForce = append(inForce, r.parsed)
+		}
+	}
+	slices.SortFunc(inForce, func(a, b *TeamDocument) int {
+		return cmp.Or(cmp.Compare(a.GoodRevision, b.GoodRevision), strings.Compare(a.Team, b.Team))
+	})
+	for _, d := range inForce {
+		m.add(d)
+	}
+	m.snapshot.keys = keys.NewTable(m.keys)
+	return m.snapshot
+}
+
+// Team returns a team's document.
+func (s *Snapshot) Team(team string) (*TeamDocument, bool) {
+	d, ok := s.teams[team]
+	return d, ok
+}
+
+// Teams returns all documents ordered by team.
+func (s *Snapshot) Teams() []*TeamDocument {
+	all := make([]*TeamDocument, 0, len(s.teams))
+	for _, d := range s.teams {
+		all = append(all, d)
+	}
+	slices.SortFunc(all, func(a, b *TeamDocument) int { return strings.Compare(a.Team, b.Team) })
+	return all
+}
+
+// Conflicts returns the entries that are not in force because an older document claims the same.
+func (s *Snapshot) Conflicts() []Conflict { return slices.Clone(s.conflicts) }
+
+// Key returns the account and state of a caller's key.
+func (s *Snapshot) Key(key string) (account string, state keys.State) { return s.keys.Lookup(key) }
+
+// Account returns a client account.
+func (s *Snapshot) Account(name string) (*configv1.Document_Account, bool) {
+	a, ok := s.accounts[name]
+	return a, ok
+}
+
+// Accounts returns all client accounts ordered by name.
+func (s *Snapshot) Accounts() []*configv1.Document_Account { return sorted(s.accounts) }
+
+// Model returns a model.
+func (s *Snapshot) Model(name string) (*configv1.Document_Model, bool) {
+	m, ok := s.models[name]
+	return m, ok
+}
+
+// Models returns all models ordered by name.
+func (s *Snapshot) Models() []*configv1.Document_Model { return sorted(s.models) }
+
+// Upstream returns an upstream.
+func (s *Snapshot) Upstream(name string) (*configv1.Document_Upstream, bool) {
+	u, ok := s.upstreams[name]
+	return u, ok
+}
+
+// Upstreams returns all upstreams ordered by name.
+func (s *Snapshot) Upstreams() []*configv1.Document_Upstream { return sorted(s.upstreams) }
+
+// Pool returns the upstreams of a pool with a role.
+func (s *Snapshot) Pool(pool, role string) []*configv1.Document_Upstream {
+	var found []*configv1.Document_Upstream
+	for _, u := range s.pools[pool] {
+		if u.GetRole() == role {
+			found = append(found, u)
+		}
+	}
+	return found
+}
+
+// Route returns the route with the longest path that covers path, in whole path segments, and the method.
+func (s *Snapshot) Route(method, path string) (*configv1.Document_Route, bool) {
+	for prefix := document.CleanPath(path); prefix != ""; prefix = parent(prefix) {
+		for _, route := range s.routes[prefix] {
+			if document.Serves(route, method) {
+				return route, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// parent removes the last segment of a path. The parent of "/" is "".
+func parent(path string) string {
+	end := strings.LastIndexByte(path, '/')
+	if end < 0 || path == "/" {
+		return ""
+	}
+	return document.CleanPath(path[:end+1])
+}
+
+type named interface{ GetName() string }
+
+func sorted[T named](all map[string]T) []T {
+	list := make([]T, 0, len(all))
+	for _, item := range all {
+		list = append(list, item)
+	}
+	slices.SortFunc(list, func(a, b T) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return list
+}
+
+// wrongTeam returns a fault if a document stands under the key of another team.
+func wrongTeam(team string, d *configv1.Document) error {
+	declared := d.GetHeader().GetTeam()
+	if declared == team {
+		return nil
+	}
+	faults := &settings.Faults{}
+	faults.Add(settings.Fault{File: team, Section: "document", Key: "team", Value: declared,
+		Problem: "document of another team", Allowed: team})
+	return faults.Err()
+}
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		for _, other := range byPath[path] {
-			if method := sharedMethod(route, other); method != "" {
+			if method := SharedMethod(route, other); method != "" {
 				c.fault("route", route.GetName(), "path", route.GetPath(),
 					fmt.Sprintf("same path and method (%s) as [route %q]", method, other.GetName()), "")
 				break
@@ -121,8 +121,8 @@
 	return clean
 }
 
-// sharedMethod returns a method that both routes serve, or "".
-func sharedMethod(a, b *configv1.Document_Route) string {
+// SharedMethod returns a method that both routes serve, or "".
+func SharedMethod(a, b *configv1.Document_Route) string {
 	for _, method := range knownMethods {
 		if Serves(a, method) && Serves(b, method) {
 			return method
