--- a/internal/confsync/freshness.go
+++ b/internal/confsync/freshness.go
@@ -109,7 +109,7 @@
 }
 
 func (f *freshness) isFresh(now time.Time) bool {
-	return f.known && now.Sub(f.confirmed) <= FreshnessLimit
+	return f.known && now.Sub(f.confirmed) < FreshnessLimit
 }
 
 // noticePause detects that this process was stopped for a while. Contacts from before the pause are dropped, and
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -136,6 +136,7 @@
 	}
 	n.mu.Lock()
 	n.running = nil
+	n.watch.stop = nil
 	n.mu.Unlock()
 	cancel()
 	n.work.Wait()
@@ -226,15 +227,24 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.noticePause(now)
-	n.heard[peer] = contact{at: now, store: heartbeat.GetStoreContact(), revision: max(revision, n.heard[peer].revision)}
-	if age := heartbeat.GetConfigAgeMs(); age >= 0 && !n.fresh.distrusts(now) {
-		n.fresh.confirm(n.history.revision, revision, now.Add(-time.Duration(age)*time.Millisecond))
+	n.learnRevision(peer, revision)
+	if !n.fresh.distrusts(now) {
+		n.takeContact(peer, heartbeat, now)
 	}
 	if revision > n.history.revision {
 		n.repair(peer)
 	}
 }
 
+// takeContact notes that a peer is alive and what it confirms. n.mu must be held.
+func (n *Node) takeContact(peer string, heartbeat *wirev1.Heartbeat, now time.Time) {
+	n.heard[peer] = contact{at: now, store: heartbeat.GetStoreContact(), revision: n.heard[peer].revision}
+	if age := heartbeat.GetConfigAgeMs(); age >= 0 {
+		confirmed := now.Add(-time.Duration(age) * time.Millisecond)
+		n.fresh.confirm(n.history.revision, heartbeat.GetConfigRevision(), confirmed)
+	}
+}
+
 // FillHeartbeat sets the fields of a heartbeat that concern the configuration.
 func (n *Node) FillHeartbeat(heartbeat *wirev1.Heartbeat) {
 	now := time.Now()
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -80,7 +80,7 @@
 
 // considerTrial lets an entry try the store when the watchers may all have lost it. n.mu must be held.
 func (n *Node) considerTrial(now time.Time) {
-	if now.Sub(n.watch.lastTrial) < time.Second || now.Sub(n.fresh.confirmed) < trialAge {
+	if !n.fresh.loaded || now.Sub(n.watch.lastTrial) < time.Second || now.Sub(n.fresh.confirmed) < trialAge {
 		return
 	}
 	n.watch.lastTrial = now
