--- /dev/null
+++ b/internal/systemtest/caller_test.go
@@ -0,0 +1,140 @@
+package systemtest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/fulmardoor/fulmardoor/internal/openai"
+	"github.com/fulmardoor/fulmardoor/standin/engine"
+)
+
+// answer is what one caller got.
+type answer struct {
+	status  int
+	code    string
+	verdict string
+	text    string
+	tokens  int
+	whole   bool
+	header  http.Header
+}
+
+// recorder is a response writer that may be read after the handler returned.
+type recorder struct {
+	*httptest.ResponseRecorder
+	mu sync.Mutex // guards the recorder
+}
+
+func (r *recorder) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ResponseRecorder.Write(b)
+}
+
+func (r *recorder) Flush() {}
+
+// do sends a request to an entry process; aborted is set if the handler cut the connection.
+func (w *world) do(ctx context.Context, entryName string, r *http.Request) (rec *recorder, aborted bool) {
+	rec = &recorder{ResponseRecorder: httptest.NewRecorder()}
+	defer func() {
+		if recover() != nil {
+			aborted = true
+		}
+	}()
+	w.entries[entryName].handler.ServeHTTP(rec, r.WithContext(ctx))
+	return rec, false
+}
+
+// complete sends a streaming completion.
+func (w *world) complete(ctx context.Context, entryName, key, prompt string, maxTokens int) answer {
+	body := fmt.Sprintf(`{"model":"drafter","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, maxTokens)
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	rec, _ := w.do(ctx, entryName, r)
+	a := answer{status: rec.Code, header: rec.Header()}
+	if rec.Code != http.StatusOK {
+		a.refusal(rec.Body.Bytes())
+		return a
+	}
+	a.stream(rec.Body.String())
+	return a
+}
+
+// book sends a booking.
+func (w *world) book(ctx context.Context, entryName, booking string, header http.Header) answer {
+	r := httptest.NewRequest(http.MethodPost, "/bookings", strings.NewReader("{}"))
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set("X-Booking-Id", booking)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	rec, aborted := w.do(ctx, entryName, r)
+	a := answer{status: rec.Code, header: rec.Header(), text: rec.Body.String()}
+	if rec.Header().Get("Fulmardoor-Verdict") != "" {
+		a.refusal(rec.Body.Bytes())
+		return a
+	}
+	a.whole = !aborted
+	return a
+}
+
+func (a *answer) refusal(body []byte) {
+	var refusal openai.Error
+	if json.Unmarshal(body, &refusal) == nil {
+		a.code, a.verdict = refusal.Error.Code, refusal.Error.Verdict
+	}
+}
+
+func (a *answer) stream(body string) {
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.whole = true
+			continue
+		}
+		var chunk struct {
+			openai.Response
+			openai.Error
+		}
+		if json.Unmarshal([]byte(data), &chunk) != nil {
+			continue
+		}
+		if code := chunk.Error.Error.Code; code != "" {
+			a.code, a.verdict = code, chunk.Error.Error.Verdict
+		}
+		for _, choice := range chunk.Choices {
+			if choice.Text != nil && *choice.Text != "" {
+				a.text += *choice.Text
+				a.tokens++
+			}
+		}
+	}
+}
+
+// wantWhole checks that an answer is the whole answer to its own prompt, each token once.
+func wantWhole(t *testing.T, a answer, prompt string, maxTokens int) {
+	t.Helper()
+	want := strings.Join(engine.Output("drafter", prompt, 0, maxTokens), "")
+	if !a.whole || a.text != want {
+		t.Errorf("answer whole=%v status=%d code=%s verdict=%s, %d tokens\n got %q\nwant %q",
+			a.whole, a.status, a.code, a.verdict, a.tokens, a.text, want)
+	}
+}
+
+// held sums the memory that engines hold.
+func (w *world) held() int {
+	blocks := 0
+	for _, e := range w.engines {
+		blocks += e.Audit().BlocksHeld
+	}
+	return blocks
+}
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -46,6 +46,15 @@
 	cars     map[string]*car
 	entries  map[string]*door
 	revision uint64
+	numbers  map[string]int
+}
+
+// addressOf returns the address of a process, the same at each call.
+func (w *world) addressOf(name string) string {
+	if _, ok := w.numbers[name]; !ok {
+		w.numbers[name] = len(w.numbers) + 1
+	}
+	return fmt.Sprintf("10.0.0.%d:7000", w.numbers[name])
 }
 
 // car is a running sidecar.
@@ -67,9 +76,8 @@
 	w := &world{
 		t: t, network: memnet.NewNetwork(networkDelay), store: memory.New(memory.Options{}), kvcaches: engine.NewNetwork(),
 		engines: make(map[string]*engine.Core), services: make(map[string]*service.Service),
-		cars: make(map[string]*car), entries: make(map[string]*door),
+		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int),
 	}
-	t.Cleanup(func() {})
 	return w
 }
 
@@ -120,9 +128,9 @@
 
 // startCar starts or restarts the sidecar beside an upstream.
 func (w *world) startCar(name, pool, roleName string, places int32) {
-	c := &car{name: name, address: "sidecar-" + name, pool: pool, role: roleName}
+	c := &car{name: name, address: w.addressOf(name), pool: pool, role: roleName}
 	s := &configv1.SidecarSettings{
-		Process: &configv1.ProcessSettings{Name: c.address, Host: "host-" + name, DataCentre: "Kariakoo"},
+		Process: &configv1.ProcessSettings{Name: "sidecar-" + name, Host: "host-" + name, DataCentre: "Kariakoo"},
 		Peers:   &configv1.PeerSettings{Listen: c.address},
 		Upstream: &configv1.UpstreamSettings{
 			Name: name, Url: "http://" + name, Pool: pool, Role: roleName, Places: places,
@@ -180,30 +188,30 @@
 func (w *world) startEntries(count int) {
 	var addresses []string
 	for i := range count {
-		addresses = append(addresses, fmt.Sprintf("entry-%d", i))
+		addresses = append(addresses, w.addressOf(fmt.Sprintf("entry-%d", i)))
 	}
-	for _, address := range addresses {
-		w.startEntry(address, strings.Join(addresses, ","))
+	for i := range count {
+		w.startEntry(fmt.Sprintf("entry-%d", i), strings.Join(addresses, ","))
 	}
 }
 
 func (w *world) startEntry(name, all string) {
 	s := &configv1.EntrySettings{
 		Process:  &configv1.ProcessSettings{Name: name, Host: "host-" + name, DataCentre: "Kariakoo"},
-		Peers:    &configv1.PeerSettings{Listen: name},
+		Peers:    &configv1.PeerSettings{Listen: w.addressOf(name)},
 		Platform: &configv1.PlatformSettings{StoreUrl: "http://store"},
 		Callers:  &configv1.CallerSettings{Listen: "callers-" + name, Entries: all},
 	}
 	settings.DefaultEntry(s)
-	d := &door{name: name, address: name}
+	d := &door{name: name, address: w.addressOf(name)}
 	d.entry = entry.New(entry.Config{
-		Settings: s, Store: w.store, Connector: connector{w.network, name}, Seed: 1, Logger: zap.NewNop(),
+		Settings: s, Store: w.store, Connector: connector{w.network, d.address}, Seed: 1, Logger: zap.NewNop(),
 	})
 	d.handler = d.entry.CallerHandler()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go d.entry.Run(ctx)
-	go serve(w.network.Listen(name), d.entry.Options())
+	go serve(w.network.Listen(d.address), d.entry.Options())
 	w.entries[name] = d
 }
 
@@ -226,7 +234,7 @@
 	b.WriteString("[route \"bookings\"]\npath = /bookings\nmethods = POST\npool = ledger\n")
 	b.WriteString("[route \"stock\"]\npath = /stock\nmethods = GET\npool = ledger\nidempotent = true\nopen = true\n")
 	for name, c := range w.cars {
-		fmt.Fprintf(&b, "[upstream \"%s\"]\naddress = 10.0.0.1:1\npool = %s\nrole = %s\n", name, c.pool, c.role)
+		fmt.Fprintf(&b, "[upstream \"%s\"]\naddress = %s\npool = %s\nrole = %s\n", name, c.address, c.pool, c.role)
 	}
 	if change != nil {
 		change(&b)
