standin/engine: no export after an abort, holds outlast SIGTERM; more tests

Cause, found by reading: a prefill that ended in the same moment as an abort or a cancellation still left an export for 800 ms; a graceful stop cut the transfers of importing engines; POST /faults with drop cut its own answer. Ruled out: an export that is released by the abort of its client only, because the client no longer knows its handle.

--- a/internal/engine/httpengine/engine_test.go
+++ b/internal/engine/httpengine/engine_test.go
@@ -93,6 +93,14 @@
 	return httpengine.New("http://"+cfg.Address, n.client), core
 }
 
+// stop ends listening at an address, as a process that died.
+func (n *network) stop(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.listeners[address].Close()
+	delete(n.listeners, address)
+}
+
 func collect(tokens *[]string) func(string) error {
 	return func(text string) error {
 		*tokens = append(*tokens, text)
@@ -192,12 +200,18 @@
 func TestBrokenAndCancelled(t *testing.T) {
 	cases := []struct {
 		name string
-		cut  func(core *standin.Core, cancel context.CancelFunc)
+		cut  func(n *network, core *standin.Core, cancel context.CancelFunc)
 		want []error
 	}{
-		{"drop", func(core *standin.Core, _ context.CancelFunc) { core.SetFaults(standin.Faults{Drop: true}) }, []error{engine.ErrBroken}},
-		{"kill", func(core *standin.Core, _ context.CancelFunc) { core.Kill() }, []error{engine.ErrBroken}},
-		{"cancel", func(_ *standin.Core, cancel context.CancelFunc) { cancel() }, []error{engine.ErrBroken, context.Canceled}},
+		{"drop", func(n *network, _ *standin.Core, _ context.CancelFunc) {
+			response, err := n.client.Post("http://e:80/faults", "application/json", strings.NewReader(`{"drop":true}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+		}, []error{engine.ErrBroken}},
+		{"kill", func(_ *network, core *standin.Core, _ context.CancelFunc) { core.Kill() }, []error{engine.ErrBroken}},
+		{"cancel", func(_ *network, _ *standin.Core, cancel context.CancelFunc) { cancel() }, []error{engine.ErrBroken, context.Canceled}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -217,13 +231,16 @@
 				if err != nil || load.Running != 1 || load.KVUsage == 0 {
 					t.Errorf("load %+v, %v", load, err)
 				}
-				tc.cut(core, cancel)
+				tc.cut(n, core, cancel)
 				err = <-done
 				for _, want := range tc.want {
 					if !errors.Is(err, want) {
 						t.Errorf("error %v, want %v", err, want)
 					}
 				}
+				if errors.Is(err, engine.ErrUnreachable) {
+					t.Errorf("running stream reported as not begun: %v", err)
+				}
 				if len(tokens) < 30 || !slices.Equal(tokens, standin.Output(model, "p", 0, len(tokens))) {
 					t.Errorf("tokens before the cut: %q", tokens)
 				}
@@ -236,6 +253,36 @@
 	}
 }
 
+// Guards against a verdict "not run" for a request that was sent, and "may have run" for one that was not.
+func TestUnreachableOrBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		e, core := n.serve(t, "e", standin.Config{})
+		prefill := func() error {
+			_, err := e.Prefill(t.Context(), "", &wirev1.PrefillWork{Model: model, Prompt: prompt})
+			return err
+		}
+		if err := prefill(); err != nil {
+			t.Fatal(err)
+		}
+		// The connection of the first request is used again. Half of the prompt is cached, so the prefill takes 98 ms.
+		time.AfterFunc(50*time.Millisecond, core.Kill)
+		if err := prefill(); !errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrUnreachable) {
+			t.Errorf("killed while running: %v", err)
+		}
+		n.stop("e:80")
+		time.Sleep(10 * time.Millisecond)
+		if err := prefill(); !errors.Is(err, engine.ErrUnreachable) || errors.Is(err, engine.ErrBroken) {
+			t.Errorf("after the end: %v", err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := e.AbortAll(ctx); !errors.Is(err, engine.ErrUnreachable) || !errors.Is(err, context.Canceled) {
+			t.Errorf("cancelled before it was sent: %v", err)
+		}
+	})
+}
+
 // Guards against an export that stays held by an importing engine that is gone.
 func TestTransferBreaks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -10,6 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 )
 
@@ -172,3 +176,35 @@
 		})
 	}
 }
+
+// Guards against a cache content that depends on the order or the number of times in which events arrive.
+func TestIndexAnyOrder(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("content follows the event numbers", prop.ForAll(func(changes []uint8, seed uint64) bool {
+		want := make(map[uint64]bool)
+		var events []engine.CacheEvent
+		for i, change := range changes {
+			hash := uint64(change % 8)
+			removed := change >= 128
+			want[hash] = !removed
+			events = append(events, engine.CacheEvent{Number: uint64(i + 1), Hash: hash, Removed: removed})
+		}
+		events = append(events, events...)
+		random := rand.New(rand.NewPCG(seed, 0))
+		random.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+		x := NewIndex(nil, 1)
+		for len(events) > 0 {
+			n := 1 + random.IntN(len(events))
+			x.apply(events[:n])
+			events = events[n:]
+		}
+		for hash, cached := range want {
+			if (x.CachedTokens([]uint64{hash}) == 1) != cached {
+				return false
+			}
+		}
+		return len(x.missing) == 0 && len(x.removed) == 0
+	}, gen.SliceOf(gen.UInt8()), gen.UInt64()))
+	properties.TestingRun(t)
+}
--- a/standin/engine/core.go
+++ b/standin/engine/core.go
@@ -115,11 +115,11 @@
 	if err != nil {
 		return engine.PrefillResult{}, err
 	}
-	return engine.PrefillResult{
-		Handle:       c.newExport(r, work, tokens),
-		PromptTokens: tokens,
-		CachedTokens: cached,
-	}, nil
+	handle, err := c.newExport(ctx, r, work, tokens)
+	if err != nil {
+		return engine.PrefillResult{}, err
+	}
+	return engine.PrefillResult{Handle: handle, PromptTokens: tokens, CachedTokens: cached}, nil
 }
 
 // computePrompt processes the part of a prompt that neither the prefix cache nor an import covers. The caller holds a
--- a/standin/engine/httpremote.go
+++ b/standin/engine/httpremote.go
@@ -33,7 +33,6 @@
 	select {
 	case <-hold.Lost:
 	case <-r.Context().Done():
-	case <-s.closing.Done():
 	}
 }
 
--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -102,10 +102,13 @@
 	return true
 }
 
-// newExport moves the memory of a finished prefill to an export.
-func (c *Core) newExport(r *request, work *wirev1.PrefillWork, tokens int) *wirev1.KVHandle {
+// newExport moves the memory of a finished prefill to an export, unless ctx ended: nobody would release the export.
+func (c *Core) newExport(ctx context.Context, r *request, work *wirev1.PrefillWork, tokens int) (*wirev1.KVHandle, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	c.exportCount++
 	e := &export{
 		info: Export{
@@ -129,7 +132,7 @@
 		Handle:        e.info.Handle,
 		PromptTokens:  uint32(tokens),
 		Bytes:         uint64(tokens) * uint64(c.cfg.KVBytesPerToken),
-	}
+	}, nil
 }
 
 // expire evicts an export at the end of its lifetime, or at the end of the transfer in progress.
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -46,6 +46,7 @@
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		ConnState:         s.trackConn,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: 10 * time.Second,
 	}
 	return s
@@ -98,12 +99,21 @@
 	}
 }
 
-// dropConns closes all connections.
-func (s *Server) dropConns() {
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// dropConns closes all connections but the one that asked for it, so that the order is answered.
+func (s *Server) dropConns(r *http.Request) {
+	own, _ := r.Context().Value(connKey{}).(net.Conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.conns {
-		_ = conn.Close()
+		if conn != own {
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -344,8 +354,7 @@
 		}
 		s.core.SetFaults(faults)
 		if faults.Drop {
-			s.dropConns()
-			return
+			s.dropConns(r)
 		}
 	}
 	writeJSON(w, s.core.Faults())
