entry: wait for an upstream instead of refusing at once; sidecar: watchdog per stream

Cause: under random faults (: three engines refusing and one stalled at a time) only 8 or 9 of 30 completions were whole, although each caller could wait 18 s. Most ended as no_upstream/not run at the first look, because engines that failed once are avoided for a second and there were two prefill engines. Ruled out: the retry budget (no refusal named it) and lost places (no_place appeared only behind refusing engines). Change: while the first token can still be in time, or a stream has waited less than 10 s, the entry plans again every 100 ms; this sends nothing to upstreams and draws nothing from the budget. A stream without a token for max(2 s, 20 gaps) ends as stalled, because the tracker looks at the engine as a whole and misses a single stalled transfer.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -16,6 +16,13 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
+const (
+	// replanPause is the time between two looks for an upstream that accepts work.
+	replanPause = 100 * time.Millisecond
+	// continueLimit is the longest gap in a stream while another engine is looked for.
+	continueLimit = 10 * time.Second
+)
+
 // completion is one request of a model.
 type completion struct {
 	*request
@@ -108,6 +115,9 @@
 			return
 		}
 		refusal := verdict.As(err)
+		if c.mayWait(refusal) && pause(c.ctx, replanPause) {
+			continue
+		}
 		if !c.mayRetry(refusal) {
 			c.fail(refusal)
 			return
@@ -118,6 +128,18 @@
 	}
 }
 
+// mayWait reports whether to plan again later because no upstream accepts work now. It costs the upstreams nothing, so it
+// draws nothing from the retry budget.
+func (c *completion) mayWait(refusal *verdict.Refusal) bool {
+	if refusal.Reason != wirev1.Reason_REASON_NO_UPSTREAM || refusal.Verdict != verdict.NotRun {
+		return false
+	}
+	if len(c.delivered) > 0 {
+		return time.Since(c.lastToken) < continueLimit
+	}
+	return time.Since(c.begin) < c.firstTokenLimit()
+}
+
 func (c *completion) mayRetry(refusal *verdict.Refusal) bool {
 	if !retryable(refusal) {
 		return false
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -63,6 +63,14 @@
 	return min(request.FirstTokenLimit()-time.Since(c.begin), maxWait)
 }
 
+// firstTokenLimit is the longest acceptable time to the first token.
+func (c *completion) firstTokenLimit() time.Duration {
+	request := scheduler.Request{
+		FirstTokenTarget: c.model.GetFirstTokenTarget().AsDuration(), Patience: c.model.GetPatience(),
+	}
+	return request.FirstTokenLimit()
+}
+
 // plan quotes a few prefill engines and takes the one that is ready first, or refuses early.
 func (c *completion) plan(prompt string) (*plan, error) {
 	request := c.schedulerRequest(prompt)
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -23,6 +23,9 @@
 	// assumedPrefillSpeed in tokens per second is used until the engine's speed is learnt.
 	assumedPrefillSpeed = 10000
 	probePrompt         = "probe"
+	// minTokenLimit and tokenLimitGaps bound the wait for a token by time and by learnt gaps.
+	minTokenLimit  = 2 * time.Second
+	tokenLimitGaps = 20
 )
 
 // ModelConfig configures a ModelUpstream.
@@ -110,8 +113,11 @@
 	id := u.tracker.Begin(progress.Decode, 0)
 	tokens := 0
 	ctx := engine.WithAccount(c.Context(), c.Account)
+	watchdog := time.AfterFunc(u.tokenLimit(), func() { c.Cancel(call.ErrStalled) })
+	defer watchdog.Stop()
 	result, err := u.cfg.Engine.Decode(ctx, c.ID.String(), work, func(text string) error {
 		tokens++
+		watchdog.Reset(u.tokenLimit())
 		u.tracker.Token(id)
 		report(tokens)
 		return c.Emit(&wirev1.Frame{Body: &wirev1.Frame_Token{Token: &wirev1.Token{Text: text}}})
@@ -131,6 +137,12 @@
 	}
 }
 
+// tokenLimit is the longest wait for a token of one stream, the import included. The tracker finds engines that stall as a
+// whole; this finds a single transfer or stream that does.
+func (u *ModelUpstream) tokenLimit() time.Duration {
+	return max(minTokenLimit, tokenLimitGaps*u.tracker.TokenGap())
+}
+
 // failure gives the verdict on work that the engine did not finish.
 func (u *ModelUpstream) failure(c *call.Call, err error) *wirev1.Outcome {
 	if c.Context().Err() != nil {
