--- a/internal/kv/contract_test.go
+++ b/internal/kv/contract_test.go
@@ -18,7 +18,11 @@
 	"github.com/fulmardoor/fulmardoor/standin/platform"
 )
 
-const callTimeout = 2 * time.Second
+const (
+	callTimeout = 2 * time.Second
+	// maxNotices is the number of progress notices after which a test gives up waiting for an event.
+	maxNotices = 100
+)
 
 // pipeListener accepts in-memory connections, so that HTTP runs in virtual time.
 type pipeListener struct {
@@ -213,15 +217,16 @@
 
 func nextEvents(t *testing.T, updates <-chan kv.WatchUpdate) []kv.Event {
 	t.Helper()
-	for update := range updates {
-		if update.Err != nil {
-			t.Fatalf("watch: %v", update.Err)
+	for range maxNotices {
+		update, open := <-updates
+		if !open || update.Err != nil {
+			t.Fatalf("watch ended: %v", update.Err)
 		}
 		if len(update.Events) > 0 {
 			return update.Events
 		}
 	}
-	t.Fatal("watch closed")
+	t.Fatalf("no event in %d updates", maxNotices)
 	return nil
 }
 
@@ -259,8 +264,11 @@
 			t.Errorf("update after the end: %+v", u)
 		}
 		backend.Compact(deleted)
-		updates, err = store.Watch(t.Context(), "p/", first)
-		if err != nil {
+		if updates, err = store.Watch(t.Context(), "p/", deleted+1); err != nil {
+			t.Fatal(err)
+		}
+		wantErr(t, "watch after the compacted revision", (<-updates).Err, nil)
+		if updates, err = store.Watch(t.Context(), "p/", deleted); err != nil {
 			t.Fatal(err)
 		}
 		wantErr(t, "watch at a compacted revision", (<-updates).Err, kv.ErrCompacted)
--- a/internal/kv/memory/memory_test.go
+++ b/internal/kv/memory/memory_test.go
@@ -148,10 +148,12 @@
 
 // watched collects the events of a watch up to a revision.
 func watched(updates <-chan kv.WatchUpdate, revision int64) (events []kv.Event) {
-	for u := range updates {
+	const maxUpdates = 1000
+	for range maxUpdates {
+		u := <-updates
 		events = append(events, u.Events...)
-		if u.Revision >= revision {
-			break
+		if u.Revision >= revision || u.Err != nil {
+			return events
 		}
 	}
 	return events
