systemtest: invariants under failure in virtual time

Tests for memory of dead entries and cancelled callers in 15 and 22 states, withdrawn keys, leaving upstreams with an entry cut off from store and peers, planned stops under load, a thirty-minute outage of the store, keys at upstreams, and rate and burst counted at the engines while an entry dies and the store is down.

--- /dev/null
+++ b/internal/systemtest/invariants_test.go
@@ -0,0 +1,259 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/document"
+)
+
+// withinSeconds is the limit for "within seconds" of a withdrawn key and a leaving upstream.
+const withinSeconds = 5 * time.Second
+
+// Guards against engine memory that stays held after an entry process died, whatever its requests were doing.
+func TestEntryDiesInEachState(t *testing.T) {
+	for at := 50 * time.Millisecond; at < 2*time.Second; at += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			w := small(t)
+			defer w.close()
+			for i := range 6 {
+				go w.complete(context.Background(), "entry-0", testKey, prompt(8000+i), 60)
+			}
+			time.Sleep(at)
+			w.killEntry("entry-0")
+			time.Sleep(freeBound)
+			if blocks := w.held(); blocks != 0 {
+				t.Errorf("entry died after %v: engines hold %d blocks: %+v", at, blocks, w.holders())
+			}
+		})
+	}
+}
+
+// Guards against engine memory that stays held after the caller went away in any state of its request.
+func TestCallerCancelsInEachState(t *testing.T) {
+	for at := 20 * time.Millisecond; at < 2*time.Second; at += 90 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			w := small(t)
+			defer w.close()
+			ctx, cancel := context.WithCancel(context.Background())
+			for i := range 6 {
+				go w.complete(ctx, "entry-0", testKey, prompt(8000+i), 60)
+			}
+			time.Sleep(at)
+			cancel()
+			time.Sleep(2 * time.Second)
+			if blocks := w.held(); blocks != 0 {
+				t.Errorf("cancelled after %v: engines hold %d blocks: %+v", at, blocks, w.holders())
+			}
+		})
+	}
+}
+
+// Guards against a withdrawn key that goes on working: on new requests, on a stream that is open, and at an entry process
+// that is cut off from the store and from the others.
+func TestWithdrawnKeyStopsWorking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		text := w.document(nil)
+		running := make(chan answer, 1)
+		go func() { running <- w.complete(context.Background(), "entry-0", testKey, prompt(100), 2000) }()
+		w.isolate("entry-2")
+		time.Sleep(time.Second)
+		withdrawn, err := document.SetKeyState([]byte(text), "agents-1", document.StateWithdrawn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		w.apply(string(withdrawn))
+		for _, entry := range []string{"entry-0", "entry-1", "entry-2"} {
+			a := w.complete(context.Background(), entry, testKey, prompt(100), 5)
+			if a.tokens > 0 || a.verdict != "not run" {
+				t.Errorf("%s served a withdrawn key after %v: %+v", entry, time.Since(begin), a)
+			}
+		}
+		a := <-running
+		if a.whole || a.code != "key_withdrawn" {
+			t.Errorf("open stream of the withdrawn key: whole %v, code %s, %d tokens", a.whole, a.code, a.tokens)
+		}
+	})
+}
+
+// isolate cuts an entry process off from the store and the other entry processes, but not from its callers and sidecars.
+func (w *world) isolate(name string) {
+	for other := range w.entries {
+		if other != name {
+			w.network.Cut(w.addressOf(name), w.addressOf(other))
+		}
+	}
+	w.gates[name].setDown(true)
+}
+
+// Guards against new work at a leaving upstream, also from an entry process that is cut off from the store and the others.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		w.isolate("entry-2")
+		leaving, err := document.SetUpstreamState([]byte(w.document(nil)), "decode-0", document.StateLeaving)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.apply(string(leaving)) // waits withinSeconds
+		before := w.engines["decode-0"].Audit().Counts.DecodesStarted
+		for i := range 60 {
+			w.complete(context.Background(), fmt.Sprintf("entry-%d", i%3), testKey, prompt(100), 3)
+		}
+		if after := w.engines["decode-0"].Audit().Counts.DecodesStarted; after != before {
+			t.Errorf("leaving engine got %d new requests", after-before)
+		}
+	})
+}
+
+// Guards against requests that are cut by a planned stop of an entry process or of a sidecar.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		const count = 60
+		answers := make(chan answer, count)
+		for i := range count {
+			time.AfterFunc(time.Duration(i)*100*time.Millisecond, func() {
+				name := "entry-0"
+				if time.Duration(i)*100*time.Millisecond >= 3*time.Second {
+					name = "entry-1" // the balancer has noticed
+				}
+				answers <- w.complete(context.Background(), name, testKey, prompt(1000+i), 30)
+			})
+		}
+		time.Sleep(2 * time.Second)
+		go func() { _ = w.cars["decode-1"].sidecar.Stop(context.Background()) }()
+		w.entries["entry-0"].entry.BeginStop(context.Background())
+		time.Sleep(3 * time.Second)
+		if left := w.entries["entry-0"].entry.WaitIdle(context.Background()); left != 0 {
+			t.Errorf("%d requests left", left)
+		}
+		w.killEntry("entry-0")
+		for range count {
+			if a := <-answers; !a.whole {
+				t.Errorf("request cut: status %d code %s verdict %s, %d tokens", a.status, a.code, a.verdict, a.tokens)
+			}
+		}
+	})
+}
+
+// Guards against an outage of the key-value service that stops requests: nothing could be changed meanwhile.
+func TestOutageOfStoreStopsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		w.storeDown(true)
+		refused := 0
+		for i := range 180 {
+			time.Sleep(10 * time.Second)
+			if a := w.complete(context.Background(), fmt.Sprintf("entry-%d", i%3), testKey, prompt(200), 3); !a.whole {
+				refused++
+				t.Logf("minute %d: %s %s", i/6, a.code, a.verdict)
+			}
+		}
+		if refused > 0 {
+			t.Errorf("%d of 180 requests within rate refused in 30 minutes without the store", refused)
+		}
+	})
+}
+
+// Guards against an upstream that gets the caller's key.
+func TestKeyStopsAtEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		for i := range 6 {
+			w.book(context.Background(), "entry-0", fmt.Sprint(i), nil)
+		}
+		for name, s := range w.services {
+			if count := s.Audit().AuthorizationHeaders; count != 0 {
+				t.Errorf("%s got %d requests with a key", name, count)
+			}
+		}
+	})
+}
+
+// Guards against an account that gets more than rate and burst over all entry processes together, counted where the work
+// runs, while entry processes die and the store is down.
+func TestRateOverTheFleet(t *testing.T) {
+	for _, faulty := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := small(t)
+			defer w.close()
+			begin := time.Now()
+			stop := make(chan struct{})
+			for i := range 12 {
+				go w.hammer(stop, fmt.Sprintf("entry-%d", i%3), otherKey)
+			}
+			if faulty {
+				time.Sleep(20 * time.Second)
+				w.killEntry("entry-1")
+				time.Sleep(20 * time.Second)
+				w.storeDown(true)
+				time.Sleep(20 * time.Second)
+				w.storeDown(false)
+			}
+			time.Sleep(30 * time.Second)
+			close(stop)
+			time.Sleep(20 * time.Second)
+			w.checkWindows("vendors", 1000, 20000, begin)
+		})
+	}
+}
+
+// hammer sends requests as fast as they are answered.
+func (w *world) hammer(stop chan struct{}, entry, key string) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		w.complete(context.Background(), entry, key, strings.Repeat("q", i%7)+prompt(300), 10)
+	}
+}
+
+// charge is what one request used, at the moment that its prefill began.
+type charge struct {
+	at     time.Time
+	tokens int
+}
+
+// checkWindows compares every window between two starts of work with the account's rate and burst.
+func (w *world) checkWindows(account string, rate, burst float64, begin time.Time) {
+	w.t.Helper()
+	var charges []charge
+	total := 0
+	for _, core := range w.engines {
+		for _, record := range core.Audit().Accounts[account] {
+			charges = append(charges, charge{record.At, record.PromptTokens + record.OutputTokens})
+			total += record.PromptTokens + record.OutputTokens
+		}
+	}
+	if total == 0 {
+		w.t.Fatal("the account got nothing")
+	}
+	sortCharges(charges)
+	for i := range charges {
+		sum := 0
+		for j := i; j < len(charges); j++ {
+			sum += charges[j].tokens
+			window := (charges[j].at.Sub(charges[i].at) + auditSpan).Seconds()
+			if limit := burst + rate*window; float64(sum) > limit {
+				w.t.Errorf("%d tokens in a window of %.3f s, limit %.0f", sum, window, limit)
+				return
+			}
+		}
+	}
+	allowed := burst + rate*time.Since(begin).Seconds()
+	w.t.Logf("account got %d tokens, at most %.0f allowed", total, allowed)
+}
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -45,6 +45,7 @@
 	services map[string]*service.Service
 	cars     map[string]*car
 	entries  map[string]*door
+	gates    map[string]*gate
 	revision uint64
 	numbers  map[string]int
 }
@@ -76,7 +77,7 @@
 	w := &world{
 		t: t, network: memnet.NewNetwork(networkDelay), store: memory.New(memory.Options{}), kvcaches: engine.NewNetwork(),
 		engines: make(map[string]*engine.Core), services: make(map[string]*service.Service),
-		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int),
+		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int), gates: make(map[string]*gate),
 	}
 	return w
 }
@@ -203,9 +204,10 @@
 		Callers:  &configv1.CallerSettings{Listen: "callers-" + name, Entries: all},
 	}
 	settings.DefaultEntry(s)
+	w.gates[name] = newGate(w.store)
 	d := &door{name: name, address: w.addressOf(name)}
 	d.entry = entry.New(entry.Config{
-		Settings: s, Store: w.store, Connector: connector{w.network, d.address}, Seed: 1, Logger: zap.NewNop(),
+		Settings: s, Store: w.gates[name], Connector: connector{w.network, d.address}, Seed: 1, Logger: zap.NewNop(),
 	})
 	d.handler = d.entry.CallerHandler()
 	ctx, cancel := context.WithCancel(context.Background())
