systemtest: late first messages and longer answers

Cause: run against deliberate faults, three tests were blind. With a lost entry unnoticed and with a caller's cancel not passed on, answers of 60 tokens ended by themselves within the bound; they now have 2,000 tokens. Without the bar of a query nothing failed, because no message arrived late; a connection can now go silent and deliver later, and sidecars can keep it longer than entries.

--- a/internal/systemtest/invariants_test.go
+++ b/internal/systemtest/invariants_test.go
@@ -11,8 +11,8 @@
 	"github.com/fulmardoor/fulmardoor/internal/document"
 )
 
-// withinSeconds is the limit for "within seconds" of a withdrawn key and a leaving upstream.
-const withinSeconds = 5 * time.Second
+// longAnswer is the length of answers that would go on for 50 s if nobody ended them.
+const longAnswer = 2000
 
 // Guards against engine memory that stays held after an entry process died, whatever its requests were doing.
 func TestEntryDiesInEachState(t *testing.T) {
@@ -21,7 +21,7 @@
 			w := small(t)
 			defer w.close()
 			for i := range 6 {
-				go w.complete(context.Background(), "entry-0", testKey, prompt(8000+i), 60)
+				go w.complete(context.Background(), "entry-0", testKey, prompt(8000+i), longAnswer)
 			}
 			time.Sleep(at)
 			w.killEntry("entry-0")
@@ -41,7 +41,7 @@
 			defer w.close()
 			ctx, cancel := context.WithCancel(context.Background())
 			for i := range 6 {
-				go w.complete(ctx, "entry-0", testKey, prompt(8000+i), 60)
+				go w.complete(ctx, "entry-0", testKey, prompt(8000+i), longAnswer)
 			}
 			time.Sleep(at)
 			cancel()
@@ -61,7 +61,7 @@
 		defer w.close()
 		text := w.document(nil)
 		running := make(chan answer, 1)
-		go func() { running <- w.complete(context.Background(), "entry-0", testKey, prompt(100), 2000) }()
+		go func() { running <- w.complete(context.Background(), "entry-0", testKey, prompt(100), longAnswer) }()
 		w.isolate("entry-2")
 		time.Sleep(time.Second)
 		withdrawn, err := document.SetKeyState([]byte(text), "agents-1", document.StateWithdrawn)
@@ -103,7 +103,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.apply(string(leaving)) // waits withinSeconds
+		w.apply(string(leaving)) // waits settleTime, the bound of this test
 		before := w.engines["decode-0"].Audit().Counts.DecodesStarted
 		for i := range 60 {
 			w.complete(context.Background(), fmt.Sprintf("entry-%d", i%3), testKey, prompt(100), 3)
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -47,7 +47,9 @@
 	entries  map[string]*door
 	gates    map[string]*gate
 	revision uint64
-	numbers  map[string]int
+	// silenceFactor makes sidecars keep silent connections longer than entries do; 0 means the same.
+	silenceFactor int
+	numbers       map[string]int
 }
 
 // addressOf returns the address of a process, the same at each call.
@@ -150,7 +152,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	go func() { _ = c.sidecar.Run(ctx) }()
-	go serve(w.network.Listen(c.address), c.sidecar.Options())
+	opts := c.sidecar.Options()
+	if w.silenceFactor > 0 {
+		opts.SilenceLimit = time.Duration(w.silenceFactor) * transport.SilentIntervals * transport.DefaultHeartbeatInterval
+	}
+	go serve(w.network.Listen(c.address), opts)
 	w.cars[name] = c
 }
 
--- a/internal/transport/memnet/network.go
+++ b/internal/transport/memnet/network.go
@@ -123,6 +123,30 @@
 	n.between(a, b, func(m *Mux) { m.SetSilent(true) })
 }
 
+// Silenced is a set of connections that deliver nothing until Resume.
+type Silenced []*Mux
+
+// SilenceForNow makes all present connections of a process silent; what is sent meanwhile is delivered late.
+func (n *Network) SilenceForNow(address string) Silenced {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list Silenced
+	for _, link := range n.links {
+		if link.pair.from == address || link.pair.to == address {
+			link.mux.SetSilent(true)
+			list = append(list, link.mux)
+		}
+	}
+	return list
+}
+
+// Resume delivers what was sent meanwhile.
+func (s Silenced) Resume() {
+	for _, mux := range s {
+		mux.SetSilent(false)
+	}
+}
+
 // Cut makes present connections silent and refuses new ones until Heal.
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -58,6 +58,8 @@
 	Hello *wirev1.Hello
 	// HeartbeatInterval is the time between heartbeats. Default DefaultHeartbeatInterval.
 	HeartbeatInterval time.Duration
+	// SilenceLimit is the time without a heartbeat after which a session is closed. Default SilentIntervals intervals.
+	SilenceLimit time.Duration
 	// Heartbeat returns the next heartbeat to send. Nil sends empty heartbeats.
 	Heartbeat func() *wirev1.Heartbeat
 	// OnHeartbeat is called for each heartbeat received. It must not block.
@@ -87,6 +89,13 @@
 	Close() error
 }
 
+func (o *Options) silenceLimit() time.Duration {
+	if o.SilenceLimit > 0 {
+		return o.SilenceLimit
+	}
+	return SilentIntervals * o.interval()
+}
+
 // Session is one connection to another process.
 type Session struct {
 	opts    *Options
@@ -288,7 +297,7 @@
 
 // watchSilence closes the session when no heartbeat arrives although the connection is open.
 func (s *Session) watchSilence() {
-	limit := SilentIntervals * s.opts.interval()
+	limit := s.opts.silenceLimit()
 	ticker := time.NewTicker(s.opts.interval() / 2)
 	defer ticker.Stop()
 	for {
