--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -84,6 +84,17 @@
 	return a
 }
 
+// look sends a stock lookup, which is open to all and idempotent.
+func (w *world) look(ctx context.Context, entryName string) answer {
+	rec, aborted := w.do(ctx, entryName, httptest.NewRequest(http.MethodGet, "/stock/scarves", nil))
+	a := answer{status: rec.Code, header: rec.Header(), text: rec.Body.String(), whole: !aborted}
+	if rec.Header().Get("Fulmardoor-Verdict") != "" {
+		a.whole = false
+		a.refusal(rec.Body.Bytes())
+	}
+	return a
+}
+
 func (a *answer) refusal(body []byte) {
 	var refusal openai.Error
 	if json.Unmarshal(body, &refusal) == nil {
--- a/internal/systemtest/invariants_test.go
+++ b/internal/systemtest/invariants_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/internal/document"
+	"github.com/fulmardoor/fulmardoor/standin/service"
 )
 
 // longAnswer is the length of answers that would go on for 50 s if nobody ended them.
@@ -114,6 +115,57 @@
 	})
 }
 
+// Guards against an island of one entry process and one sidecar, cut off from the store and all others, that goes on sending
+// work to an upstream which left meanwhile.
+func TestLeavingUpstreamOnAnIsland(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		w.isolate("entry-2")
+		w.network.Cut(w.addressOf("ledger-0"), w.addressOf("entry-0"))
+		w.network.Cut(w.addressOf("ledger-0"), w.addressOf("entry-1"))
+		leaving, err := document.SetUpstreamState([]byte(w.document(nil)), "ledger-0", document.StateLeaving)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.apply(string(leaving))
+		before := w.services["ledger-0"].Audit().Lookups
+		for range 40 {
+			w.look(context.Background(), "entry-2")
+		}
+		if after := w.services["ledger-0"].Audit().Lookups; after != before {
+			t.Errorf("leaving upstream got %d new requests from an isolated entry", after-before)
+		}
+	})
+}
+
+// Guards against a booking that is cut by the planned stop of the sidecar that runs it.
+func TestPlannedStopOfSidecarCutsNoBooking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		const count = 40
+		answers := make(chan answer, count)
+		for _, s := range w.services {
+			s.SetFaults(service.Faults{DelayMS: 900})
+		}
+		for i := range count {
+			time.AfterFunc(time.Duration(i)*50*time.Millisecond, func() {
+				answers <- w.book(context.Background(), fmt.Sprintf("entry-%d", i%3), fmt.Sprint(i), nil)
+			})
+		}
+		time.Sleep(time.Second)
+		if cut := w.cars["ledger-0"].sidecar.Stop(context.Background()); cut != 0 {
+			t.Errorf("%d calls cut", cut)
+		}
+		for range count {
+			if a := <-answers; !a.whole {
+				t.Errorf("booking cut: status %d code %s verdict %s", a.status, a.code, a.verdict)
+			}
+		}
+	})
+}
+
 // Guards against requests that are cut by a planned stop of an entry process or of a sidecar.
 func TestPlannedStopsCutNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/memnet/mux.go
+++ b/internal/transport/memnet/mux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -111,7 +112,8 @@
 	m.link.mu.Lock()
 	defer m.link.mu.Unlock()
 	m.link.silent = silent
-	for _, c := range m.conns {
+	// Streams of an end that closed on a silent link are still known to the other end.
+	for _, c := range append(slices.Clone(m.conns), m.peer.conns...) {
 		c.in.setSilent(silent)
 		c.out.setSilent(silent)
 	}
