confsync: random sequences against reverting; three faults found and mended

Purpose: show that no order of pushes, pulls, whole states, old answers and restarts brings an old version back.

The random test found: a late push of a document that was removed and forgotten brought it back; a whole state that carried an old removal hid that the document had come and gone since; a whole state without the removals ahead of its revision lost them. Now nothing at or below the held revision is taken over, and a whole state has removals above its own revision only.

--- a/internal/confsync/history.go
+++ b/internal/confsync/history.go
@@ -81,9 +81,11 @@
 
 func byRevision(a, b *record) int { return cmp.Compare(a.revision, b.revision) }
 
+// put takes over a document unless it is old. Up to the held revision everything is known: a late copy of a document
+// that was removed and forgotten must not bring it back.
 func (h *history) put(d *wirev1.Document) *record {
 	known := h.teams[d.GetTeam()]
-	if known != nil && d.GetRevision() <= known.revision {
+	if d.GetRevision() <= h.revision || known != nil && d.GetRevision() <= known.revision {
 		return nil
 	}
 	r := &record{
@@ -120,7 +122,7 @@
 func (h *history) removeAbsent(b batch) []*record {
 	present := map[string]bool{}
 	for _, d := range b.documents {
-		present[d.GetTeam()] = true
+		present[d.GetTeam()] = !d.GetDeleted()
 	}
 	var removed []*record
 	for team, known := range h.teams {
@@ -189,7 +191,9 @@
 	reply := &wirev1.ConfigPullReply{Revision: h.revision, WholeState: after < h.floor}
 	var records []*record
 	for _, r := range h.teams {
-		if reply.WholeState || r.revision > after {
+		// A whole state has no removals up to its revision: an old one could stand for a document that came and went
+		// after it.
+		if r.revision > h.revision || reply.WholeState && !r.deleted || !reply.WholeState && r.revision > after {
 			records = append(records, r)
 		}
 	}
--- /dev/null
+++ b/internal/confsync/property_test.go
@@ -0,0 +1,241 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+)
+
+const propertySeed = 20261204
+
+func properties(runs int) *gopter.Properties {
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	parameters.MinSuccessfulTests = runs
+	parameters.MaxSize = 60
+	return gopter.NewProperties(parameters)
+}
+
+// Guards against a node that goes back to an older version, counts a revision that it does not hold completely, or
+// keeps a removed document, under pushes that are lost, repeated and out of order, pulls, whole states and old answers.
+func TestHistoryNeverReverts(t *testing.T) {
+	p := properties(500)
+	p.Property("history follows the store", prop.ForAll(func(seed int64) string {
+		return runHistory(rand.New(rand.NewPCG(uint64(seed), 1)))
+	}, gen.Int64()))
+	p.TestingRun(t)
+}
+
+// runHistory drives some histories from one sequence of changes and returns what went wrong.
+func runHistory(random *rand.Rand) string {
+	const changes, teams, steps = 40, 5, 200
+	truth := newHistory()
+	var pushes []batch
+	var states []history // The true state at each revision.
+	states = append(states, newHistory())
+	for i := uint64(1); i <= changes; i++ {
+		team := fmt.Sprintf("team-%d", random.IntN(teams))
+		d := &wirev1.Document{Team: team, Revision: i, Text: []byte("x"), Deleted: random.IntN(4) == 0}
+		b := batch{documents: []*wirev1.Document{d}, from: i - 1, to: i}
+		pushes = append(pushes, b)
+		truth.apply(b)
+		states = append(states, clone(truth))
+	}
+	nodes := []history{newHistory(), newHistory(), newHistory()}
+	for range steps {
+		n := &nodes[random.IntN(len(nodes))]
+		before := clone(*n)
+		switch random.IntN(12) {
+		case 0: // Answer of the store, possibly an old one.
+			n.apply(wholeState(states[random.IntN(len(states))]))
+		case 1, 2, 3: // Pull from another node.
+			reply := nodes[random.IntN(len(nodes))].since(n.revision)
+			n.apply(batch{documents: reply.Documents, from: fromOf(reply, n.revision), to: reply.Revision, whole: reply.WholeState})
+		case 4: // An answer to an earlier pull arrives late.
+			after := uint64(random.IntN(int(n.revision) + 1))
+			reply := nodes[random.IntN(len(nodes))].since(after)
+			n.apply(batch{documents: reply.Documents, from: fromOf(reply, after), to: reply.Revision, whole: reply.WholeState})
+		case 5: // Restart.
+			if random.IntN(4) == 0 {
+				*n = newHistory()
+				before = newHistory()
+			}
+		default:
+			n.apply(pushes[random.IntN(len(pushes))])
+		}
+		if fault := compare(before, *n, states); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+func fromOf(reply *wirev1.ConfigPullReply, after uint64) uint64 {
+	if reply.WholeState {
+		return 0
+	}
+	return after
+}
+
+func clone(h history) history {
+	c := newHistory()
+	c.revision, c.floor = h.revision, h.floor
+	for team, r := range h.teams {
+		c.teams[team] = r
+	}
+	return c
+}
+
+// wholeState is a list of the store, in which removed documents do not appear.
+func wholeState(h history) batch {
+	b := batch{to: h.revision, whole: true}
+	for _, r := range h.teams {
+		if !r.deleted {
+			b.documents = append(b.documents, r.wire())
+		}
+	}
+	return b
+}
+
+// compare checks a node after a step against its state before and against the true states.
+func compare(before, after history, states []history) string {
+	if after.revision < before.revision {
+		return fmt.Sprintf("revision %d after %d", after.revision, before.revision)
+	}
+	for team, r := range before.teams {
+		if now := after.teams[team]; now == nil || now.revision < r.revision {
+			return fmt.Sprintf("%s went back from revision %d", team, r.revision)
+		}
+	}
+	for team, r := range states[after.revision].teams {
+		held := after.teams[team]
+		switch {
+		case r.deleted && (held == nil || held.deleted || held.revision > after.revision):
+		case held == nil || held.revision < r.revision || r.deleted:
+			return fmt.Sprintf("node at revision %d has %+v of %s, the store had %+v", after.revision, held, team, r)
+		}
+	}
+	return ""
+}
+
+// Guards against a fleet that reverts or does not agree again after lost messages, restarts, an unreachable store, old
+// answers of the store and cut-off processes.
+func TestFleetNeverReverts(t *testing.T) {
+	p := properties(25)
+	p.Property("fleet follows the store", prop.ForAll(func(seed int64) bool {
+		return runFleet(t, uint64(seed))
+	}, gen.Int64()))
+	p.TestingRun(t)
+}
+
+func runFleet(t *testing.T, seed uint64) bool {
+	ok := true
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		f := newFleet(t, newFakeStore())
+		f.loss = 0.2
+		f.store.write("team-0", teamText("team-0", 1))
+		f.addEntries(5, 2)
+		seen := map[string]*Snapshot{}
+		for range 40 {
+			disturb(f, random, seen)
+			time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
+			for name, n := range f.all() {
+				s := n.Current()
+				if fault := reverted(seen[name], s); fault != "" {
+					t.Errorf("seed %d: %s: %s", seed, name, fault)
+				}
+				seen[name] = s
+			}
+		}
+		settle(f)
+		for team := range f.store.pairs {
+			f.wantRevision(team[len(Prefix):], uint64(f.store.pairs[team].ModRevision), 0)
+		}
+		for name, n := range f.all() {
+			if got := len(n.Current().Teams()); got != len(f.store.pairs) {
+				t.Errorf("seed %d: %s has %d documents, the store has %d", seed, name, got, len(f.store.pairs))
+			}
+		}
+		f.wantState(Fresh, "entry-000", "entry-001", "entry-002", "entry-003", "entry-004")
+		f.stopAll()
+		time.Sleep(2 * time.Second)
+		ok = !t.Failed()
+	})
+	return ok
+}
+
+// disturb makes one random change or fault.
+func disturb(f *fleet, random *rand.Rand, seen map[string]*Snapshot) {
+	team := fmt.Sprintf("team-%d", random.IntN(4))
+	entry := f.members[random.IntN(len(f.members))]
+	switch random.IntN(9) {
+	case 0, 1, 2:
+		f.store.write(team, teamText(team, 1+random.IntN(1000)))
+	case 3:
+		if _, err := f.store.Get(context.Background(), Prefix+team); err == nil {
+			f.store.remove(Prefix + team)
+		}
+	case 4:
+		f.stop(entry.Process)
+		delete(seen, entry.Process)
+		f.startEntry(entry.Process, entry.DataCentre)
+	case 5:
+		f.store.set(func(s *fakeStore) { s.down = !s.down })
+	case 6:
+		f.store.set(func(s *fakeStore) { s.toggleOld() })
+	case 7:
+		f.cut(random.IntN(2), entry.Process)
+	case 8:
+		f.gates[entry.Process].cut.Store(random.IntN(2) == 0)
+	}
+}
+
+// toggleOld makes List answer with the present state from now on, or with the true state again.
+func (s *fakeStore) toggleOld() {
+	if s.old != nil {
+		s.old = nil
+		return
+	}
+	s.old, s.oldRevision = map[string]kv.Pair{}, s.revision
+	for key, pair := range s.pairs {
+		s.old[key] = pair
+	}
+}
+
+// settle ends all faults and waits.
+func settle(f *fleet) {
+	f.store.set(func(s *fakeStore) { s.down, s.old = false, nil })
+	for _, m := range f.members {
+		f.cut(0, m.Process)
+		f.gates[m.Process].cut.Store(false)
+	}
+	f.mu.Lock()
+	f.loss = 0
+	f.mu.Unlock()
+	time.Sleep(8 * time.Second)
+}
+
+func reverted(before, after *Snapshot) string {
+	if before == nil {
+		return ""
+	}
+	if after.Revision < before.Revision {
+		return fmt.Sprintf("revision %d after %d", after.Revision, before.Revision)
+	}
+	for _, d := range before.Teams() {
+		if now, ok := after.Team(d.Team); ok && now.Revision < d.Revision {
+			return fmt.Sprintf("team %s at revision %d after %d", d.Team, now.Revision, d.Revision)
+		}
+	}
+	return ""
+}
