--- a/internal/confsync/merge.go
+++ b/internal/confsync/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	"github.com/fulmardoor/fulmardoor/internal/document"
@@ -14,43 +13,58 @@
 type merger struct {
 	snapshot *Snapshot
 	// keys holds one document for each team with the keys that are in force.
-	keys   []*configv1.Document
-	owners map[claim]string
+	keys []*configv1.Document
+	// owners holds the team that has a name, by kind of claim.
+	owners [kinds]map[string]string
 }
 
-// claim is something that only one team can have.
-type claim struct{ kind, name string }
+// claimKind is a kind of name that only one team can have.
+type claimKind int
 
-// Kinds of claims. A pool is a model or a plain service; upstreams name either in the same field.
 const (
-	kindAccount  = "account"
-	kindKey      = "key"
-	kindKeyHash  = "key hash"
-	kindPool     = "pool"
-	kindUpstream = "upstream"
-	kindAddress  = "upstream address"
+	kindAccount claimKind = iota
+	kindKey
+	kindKeyHash
+	// kindPool is a model or a plain service; upstreams name either in the same field.
+	kindPool
+	kindUpstream
+	kindAddress
+
+	kinds
 )
 
-func newMerger() *merger {
-	return &merger{
+// newMerger returns a merger with room for the documents.
+func newMerger(documents []*TeamDocument) *merger {
+	var accounts, keyCount, upstreams int
+	for _, d := range documents {
+		accounts += len(d.Document.GetAccounts())
+		keyCount += len(d.Document.GetKeys())
+		upstreams += len(d.Document.GetUpstreams())
+	}
+	m := &merger{
 		snapshot: &Snapshot{
-			teams:     map[string]*TeamDocument{},
-			accounts:  map[string]*configv1.Document_Account{},
+			teams:     make(map[string]*TeamDocument, len(documents)),
+			accounts:  make(map[string]*configv1.Document_Account, accounts),
 			models:    map[string]*configv1.Document_Model{},
-			upstreams: map[string]*configv1.Document_Upstream{},
+			upstreams: make(map[string]*configv1.Document_Upstream, upstreams),
 			pools:     map[string][]*configv1.Document_Upstream{},
 			routes:    map[string][]*configv1.Document_Route{},
 		},
-		owners: map[claim]string{},
 	}
+	sizes := [kinds]int{
+		kindAccount: accounts, kindKey: keyCount, kindKeyHash: keyCount, kindUpstream: upstreams, kindAddress: upstreams,
+	}
+	for kind, size := range sizes {
+		m.owners[kind] = make(map[string]string, size)
+	}
+	return m
 }
 
 // take claims something for a team. It returns the owner's name if another team has it.
-func (m *merger) take(kind, name, team string) (owner string, taken bool) {
-	c := claim{kind, name}
-	owner, known := m.owners[c]
+func (m *merger) take(kind claimKind, name, team string) (owner string, taken bool) {
+	owner, known := m.owners[kind][name]
 	if !known {
-		m.owners[c] = team
+		m.owners[kind][name] = team
 		return team, false
 	}
 	return owner, owner != team
@@ -84,9 +98,9 @@
 
 // addKeys leaves out keys of an account that belongs to another team, which would otherwise spend that team's rate.
 func (m *merger) addKeys(d *TeamDocument) {
-	inForce := &configv1.Document{}
+	inForce := &configv1.Document{Keys: make([]*configv1.Document_Key, 0, len(d.Document.GetKeys()))}
 	for _, key := range d.Document.GetKeys() {
-		if owner := m.owners[claim{kindAccount, key.GetAccount()}]; owner != d.Team {
+		if owner := m.owners[kindAccount][key.GetAccount()]; owner != d.Team {
 			m.conflict(d.Team, "key", key.GetName(), "its account belongs to team %s", owner)
 			continue
 		}
@@ -94,7 +108,7 @@
 			m.conflict(d.Team, "key", key.GetName(), "team %s has a key of this name", owner)
 			continue
 		}
-		if owner, taken := m.take(kindKeyHash, strings.ToLower(key.GetSha256()), d.Team); taken {
+		if owner, taken := m.take(kindKeyHash, key.GetSha256(), d.Team); taken {
 			m.conflict(d.Team, "key", key.GetName(), "team %s has the same key", owner)
 			continue
 		}
@@ -136,7 +150,7 @@
 
 func (m *merger) addRoutes(d *TeamDocument) {
 	for _, route := range d.Document.GetRoutes() {
-		if owner := m.owners[claim{kindPool, route.GetPool()}]; owner != d.Team {
+		if owner := m.owners[kindPool][route.GetPool()]; owner != d.Team {
 			m.conflict(d.Team, "route", route.GetName(), "its pool %s belongs to team %s", route.GetPool(), owner)
 			continue
 		}
--- a/internal/confsync/snapshot.go
+++ b/internal/confsync/snapshot.go
@@ -49,7 +49,7 @@
 	routes    map[string][]*configv1.Document_Route
 }
 
-func emptySnapshot() *Snapshot { return newMerger().snapshot }
+func emptySnapshot() *Snapshot { return newMerger(nil).snapshot }
 
 // snapshot builds the snapshot of the present state. If no document changed, the lookups of previous are used again.
 func (h *history) snapshot(changed bool, previous *Snapshot) *Snapshot {
@@ -58,14 +58,13 @@
 		same.Revision = h.revision
 		return &same
 	}
-	m := newMerger()
-	m.snapshot.Revision = h.revision
-	var inForce []*TeamDocument
+	teams := make(map[string]*TeamDocument, len(h.teams))
+	inForce := make([]*TeamDocument, 0, len(h.teams))
 	for team, r := range h.teams {
 		if r.deleted {
 			continue
 		}
-		m.snapshot.teams[team] = r.parsed
+		teams[team] = r.parsed
 		if r.parsed.Document != nil {
 			inForce = append(inForce, r.parsed)
 		}
@@ -73,6 +72,9 @@
 	slices.SortFunc(inForce, func(a, b *TeamDocument) int {
 		return cmp.Or(cmp.Compare(a.GoodRevision, b.GoodRevision), strings.Compare(a.Team, b.Team))
 	})
+	m := newMerger(inForce)
+	m.snapshot.Revision = h.revision
+	m.snapshot.teams = teams
 	for _, d := range inForce {
 		m.add(d)
 	}
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -69,7 +69,7 @@
 
 var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
-// Parse reads a document and fills in the defaults. name stands for the text in faults. The error is a
+// Parse reads a document, fills in the defaults and brings hashes to lower case. name stands for the text in faults. The error is a
 // *settings.Faults with every fault.
 func Parse(name string, text []byte) (*configv1.Document, error) {
 	if len(text) > MaxBytes {
@@ -81,6 +81,9 @@
 	positions, faults := settings.DecodeRules(name, text, document, rules)
 	c := &checker{document: document, positions: positions, faults: faults}
 	c.run()
+	for _, key := range document.GetKeys() {
+		key.Sha256 = strings.ToLower(key.GetSha256())
+	}
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -74,7 +74,11 @@
 
 // NewTable returns the table of all keys of the documents, which have their defaults filled in. If a hash is listed twice, the first document wins.
 func NewTable(documents []*configv1.Document) *Table {
-	t := &Table{entries: map[[sha256.Size]byte]entry{}}
+	size := 0
+	for _, document := range documents {
+		size += len(document.GetKeys())
+	}
+	t := &Table{entries: make(map[[sha256.Size]byte]entry, size)}
 	for _, document := range documents {
 		for _, key := range document.GetKeys() {
 			t.add(key)
@@ -85,11 +89,13 @@
 
 func (t *Table) add(key *configv1.Document_Key) {
 	var e entry
-	raw, err := hex.DecodeString(key.GetSha256())
-	if err != nil || len(raw) != sha256.Size {
+	var digits [2 * sha256.Size]byte
+	if copy(digits[:], key.GetSha256()) != len(digits) || len(key.GetSha256()) != len(digits) {
+		return
+	}
+	if _, err := hex.Decode(e.hash[:], digits[:]); err != nil {
 		return
 	}
-	copy(e.hash[:], raw)
 	if _, taken := t.entries[e.hash]; taken {
 		return
 	}
