--- /dev/null
+++ b/internal/bench/entry.go
@@ -0,0 +1,277 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/places"
+	"github.com/fulmardoor/fulmardoor/internal/retry"
+	"github.com/fulmardoor/fulmardoor/internal/scheduler"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+var errEntryDied = errors.New("entry died")
+var errCancelled = errors.New("caller cancelled")
+
+// entry is an entry process that follows a policy.
+type entry struct {
+	fleet      *fleet
+	policy     Policy
+	dataCentre string
+	scheduler  *scheduler.Scheduler
+	budget     *retry.Budget
+	ledger     *ledger
+	result     *Result
+	turn       atomic.Int64
+	dead       atomic.Bool
+	ctx        context.Context
+	die        context.CancelCauseFunc
+}
+
+func newEntry(ctx context.Context, f *fleet, p Policy, i int, l *ledger, r *Result, seed uint64) *entry {
+	e := &entry{fleet: f, policy: p, ledger: l, result: r, budget: retry.NewBudget()}
+	e.dataCentre = f.deployment.DataCentres[i%len(f.deployment.DataCentres)]
+	e.scheduler = scheduler.New(scheduler.Config{DataCentre: e.dataCentre, Random: rand.NewPCG(seed, uint64(i)), DecodeReservations: dTest})
+	e.ctx, e.die = context.WithCancelCause(ctx)
+	return e
+}
+
+// held is a reserved place with its sidecar.
+type held struct {
+	sidecar     *sidecar
+	reservation *places.Reservation
+}
+
+// attempt is one try of a call.
+type attempt struct {
+	*entry
+	call *Call
+	// arrived is when the caller sent the call.
+	arrived time.Time
+	// delivered counts output tokens that the caller has, over all attempts.
+	delivered *delivery
+	request   *scheduler.Request
+	accounts  string
+	ready     time.Duration
+	// estimate is the expected time from the grant of a decode place to the first token.
+	estimate time.Duration
+	granted  time.Time
+}
+
+// serve runs a call to its end and records it.
+func (e *entry) serve(parent context.Context, call *Call) {
+	arrived := time.Now()
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	stop := context.AfterFunc(e.ctx, func() { cancel(context.Cause(e.ctx)) })
+	defer stop()
+	if call.CancelAfter > 0 {
+		timer := time.AfterFunc(call.CancelAfter, func() { cancel(errCancelled) })
+		defer timer.Stop()
+	}
+	time.Sleep(e.fleet.deployment.ClientHop)
+	e.budget.Request()
+	d := &delivery{conforms: e.ledger.conforms(call)}
+	err := e.run(ctx, call, arrived, d)
+	e.result.finish(call, d, err)
+}
+
+func (e *entry) run(ctx context.Context, call *Call, arrived time.Time, d *delivery) error {
+	time.Sleep(2 * e.fleet.deployment.Hop) // charge request to the shard's owner
+	charged := float64(call.Prompt + maxOutput)
+	if !e.ledger.charge(call.Account, charged) {
+		return verdict.Refuse(wirev1.Reason_REASON_RATE_EXCEEDED, "over rate")
+	}
+	defer func() {
+		if d.tokens > 0 {
+			charged -= float64(call.Prompt + d.tokens)
+		}
+		e.ledger.refund(call.Account, charged)
+	}()
+	e.result.admitted(call)
+	for {
+		a := &attempt{entry: e, call: call, arrived: arrived, delivered: d}
+		err := a.run(ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		refusal := verdict.As(err)
+		if refusal.Reason == wirev1.Reason_REASON_TARGET_MISSED {
+			return err
+		}
+		action := retry.Decide(refusal.Verdict, true, d.tokens > 0, true)
+		if action == retry.GiveUp || !e.budget.Allow() {
+			return err
+		}
+		e.result.retried(err)
+	}
+}
+
+// run is one attempt: pair a prefill with a decode place, and stream.
+func (a *attempt) run(ctx context.Context) error {
+	a.request = &scheduler.Request{
+		Account:          fmt.Sprint(a.call.Account),
+		Model:            "model",
+		PromptTokens:     a.call.Prompt + a.delivered.tokens,
+		MaxTokens:        maxOutput - a.delivered.tokens,
+		BlockHashes:      a.call.Blocks,
+		FirstTokenTarget: firstTokenTarget,
+		Patience:         a.fleet.deployment.Patience,
+	}
+	if a.policy.Fair {
+		a.accounts = a.request.Account
+	}
+	prefill, err := a.choosePrefill()
+	if err != nil {
+		return err
+	}
+	var decode *held
+	if a.policy.Reserve == ReservePromise || a.policy.Reserve == ReserveAtArrival {
+		decode, err = a.reserveDecode(ctx)
+		if err != nil {
+			return err
+		}
+		defer a.release(decode)
+	}
+	x, cost, err := a.prefill(ctx, prefill)
+	if err != nil {
+		a.result.wasted(causeOf(err), cost)
+		return err
+	}
+	before := a.delivered.tokens
+	err = a.decode(ctx, x, decode)
+	if a.delivered.tokens == before {
+		a.result.wasted(causeOf(err), cost)
+	} else if before > 0 {
+		a.result.repeated(cost)
+	}
+	return err
+}
+
+// limit returns the time left until the call is not worth its first token any more.
+func (a *attempt) limit() time.Duration {
+	limit := a.request.FirstTokenLimit()
+	if !a.policy.RefuseEarly || a.delivered.tokens > 0 {
+		limit = max(limit, 4*firstTokenTarget) + 4*firstTokenTarget
+	}
+	return limit - time.Since(a.arrived)
+}
+
+// untilTarget returns the time left until the call misses its first-token target.
+func (a *attempt) untilTarget() time.Duration {
+	if a.delivered.tokens > 0 {
+		return a.limit()
+	}
+	return firstTokenTarget - 2*a.fleet.deployment.ClientHop - time.Since(a.arrived)
+}
+
+// priority puts calls that can meet their target before those of their account that cannot.
+func (a *attempt) priority() int32 {
+	if a.untilTarget() > 0 {
+		return 1
+	}
+	return 0
+}
+
+func (a *attempt) observeFirstToken() {
+	if !a.granted.IsZero() && a.policy.Reserve == ReservePromise {
+		a.scheduler.ObserveFirstToken(a.estimate, time.Since(a.granted))
+	}
+}
+
+func (a *attempt) release(h *held) {
+	if errors.Is(context.Cause(a.ctx), errEntryDied) {
+		time.AfterFunc(resumeWindow, h.reservation.Release)
+		return
+	}
+	h.reservation.Release()
+}
+
+// prefill reserves and runs the prefill. It returns the prompt tokens that were computed, also with an error.
+func (a *attempt) prefill(ctx context.Context, s *sidecar) (*export, int, error) {
+	hop := a.fleet.deployment.latency(a.dataCentre, s.dataCentre)
+	uncached := a.request.PromptTokens - s.prefill.cached(a.call.Blocks)
+	h, err := a.reserveFirst(ctx, []*sidecar{s}, &wirev1.ReserveRequest{
+		Account:    a.accounts,
+		CostTokens: uint64(uncached),
+		WaitMs:     uint32(max(0, a.limit()).Milliseconds()),
+		Priority:   a.priority(),
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	defer a.release(h)
+	time.Sleep(hop)
+	if err := h.reservation.Begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	begun := time.Now()
+	x, err := s.prefill.prefill(ctx, s.dataCentre, a.request.PromptTokens, a.call.Blocks)
+	elapsed := time.Since(begun)
+	if err != nil {
+		done := min(uncached, int(elapsed.Seconds()*s.prefill.speed))
+		a.result.prefilled(done)
+		a.scheduler.ObserveFailure(s.name)
+		return nil, done, err
+	}
+	a.result.prefilled(uncached)
+	s.learnSpeed(uncached, elapsed)
+	a.scheduler.ObservePrefill(s.name, uncached, elapsed)
+	h.reservation.Release()
+	time.Sleep(hop)
+	return x, uncached, nil
+}
+
+// decode takes the decode place, transfers the KV cache and streams.
+func (a *attempt) decode(ctx context.Context, x *export, h *held) error {
+	h, err := a.place(ctx, x, h)
+	if err != nil {
+		return err
+	}
+	defer a.release(h)
+	ctx, done := h.sidecar.stream(ctx)
+	defer done()
+	if err := a.transfer(ctx, x, h.sidecar); err != nil {
+		return err
+	}
+	deployment := a.fleet.deployment
+	delay := deployment.latency(a.dataCentre, h.sidecar.dataCentre) + deployment.ClientHop
+	start := a.delivered.tokens
+	err = h.sidecar.decode.decode(ctx, a.call.Output-start, func(n int) {
+		if a.delivered.tokens == 0 {
+			a.delivered.first = time.Since(a.arrived) + delay
+			a.observeFirstToken()
+		}
+		a.delivered.add(n)
+		h.sidecar.token()
+		h.reservation.Progress(a.delivered.tokens - start)
+	})
+	if err != nil {
+		a.scheduler.ObserveFailure(h.sidecar.name)
+	}
+	return err
+}
+
+// transfer imports the KV cache at a decode engine.
+func (a *attempt) transfer(ctx context.Context, x *export, s *sidecar) error {
+	link := a.fleet.link(x.dataCentre, s.dataCentre)
+	a.scheduler.StartTransfer(x.dataCentre, s.dataCentre, x.tokens)
+	begun := time.Now()
+	if err := link.transfer(ctx, x, importLimit); err != nil {
+		a.scheduler.AbandonTransfer(x.dataCentre, s.dataCentre, x.tokens)
+		return err
+	}
+	a.scheduler.ObserveTransfer(x.dataCentre, s.dataCentre, x.tokens, time.Since(begun))
+	return nil
+}
+
+var dTest = 2
--- a/internal/places/authority.go
+++ b/internal/places/authority.go
@@ -17,11 +17,17 @@
 const (
 	// DefaultHoldLimit is how long after its ready time an unused reservation is kept.
 	DefaultHoldLimit = 2 * time.Second
+	// DefaultLateLimit is how late a promised place may be. A late place costs latency, while a place that waits for its
+	// prefill costs throughput; a result that waits longer than its eviction time is wasted.
+	DefaultLateLimit = 300 * time.Millisecond
 	// DefaultPlaces is used when Config.Places is not positive.
 	DefaultPlaces = 20
 	// evaluateInterval is the pause between two looks at the waiting list while requests wait. A promise becomes possible
 	// by the passing of time alone, so a timer is needed beside the events.
 	evaluateInterval = 10 * time.Millisecond
+	// hopelessFactor is how much longer than its limit a wait must be expected for a request to be refused at once. The
+	// estimate is rough, so there is room for error.
+	hopelessFactor = 2
 )
 
 // Config configures an Authority.
@@ -30,6 +36,9 @@
 	Places int
 	// HoldLimit is the time after ready_in at which an unused reservation is freed. Default DefaultHoldLimit.
 	HoldLimit time.Duration
+	// LateLimit is how late a promised place may be, well below the eviction time of a finished prefill. Default
+	// DefaultLateLimit.
+	LateLimit time.Duration
 	// Logger is optional.
 	Logger *zap.Logger
 }
@@ -59,6 +68,9 @@
 	if config.HoldLimit <= 0 {
 		config.HoldLimit = DefaultHoldLimit
 	}
+	if config.LateLimit <= 0 {
+		config.LateLimit = DefaultLateLimit
+	}
 	if config.Logger == nil {
 		config.Logger = zap.NewNop()
 	}
@@ -67,7 +79,7 @@
 		running: make(map[*Reservation]struct{}),
 		granted: make(map[*Reservation]struct{}),
 		queue:   newFairList(),
-		learnt:  newEstimator(),
+		learnt:  newEstimator(config.LateLimit),
 	}
 }
 
@@ -106,6 +118,19 @@
 	w := newWaiter(request)
 	a.queue.push(w)
 	a.lookLocked()
+	if w.done {
+		return w, nil
+	}
+	// A request that would wait far too long is refused now, so that its caller can go elsewhere at once.
+	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
+	a.queue.remove(w)
+	if estimate := a.waitEstimateLocked(w.account, w.priority); estimate > hopelessFactor*wait+w.readyIn {
+		refusal := verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "no place expected within %v", estimate.Round(time.Millisecond))
+		refusal.RetryAfter = estimate
+		return nil, refusal
+	}
+	a.queue.push(w)
+	a.tickLocked()
 	return w, nil
 }
 
@@ -115,9 +140,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !w.done {
-		refusal.RetryAfter = a.waitEstimateLocked(w.account, a.queue.len())
+		refusal.RetryAfter = a.waitEstimateLocked(w.account, w.priority)
 		a.queue.remove(w)
 		w.done = true
+		if gone {
+			a.learnt.decided(false)
+		}
 		a.lookLocked()
 		return nil, refusal
 	}
@@ -206,6 +234,7 @@
 	used := r.state == stateRunning
 	if r.state == stateGranted {
 		close(r.place)
+		a.learnt.decided(false)
 	}
 	r.state = stateReleased
 	r.hold.Stop()
@@ -244,6 +273,7 @@
 	r.begun = now
 	r.lastToken = now
 	a.learnt.promiseKept(r, now)
+	a.learnt.decided(true)
 	close(r.place)
 }
 
--- a/internal/places/estimate.go
+++ b/internal/places/estimate.go
@@ -10,8 +10,6 @@
 	promiseConfidence = 2.054
 	// promiseLateShare is the share of promises that may be late, the complement of 0.98.
 	promiseLateShare = 0.02
-	// lateTolerance is the wait in Begin above which a promise counts as late.
-	lateTolerance = 50 * time.Millisecond
 	// confidenceStep is the shift of the quantile for a late promise. Promises kept shift it back by 1/49 of that, so the
 	// quantile settles where 2 in 100 are late.
 	confidenceStep = 0.15
@@ -29,11 +27,14 @@
 	gapDecay   = 0.98
 	// maxGapFactor limits the effect of one long gap.
 	maxGapFactor = 5
+	useKeep      = 0.98
 	unitDecay    = 0.9
 )
 
 // estimator learns how long requests hold a place and how well promises were kept.
 type estimator struct {
+	// lateLimit is the wait in Begin above which a promise counts as broken.
+	lateLimit time.Duration
 	// gapSeconds is the time between output tokens; 0 while unknown.
 	gapSeconds float64
 	// unitSeconds is the time per unit of work of requests without output tokens; 0 while unknown.
@@ -44,12 +45,15 @@
 	ratios [ratioBins]float64
 	// cumulative holds the sums of ratios up to each bin, so that a look at the waiting list stays cheap.
 	cumulative [ratioBins + 1]float64
+	// useShare is the share of requests that use a place in the end; the others are withdrawn, mostly because another
+	// upstream granted first.
+	useShare float64
 	// confidence is the quantile at which promises are given.
 	confidence float64
 }
 
-func newEstimator() estimator {
-	e := estimator{confidence: promiseConfidence}
+func newEstimator(lateLimit time.Duration) estimator {
+	e := estimator{lateLimit: lateLimit, confidence: promiseConfidence, useShare: 1}
 	// Until requests have finished, each is expected to use all of its expected work.
 	e.ratios[ratioBin(1)] = 1
 	e.sum()
@@ -123,7 +127,7 @@
 	if !r.promised {
 		return
 	}
-	if now.Sub(r.asked) > lateTolerance {
+	if now.Sub(r.asked) > e.lateLimit {
 		e.promiseBroken(r)
 		return
 	}
@@ -137,6 +141,15 @@
 	}
 }
 
+// decided learns whether a request that asked for a place used it.
+func (e *estimator) decided(used bool) {
+	sample := 0.0
+	if used {
+		sample = 1
+	}
+	e.useShare = useKeep*e.useShare + (1-useKeep)*sample
+}
+
 // below returns the learnt probability that a request uses at most ratio of its expected work.
 func (e *estimator) below(ratio float64) float64 {
 	at := max(0, ratio/maxRatio*ratioBins)
--- a/internal/places/grant.go
+++ b/internal/places/grant.go
@@ -14,21 +14,24 @@
 		return true
 	}
 	due := now.Add(w.readyIn)
-	if !a.spareLocked(now, due) {
+	if !a.spareLocked(now, due, due) {
 		return false
 	}
 	for r := range a.granted {
-		if r.due.After(due) && !a.spareLocked(now, r.due) {
+		if r.due.After(due) && !a.spareLocked(now, due, r.due) {
 			return false
 		}
 	}
 	return true
 }
 
-// spareLocked reports whether, with the needed confidence, one more place than the granted reservations need is free at
-// a moment.
-func (a *Authority) spareLocked(now, moment time.Time) bool {
+// spareLocked reports whether, with the needed confidence, one more place than the reservations due by a moment need is
+// free at that moment, or within LateLimit after it if the new reservation is not due at once.
+func (a *Authority) spareLocked(now, due, moment time.Time) bool {
 	ahead := moment.Sub(now)
+	if due.After(now) {
+		ahead += a.config.LateLimit
+	}
 	need := 1.0
 	mean, variance := 0.0, 0.0
 	add := func(p float64) {
@@ -51,23 +54,25 @@
 	return margin >= a.learnt.confidence*math.Sqrt(variance)
 }
 
-// waitEstimateLocked returns the expected wait of a new request of an account behind ahead waiting requests.
-func (a *Authority) waitEstimateLocked(account string, ahead int) time.Duration {
+// waitEstimateLocked returns the expected wait of a new request of an account and priority.
+func (a *Authority) waitEstimateLocked(account string, priority int32) time.Duration {
 	now := time.Now()
 	free := a.config.Places - len(a.running) - len(a.granted)
-	if free > ahead {
+	if free > 0 && a.queue.len() == 0 {
 		return 0
 	}
 	places := float64(a.config.Places)
 	seconds := 0.0
 	for r := range a.running {
-		seconds += a.learnt.remainingSeconds(r, now) / places / places
+		seconds += a.learnt.remainingSeconds(r, now) / places
 	}
 	for r := range a.granted {
-		seconds += a.learnt.holdSeconds(r.units, r.tokens) / places
+		seconds += a.learnt.holdSeconds(r.units, r.tokens) * a.learnt.useShare
 	}
-	a.queue.each(account, func(w *waiter) {
-		seconds += a.learnt.holdSeconds(w.units, w.tokens) / places
+	// The first of the busy places ends after the mean remaining time divided by their number.
+	seconds /= places
+	a.queue.each(account, priority, func(w *waiter) {
+		seconds += a.learnt.holdSeconds(w.units, w.tokens) * a.learnt.useShare / places
 	})
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -77,7 +82,7 @@
 func (a *Authority) WaitEstimate(account string) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.waitEstimateLocked(account, a.queue.len())
+	return a.waitEstimateLocked(account, 0)
 }
 
 // Load fills the fields of load that this package knows.
@@ -87,7 +92,7 @@
 	load.Places = uint32(a.config.Places)
 	load.PlacesFree = uint32(max(0, a.config.Places-len(a.running)-len(a.granted)))
 	load.Waiting = uint32(a.queue.len())
-	load.QueueMs = uint32(a.waitEstimateLocked("", a.queue.len()).Milliseconds())
+	load.QueueMs = uint32(a.waitEstimateLocked("", 0).Milliseconds())
 	load.TokenGapMs = a.learnt.gapSeconds * 1000
 	load.Accepting = !a.draining && !a.stalled
 	load.Stalled = a.stalled
--- a/internal/places/queue.go
+++ b/internal/places/queue.go
@@ -176,22 +176,25 @@
 // maxIdleAccounts is the number of idle accounts that are kept without a look at their tags.
 const maxIdleAccounts = 64
 
-// each calls visit for the requests that are served before a new request of an account; for all if account is empty.
-func (l *fairList) each(account string, visit func(*waiter)) {
+// each calls visit for the requests that are served before a new request of an account and priority; for all if account
+// is empty.
+func (l *fairList) each(account string, priority int32, visit func(*waiter)) {
 	limit := math.Inf(1)
 	if account != "" {
 		limit = l.virtual
 		if q := l.accounts[account]; q != nil {
 			limit = max(q.tag, l.virtual)
 			for _, w := range q.waiters {
-				limit += w.cost
+				if w.priority >= priority {
+					limit += w.cost
+				}
 			}
 		}
 	}
-	for _, q := range l.accounts {
+	for name, q := range l.accounts {
 		tag := q.tag
 		for _, w := range q.waiters {
-			if tag > limit {
+			if tag > limit || (name == account && w.priority < priority) {
 				break
 			}
 			visit(w)
--- a/internal/scheduler/firsttoken.go
+++ b/internal/scheduler/firsttoken.go
@@ -7,12 +7,9 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-const (
-	// minFactor and maxFactor bound the learnt correction of first-token estimates, so that a few extreme requests can
-	// neither admit nor refuse everything.
-	minFactor = 0.5
-	maxFactor = 3.0
-)
+// maxCorrection bounds the learnt correction of first-token estimates, so that a few extreme requests can neither admit
+// nor refuse everything.
+const maxCorrection = 500 * time.Millisecond
 
 // Quote is the answer of a prefill sidecar.
 type Quote struct {
@@ -39,30 +36,24 @@
 	return ready + s.learnt.transferSeconds(q.Candidate.DataCentre, s.config.DataCentre, req.PromptTokens)
 }
 
-// EstimateFirstToken returns the expected time to the first token: the longer of prefill and wait for a decode place,
-// then the transfer, corrected by the learnt error.
+// EstimateFirstToken returns the expected time from the grant of a decode place to the first token: prefill and
+// transfer, corrected by the learnt error. The wait for the decode place is not part of it: the decode sidecars order
+// their lists by account, which a reported queue cannot show, and refuse by themselves what would wait too long.
 func (s *Scheduler) EstimateFirstToken(req *Request, quote Quote, decode Candidate) time.Duration {
-	ready := float64(quote.Reply.GetReadyInMs()) / 1000
-	from := quote.Candidate.DataCentre
-	transfer := s.learnt.transferSeconds(from, decode.DataCentre, req.PromptTokens)
-	queue := queueSeconds(s.learnt, &decode, float64(req.MaxTokens)*defaultGapSeconds)
+	ready := time.Duration(quote.Reply.GetReadyInMs()) * time.Millisecond
+	transfer := s.learnt.transferSeconds(quote.Candidate.DataCentre, decode.DataCentre, req.PromptTokens)
 	s.learnt.mu.RLock()
 	defer s.learnt.mu.RUnlock()
-	seconds := (max(ready, queue) + transfer) * s.learnt.firstTokenFactor
-	return time.Duration(seconds * float64(time.Second))
+	return max(0, ready+time.Duration(transfer*float64(time.Second))+s.learnt.firstTokenError)
 }
 
-// ObserveFirstToken learns the error of the estimate from the time the first token really took.
+// ObserveFirstToken learns the error of an estimate from the time that the first token took after the grant.
 func (s *Scheduler) ObserveFirstToken(estimate, actual time.Duration) {
-	if estimate <= 0 {
-		return
-	}
 	s.learnt.mu.Lock()
 	defer s.learnt.mu.Unlock()
-	// The estimate contains the present factor already.
-	sample := s.learnt.firstTokenFactor * actual.Seconds() / estimate.Seconds()
-	factor := blend(s.learnt.firstTokenFactor, sample)
-	s.learnt.firstTokenFactor = min(maxFactor, max(minFactor, factor))
+	// The estimate contains the present correction already.
+	step := time.Duration((1 - learnKeep) * float64(actual-estimate))
+	s.learnt.firstTokenError = min(maxCorrection, max(-maxCorrection, s.learnt.firstTokenError+step))
 }
 
 // FirstTokenLimit returns the longest acceptable time to the first token; zero means no limit.
--- a/internal/scheduler/learnt.go
+++ b/internal/scheduler/learnt.go
@@ -48,16 +48,15 @@
 	links     map[link]*linkRecord
 	// prefillSeconds is the prefill time of a prompt token over all upstreams.
 	prefillSeconds float64
-	// firstTokenFactor is the ratio of actual to estimated time to the first token.
-	firstTokenFactor float64
+	// firstTokenError is the mean of actual minus estimated time to the first token.
+	firstTokenError time.Duration
 }
 
 func newLearnt() *learnt {
 	return &learnt{
-		upstreams:        make(map[string]*upstreamRecord),
-		links:            make(map[link]*linkRecord),
-		prefillSeconds:   defaultTokenSeconds,
-		firstTokenFactor: 1,
+		upstreams:      make(map[string]*upstreamRecord),
+		links:          make(map[link]*linkRecord),
+		prefillSeconds: defaultTokenSeconds,
 	}
 }
 
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// speedWeight is the weight of the decode time against the time to the first token. Only the first token and the gap
+// have targets, so a faster engine is worth no more than a short wait for it.
+const speedWeight = 0.02
+
 // interCentrePenalty is the cost of leaving the own data centre, a round trip or two with margin.
 const interCentrePenalty = 0.005
 
@@ -57,7 +61,7 @@
 		cost += interCentrePenalty
 	}
 	// An engine slows down as its places fill up, so a full engine is worth less than its learnt gap says.
-	return cost + work*(0.5+0.5*occupancy(s.learnt, c))
+	return cost + speedWeight*work*(0.5+0.5*occupancy(s.learnt, c))
 }
 
 // serviceScorer estimates the wait at a plain service.
