places, bench: keep finished prefills and large accounts from spoiling the latency of others

Requests whose prefill is done go first, accounts within their share may run ahead by one engine's worth of requests, hopeless waits are refused at once by the account's own place in the list, and a lost reservation is signalled before the prefill starts.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -17,6 +17,7 @@
 )
 
 var errEntryDied = errors.New("entry died")
+var errPlaceLost = verdict.Refuse(wirev1.Reason_REASON_NO_RESERVATION, "decode place lost before the prefill")
 var errCancelled = errors.New("caller cancelled")
 
 // entry is an entry process that follows a policy.
@@ -142,13 +143,16 @@
 		}
 		defer a.release(decode)
 	}
-	x, cost, err := a.prefill(ctx, prefill)
+	x, cost, err := a.prefill(ctx, prefill, decode)
 	if err != nil {
 		a.result.wasted(causeOf(err), cost)
 		return err
 	}
 	before := a.delivered.tokens
 	err = a.decode(ctx, x, decode)
+	if err != nil && a.delivered.tokens == before && !time.Now().Before(x.until) && ctx.Err() == nil {
+		err = errEvicted
+	}
 	if a.delivered.tokens == before {
 		a.result.wasted(causeOf(err), cost)
 	} else if before > 0 {
@@ -174,8 +178,11 @@
 	return firstTokenTarget - 2*a.fleet.deployment.ClientHop - time.Since(a.arrived)
 }
 
-// priority puts calls that can meet their target before those of their account that cannot.
+// priority puts broken streams first, and calls that can meet their target before those of their account that cannot.
 func (a *attempt) priority() int32 {
+	if a.delivered.tokens > 0 {
+		return 2
+	}
 	if a.untilTarget() > 0 {
 		return 1
 	}
@@ -197,7 +204,7 @@
 }
 
 // prefill reserves and runs the prefill. It returns the prompt tokens that were computed, also with an error.
-func (a *attempt) prefill(ctx context.Context, s *sidecar) (*export, int, error) {
+func (a *attempt) prefill(ctx context.Context, s *sidecar, decode *held) (*export, int, error) {
 	hop := a.fleet.deployment.latency(a.dataCentre, s.dataCentre)
 	uncached := a.request.PromptTokens - s.prefill.cached(a.call.Blocks)
 	h, err := a.reserveFirst(ctx, []*sidecar{s}, &wirev1.ReserveRequest{
@@ -207,10 +214,13 @@
 		Priority:   a.priority(),
 	})
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, a.final(err)
 	}
 	defer a.release(h)
 	time.Sleep(hop)
+	if decode != nil && isClosed(decode.reservation.Lost()) {
+		return nil, 0, errPlaceLost
+	}
 	if err := h.reservation.Begin(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -274,4 +284,13 @@
 	return nil
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 var dTest = 2
--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -13,6 +13,9 @@
 // lateWait is how long a promised place may be late before other decode engines are asked.
 const lateWait = places.DefaultLateLimit
 
+// targetMargin keeps the wait for a place short enough that a late place or transfer does not miss the target.
+const targetMargin = 200 * time.Millisecond
+
 // choosePrefill returns the prefill engine by the policy. For the product's choice it also sets the estimates, and may
 // refuse early.
 func (a *attempt) choosePrefill() (*sidecar, error) {
@@ -104,12 +107,12 @@
 // reserveDecode reserves a decode place for the time when the prefill is ready. A request that can meet its target goes
 // before requests of its account that cannot any more; when it misses the target, it asks again behind them.
 func (a *attempt) reserveDecode(ctx context.Context) (*held, error) {
-	h, err := a.reserveUntil(ctx, a.untilTarget(), 1)
+	h, err := a.reserveUntil(ctx, a.untilTarget()-targetMargin, a.priority())
 	if err != nil && verdict.As(err).Reason == wirev1.Reason_REASON_NO_PLACE && a.limit() > a.estimate {
 		h, err = a.reserveUntil(ctx, a.limit(), 0)
 	}
 	if err != nil {
-		return nil, err
+		return nil, a.final(err)
 	}
 	a.granted = time.Now()
 	if a.policy.Reserve == ReserveAtArrival {
@@ -118,6 +121,17 @@
 	return h, nil
 }
 
+// final turns a refusal for want of places into one that is not retried: the call has waited as long as it may.
+func (a *attempt) final(err error) error {
+	refusal := verdict.As(err)
+	if refusal.Reason != wirev1.Reason_REASON_NO_PLACE || a.delivered.tokens > 0 {
+		return err
+	}
+	missed := verdict.Refuse(wirev1.Reason_REASON_TARGET_MISSED, "%s", refusal.Detail)
+	missed.RetryAfter = refusal.RetryAfter
+	return missed
+}
+
 // reserveUntil waits for a grant as long as the first token can come within left.
 func (a *attempt) reserveUntil(ctx context.Context, left time.Duration, priority int32) (*held, error) {
 	ready := a.ready
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -131,15 +131,16 @@
 
 const burstSeconds = 4
 
-// newLedger grants each account its share of capacity times the factor, with four seconds of burst.
+// newLedger grants each account its share of capacity times the factor, with four seconds of burst. The buckets start
+// empty, as those of accounts over their rate are in the long run.
 func newLedger(d Deployment, factor float64) *ledger {
 	l := &ledger{last: time.Now()}
 	for _, share := range accountShares {
 		rate := d.Capacity() * share * factor * (meanPrompt + meanOutput)
 		l.rate = append(l.rate, rate)
-		l.level = append(l.level, rate*burstSeconds)
-		l.offered = append(l.offered, rate*burstSeconds)
 	}
+	l.level = make([]float64, len(l.rate))
+	l.offered = make([]float64, len(l.rate))
 	return l
 }
 
--- a/internal/places/authority.go
+++ b/internal/places/authority.go
@@ -25,9 +25,6 @@
 	// evaluateInterval is the pause between two looks at the waiting list while requests wait. A promise becomes possible
 	// by the passing of time alone, so a timer is needed beside the events.
 	evaluateInterval = 10 * time.Millisecond
-	// hopelessFactor is how much longer than its limit a wait must be expected for a request to be refused at once. The
-	// estimate is rough, so there is room for error.
-	hopelessFactor = 2
 )
 
 // Config configures an Authority.
@@ -78,7 +75,7 @@
 		config:  config,
 		running: make(map[*Reservation]struct{}),
 		granted: make(map[*Reservation]struct{}),
-		queue:   newFairList(),
+		queue:   newFairList(config.Places),
 		learnt:  newEstimator(config.LateLimit),
 	}
 }
@@ -121,10 +118,10 @@
 	if w.done {
 		return w, nil
 	}
-	// A request that would wait far too long is refused now, so that its caller can go elsewhere at once.
+	// A request that would wait too long is refused now, so that its caller can go elsewhere at once.
 	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
 	a.queue.remove(w)
-	if estimate := a.waitEstimateLocked(w.account, w.priority); estimate > hopelessFactor*wait+w.readyIn {
+	if estimate := a.waitEstimateLocked(w.account, w.priority); estimate > wait+w.readyIn+a.config.LateLimit {
 		refusal := verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "no place expected within %v", estimate.Round(time.Millisecond))
 		refusal.RetryAfter = estimate
 		return nil, refusal
@@ -209,6 +206,7 @@
 		due:       now.Add(w.readyIn),
 		promised:  len(a.running)+len(a.granted) >= a.config.Places,
 		place:     make(chan struct{}),
+		lost:      make(chan struct{}),
 	}
 	a.granted[r] = struct{}{}
 	r.hold = time.AfterFunc(w.readyIn+a.config.HoldLimit, func() { a.expire(r) })
@@ -224,6 +222,7 @@
 	}
 	a.config.Logger.Info("unused reservation freed", zap.String("account", r.account))
 	a.releaseLocked(r)
+	close(r.lost)
 }
 
 // releaseLocked ends a reservation in any state and passes its place on.
@@ -315,6 +314,7 @@
 	for r := range a.granted {
 		r.refusal = a.closedLocked()
 		a.releaseLocked(r)
+		close(r.lost)
 	}
 }
 
--- a/internal/places/queue.go
+++ b/internal/places/queue.go
@@ -60,8 +60,16 @@
 	return w.reservation, nil
 }
 
+// ready reports whether the request needs its place at once.
+func (w *waiter) ready() bool {
+	return w.readyIn <= 0
+}
+
 // before reports whether w is served before o within an account.
 func (w *waiter) before(o *waiter) bool {
+	if w.ready() != o.ready() {
+		return w.ready()
+	}
 	if w.priority != o.priority {
 		return w.priority > o.priority
 	}
@@ -81,13 +89,22 @@
 type fairList struct {
 	accounts map[string]*accountQueue
 	// virtual is the start tag of the request granted last.
-	virtual  float64
-	arrivals uint64
-	size     int
+	virtual float64
+	// credit is the cost by which an account that used less than its share may run ahead of the others. Without it, an
+	// account within its share waits behind a large one whenever its requests come in a cluster.
+	credit   float64
+	meanCost float64
+	// creditRequests is the credit in mean requests.
+	creditRequests int
+	arrivals       uint64
+	size           int
 }
 
-func newFairList() fairList {
-	return fairList{accounts: make(map[string]*accountQueue)}
+// costWeight is the weight of the last request in the mean cost.
+const costWeight = 0.05
+
+func newFairList(creditRequests int) fairList {
+	return fairList{accounts: make(map[string]*accountQueue), creditRequests: creditRequests}
 }
 
 func (l *fairList) len() int {
@@ -103,7 +120,7 @@
 		l.accounts[w.account] = q
 	}
 	if len(q.waiters) == 0 {
-		q.tag = max(q.tag, l.virtual)
+		q.tag = max(q.tag, l.virtual-l.credit)
 	}
 	i := len(q.waiters)
 	for i > 0 && w.before(q.waiters[i-1]) {
@@ -115,21 +132,32 @@
 	l.size++
 }
 
-// head returns the next request, or nil.
+// head returns the next request, or nil. A request that is ready now goes before those that are not: its prefill is done
+// and will be evicted, while the others lose only time. Its account pays for it like for any other.
 func (l *fairList) head() *waiter {
-	var best *accountQueue
+	var best *waiter
+	var bestTag float64
 	for _, q := range l.accounts {
 		if len(q.waiters) == 0 {
 			continue
 		}
-		if best == nil || q.tag < best.tag || (q.tag == best.tag && q.waiters[0].arrival < best.waiters[0].arrival) {
-			best = q
+		w := q.waiters[0]
+		if best == nil || w.precedes(q.tag, best, bestTag) {
+			best, bestTag = w, q.tag
 		}
 	}
-	if best == nil {
-		return nil
+	return best
+}
+
+// precedes reports whether w goes before o, the first of another account.
+func (w *waiter) precedes(tag float64, o *waiter, other float64) bool {
+	if w.ready() != o.ready() {
+		return w.ready()
 	}
-	return best.waiters[0]
+	if tag != other {
+		return tag < other
+	}
+	return w.arrival < o.arrival
 }
 
 // pop removes a granted request and charges its account.
@@ -137,6 +165,8 @@
 	q := l.accounts[w.account]
 	l.virtual = max(l.virtual, q.tag)
 	q.tag += w.cost
+	l.meanCost += (w.cost - l.meanCost) * costWeight
+	l.credit = l.meanCost * float64(l.creditRequests)
 	l.remove(w)
 }
 
@@ -167,7 +197,7 @@
 		return
 	}
 	for name, q := range l.accounts {
-		if len(q.waiters) == 0 && q.tag <= l.virtual {
+		if len(q.waiters) == 0 && q.tag <= l.virtual-l.credit {
 			delete(l.accounts, name)
 		}
 	}
--- a/internal/places/reservation.go
+++ b/internal/places/reservation.go
@@ -30,6 +30,7 @@
 	hold     *time.Timer
 	// place is closed when the reservation leaves stateGranted.
 	place chan struct{}
+	lost  chan struct{}
 
 	// The fields below are guarded by authority.mu.
 	state      state
@@ -114,6 +115,12 @@
 	return r.promised
 }
 
+// Lost is closed when the upstream frees the reservation before it began: its hold limit has passed or the upstream is
+// stalled. An entry that hears of it before the prefill starts can reserve elsewhere and waste nothing.
+func (r *Reservation) Lost() <-chan struct{} {
+	return r.lost
+}
+
 // servedCost returns the part of the cost that was used.
 func (r *Reservation) servedCost(used bool) float64 {
 	if !used {
