orders: fencing numbers confirmed against the store at the sidecar

Cause, by reading: the sidecar compared an order only with numbers it had seen itself. An issuer that pauses, a newer order and a restart of the sidecar together would have let the old order pass, for engines that ignore the numbers too. Engine orders are now confirmed to be the newest issued; while the store is down they are refused. Drain and return need no store.

--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -15,6 +15,7 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	"github.com/fulmardoor/fulmardoor/internal/engine/httpengine"
+	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
 	"github.com/fulmardoor/fulmardoor/internal/process"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar"
@@ -74,7 +75,11 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
-	car := sidecar.New(sidecar.Config{Settings: s, Upstream: upstream(s.GetUpstream(), logger), Logger: logger})
+	platform := s.GetPlatform()
+	car := sidecar.New(sidecar.Config{
+		Settings: s, Upstream: upstream(s.GetUpstream(), logger), Logger: logger,
+		Store: etcdhttp.New(platform.GetStoreUrl(), http.DefaultClient, platform.GetCallTimeout().AsDuration()),
+	})
 	return serve(car, s, logger, level)
 }
 
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -11,17 +10,12 @@
 	"github.com/fulmardoor/fulmardoor/internal/admin"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/orders"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-// orderPrefix is the place of the fencing numbers in the key-value service.
-const orderPrefix = "/fulmardoor/orders/"
-
-// OrderKey returns the key of an upstream's fencing number.
-func OrderKey(upstream string) string { return orderPrefix + upstream }
-
 // Document implements admin.Backend.
 func (e *Entry) Document(ctx context.Context, team string) ([]byte, int64, error) {
 	pair, err := e.store.Get(ctx, confsync.Prefix+team)
@@ -164,7 +158,7 @@
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
 	}
-	number, err := e.nextFencingNumber(ctx, name)
+	number, err := orders.Issue(ctx, e.store, name)
 	if err != nil {
 		return admin.OrderReply{}, errors.Wrap(err, "fencing number")
 	}
@@ -179,29 +173,3 @@
 		Reason: verdict.ReasonName(reply.GetReason()), Detail: reply.GetDetail(),
 	}, nil
 }
-
-// nextFencingNumber takes a number that no one else got. A write whose answer was lost only skips a number.
-func (e *Entry) nextFencingNumber(ctx context.Context, name string) (uint64, error) {
-	for {
-		var last uint64
-		pair, err := e.store.Get(ctx, OrderKey(name))
-		if err != nil && !errors.Is(err, kv.ErrNotFound) {
-			return 0, err
-		}
-		if err == nil {
-			if last, err = strconv.ParseUint(string(pair.Value), 10, 64); err != nil {
-				return 0, errors.Wrap(err, "stored fencing number")
-			}
-		}
-		_, err = e.store.CompareAndSwap(ctx, OrderKey(name), strconv.AppendUint(nil, last+1, 10), pair.ModRevision, 0)
-		if err == nil {
-			return last + 1, nil
-		}
-		if !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrOutcomeUnknown) {
-			return 0, err
-		}
-		if !pause(ctx, retryPause) {
-			return 0, ctx.Err()
-		}
-	}
-}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -8,6 +8,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/orders"
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -317,6 +318,11 @@
 		s.setLeaving(func(l *leaving) { l.operator = false })
 		return nil
 	case *wirev1.OrderRequest_Engine:
+		// Not every engine checks the number, so it is confirmed here. Drain and return are not: they must work while the
+		// store is down, and the document has the last word on them.
+		if err := orders.Check(ctx, s.store, s.settings.GetUpstream().GetName(), req.GetFencingNumber()); err != nil {
+			return err
+		}
 		return s.upstream.Order(ctx, req.GetFencingNumber(), kind.Engine)
 	default:
 		return errors.New("order of unknown kind")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/document"
 	"github.com/fulmardoor/fulmardoor/internal/events"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar/role"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -47,6 +48,8 @@
 // Config configures a Sidecar.
 type Config struct {
 	Settings *configv1.SidecarSettings
+	// Store confirms fencing numbers.
+	Store    kv.Store
 	Upstream Upstream
 	Logger   *zap.Logger
 }
@@ -54,6 +57,7 @@
 // Sidecar is the state of the process.
 type Sidecar struct {
 	settings *configv1.SidecarSettings
+	store    kv.Store
 	upstream Upstream
 	logger   *zap.Logger
 	hello    *wirev1.Hello
@@ -86,6 +90,7 @@
 	incarnation := transport.NewIncarnation()
 	s := &Sidecar{
 		settings: cfg.Settings,
+		store:    cfg.Store,
 		upstream: cfg.Upstream,
 		logger:   cfg.Logger,
 		hello: &wirev1.Hello{
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -148,7 +148,7 @@
 	} else {
 		upstream = sidecar.NewServiceUpstreamOver("http://"+name, inProcess{w.services[name].Handler()})
 	}
-	c.sidecar = sidecar.New(sidecar.Config{Settings: s, Upstream: upstream, Logger: zap.NewNop()})
+	c.sidecar = sidecar.New(sidecar.Config{Settings: s, Store: w.store, Upstream: upstream, Logger: zap.NewNop()})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	go func() { _ = c.sidecar.Run(ctx) }()
