--- /dev/null
+++ b/internal/ledger/fakes_test.go
@@ -0,0 +1,417 @@
+package ledger
+
+import (
+	"context"
+	"math/rand"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+)
+
+var errCut = errors.New("connection lost")
+
+// fakeStore is an in-memory key-value store with faults.
+type fakeStore struct {
+	kv.Store // calls that the ledger does not use panic
+
+	mu       sync.Mutex // guards the fields below
+	random   *rand.Rand
+	pairs    map[string]kv.Pair
+	revision int64
+	down     bool
+	hanging  bool    // calls are not answered
+	loseRate float64 // part of the writes whose answer is lost
+	late     time.Duration
+	writes   int
+	reads    int
+}
+
+func newFakeStore(seed int64) *fakeStore {
+	return &fakeStore{random: rand.New(rand.NewSource(seed)), pairs: make(map[string]kv.Pair)}
+}
+
+func (f *fakeStore) set(change func(f *fakeStore)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// reach simulates the way to the store.
+func (f *fakeStore) reach(ctx context.Context) error {
+	f.mu.Lock()
+	hanging, down := f.hanging, f.down
+	delay := time.Duration(f.random.Intn(3)+1) * time.Millisecond
+	f.mu.Unlock()
+	if hanging {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	pause(ctx, delay)
+	if down {
+		return kv.ErrUnavailable
+	}
+	return ctx.Err()
+}
+
+func (f *fakeStore) Get(ctx context.Context, key string) (kv.Pair, error) {
+	if f.reach(ctx) != nil {
+		return kv.Pair{}, kv.ErrUnavailable
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	pair, ok := f.pairs[key]
+	if !ok {
+		return kv.Pair{}, kv.ErrNotFound
+	}
+	return pair, nil
+}
+
+func (f *fakeStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	if f.reach(ctx) != nil {
+		return nil, 0, kv.ErrUnavailable
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	var list []kv.Pair
+	for key, pair := range f.pairs {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, pair)
+		}
+	}
+	slices.SortFunc(list, func(a, b kv.Pair) int { return strings.Compare(a.Key, b.Key) })
+	return list, f.revision, nil
+}
+
+func (f *fakeStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision, _ int64) (int64, error) {
+	if err := f.reach(ctx); errors.Is(err, kv.ErrUnavailable) {
+		return 0, err
+	} else if err != nil {
+		return 0, kv.ErrOutcomeUnknown
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late > 0 && f.random.Float64() < f.loseRate {
+		// The write takes effect after the caller has given up.
+		time.AfterFunc(f.late, func() { f.set(func(f *fakeStore) { _, _ = f.swap(key, value, revision) }) })
+		return 0, kv.ErrOutcomeUnknown
+	}
+	next, err := f.swap(key, value, revision)
+	if err == nil && f.random.Float64() < f.loseRate {
+		return 0, kv.ErrOutcomeUnknown
+	}
+	return next, err
+}
+
+func (f *fakeStore) swap(key string, value []byte, revision int64) (int64, error) {
+	f.writes++
+	if f.pairs[key].ModRevision != revision {
+		return 0, kv.ErrConflict
+	}
+	f.revision++
+	f.pairs[key] = kv.Pair{Key: key, Value: value, ModRevision: f.revision}
+	return f.revision, nil
+}
+
+// gatedStore is the store as one process reaches it.
+type gatedStore struct {
+	*fakeStore
+	net  *fakeNet
+	name string
+}
+
+func (g *gatedStore) pass() error {
+	g.net.gate(g.name)
+	if g.net.isCut(g.name, "store") {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+func (g *gatedStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	if err := g.pass(); err != nil {
+		return nil, 0, err
+	}
+	defer g.net.gate(g.name)
+	return g.fakeStore.List(ctx, prefix)
+}
+
+func (g *gatedStore) Get(ctx context.Context, key string) (kv.Pair, error) {
+	if err := g.pass(); err != nil {
+		return kv.Pair{}, err
+	}
+	defer g.net.gate(g.name)
+	return g.fakeStore.Get(ctx, key)
+}
+
+func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error) {
+	if err := g.pass(); err != nil {
+		return 0, err
+	}
+	defer g.net.gate(g.name)
+	return g.fakeStore.CompareAndSwap(ctx, key, value, revision, lease)
+}
+
+// fakeNet carries messages between nodes with delay, loss, cuts and frozen nodes.
+type fakeNet struct {
+	mu       sync.Mutex // guards the fields below
+	random   *rand.Rand
+	nodes    map[string]*Node
+	cuts     map[[2]string]bool
+	frozen   map[string]chan struct{}
+	lossRate float64
+	maxDelay time.Duration
+}
+
+func newFakeNet(seed int64) *fakeNet {
+	return &fakeNet{
+		random: rand.New(rand.NewSource(seed)), nodes: make(map[string]*Node), cuts: make(map[[2]string]bool),
+		frozen: make(map[string]chan struct{}), maxDelay: 2 * time.Millisecond,
+	}
+}
+
+// gate holds the caller while the process is frozen.
+func (f *fakeNet) gate(name string) {
+	for {
+		f.mu.Lock()
+		wake := f.frozen[name]
+		f.mu.Unlock()
+		if wake == nil {
+			return
+		}
+		<-wake
+	}
+}
+
+func (f *fakeNet) freeze(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.frozen[name] == nil {
+		f.frozen[name] = make(chan struct{})
+	}
+}
+
+func (f *fakeNet) wake(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if wake := f.frozen[name]; wake != nil {
+		close(wake)
+		delete(f.frozen, name)
+	}
+}
+
+func (f *fakeNet) cut(a, b string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{a, b}] = cut
+	f.cuts[[2]string{b, a}] = cut
+}
+
+func (f *fakeNet) isCut(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[[2]string{a, b}]
+}
+
+// hop carries one message; a lost or cut one is noticed only by the end of ctx.
+func (f *fakeNet) hop(ctx context.Context, from, to string) (*Node, error) {
+	f.mu.Lock()
+	delay := time.Duration(f.random.Int63n(int64(f.maxDelay) + 1))
+	lost := f.random.Float64() < f.lossRate || f.cuts[[2]string{from, to}]
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	time.Sleep(delay)
+	f.gate(to)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.nodes[to]
+	if node == nil {
+		return nil, errCut
+	}
+	return node, nil
+}
+
+// port is the network as one process reaches it.
+type port struct {
+	net  *fakeNet
+	name string
+}
+
+func (p port) Call(ctx context.Context, process string, open *wirev1.StreamOpen, reply proto.Message) error {
+	p.net.gate(p.name)
+	type answer struct {
+		message proto.Message
+		err     error
+	}
+	answers := make(chan answer, 1)
+	request := proto.Clone(open).(*wirev1.StreamOpen)
+	go func() {
+		// The receiver works on even when the sender has given up.
+		message, err := p.deliver(ctx, process, request)
+		answers <- answer{message, err}
+	}()
+	select {
+	case <-ctx.Done():
+		p.net.gate(p.name)
+		return ctx.Err()
+	case a := <-answers:
+		p.net.gate(p.name)
+		if a.err == nil {
+			proto.Merge(reply, a.message)
+		}
+		return a.err
+	}
+}
+
+func (p port) deliver(ctx context.Context, process string, open *wirev1.StreamOpen) (proto.Message, error) {
+	node, err := p.net.hop(ctx, p.name, process)
+	if err != nil {
+		return nil, err
+	}
+	var message proto.Message
+	switch kind := open.GetKind().(type) {
+	case *wirev1.StreamOpen_Charge:
+		message = node.HandleCharge(ctx, kind.Charge)
+	case *wirev1.StreamOpen_Settle:
+		message, err = node.HandleSettle(ctx, kind.Settle)
+	case *wirev1.StreamOpen_Promise:
+		message = node.HandlePromise(ctx, kind.Promise)
+	case *wirev1.StreamOpen_Handoff:
+		message = node.HandleHandoff(ctx, kind.Handoff)
+	}
+	if err != nil {
+		return nil, err
+	}
+	p.net.gate(process)
+	if _, err := p.net.hop(ctx, process, p.name); err != nil {
+		return nil, err
+	}
+	return message, nil
+}
+
+// limitTable and memberList are the node's other sources.
+type limitTable map[string]Limits
+
+func (l limitTable) Limits(account string) (Limits, bool) {
+	limits, ok := l[account]
+	return limits, ok
+}
+
+type memberList struct {
+	mu    sync.Mutex // guards names
+	names []string
+}
+
+func (m *memberList) Entries() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.names)
+}
+
+func (m *memberList) set(names ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.names = names
+}
+
+// fleet runs nodes in one process.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	net     *fakeNet
+	store   *fakeStore
+	members *memberList
+	limits  limitTable
+	shards  int
+	stops   map[string]func()
+	adjust  func(n *Node) // changes a node before it runs
+	ids     atomic.Uint64
+}
+
+func newFleet(t *testing.T, seed int64, shards int, limits limitTable, names ...string) *fleet {
+	f := &fleet{
+		t: t, ctx: t.Context(), net: newFakeNet(seed), store: newFakeStore(seed + 1), members: &memberList{},
+		limits: limits, shards: shards, stops: make(map[string]func()), adjust: func(*Node) {},
+	}
+	f.members.set(names...)
+	return f
+}
+
+func (f *fleet) start(names ...string) {
+	for _, name := range names {
+		n := New(Config{
+			Self: name, Shards: f.shards, Store: &gatedStore{fakeStore: f.store, net: f.net, name: name}, Limits: f.limits,
+			Members: f.members, Network: port{net: f.net, name: name}, Logger: zap.NewNop(),
+		})
+		f.adjust(n)
+		f.net.mu.Lock()
+		f.net.nodes[name] = n
+		f.net.mu.Unlock()
+		ctx, cancel := context.WithCancel(f.ctx)
+		done := make(chan struct{})
+		go func() {
+			n.Run(ctx)
+			close(done)
+		}()
+		f.stops[name] = func() {
+			cancel()
+			<-done
+		}
+	}
+}
+
+// crash ends a node at once; its messages are lost.
+func (f *fleet) crash(name string) {
+	f.net.mu.Lock()
+	delete(f.net.nodes, name)
+	f.net.mu.Unlock()
+	f.net.wake(name)
+	if stop := f.stops[name]; stop != nil {
+		stop()
+		delete(f.stops, name)
+	}
+}
+
+// stop ends all nodes and waits for the messages that are still on their way.
+func (f *fleet) stop() {
+	for name := range f.stops {
+		f.crash(name)
+	}
+	time.Sleep(10 * time.Second)
+}
+
+func (f *fleet) node(name string) *Node {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	return f.net.nodes[name]
+}
+
+// owner returns the node that holds a shard and grants.
+func (f *fleet) owner(shard int) string {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for name, n := range f.net.nodes {
+		if n.Status()[shard].State == StateGranting {
+			return name
+		}
+	}
+	return ""
+}
+
+func (f *fleet) id() *wirev1.CallID {
+	return &wirev1.CallID{Incarnation: 1, Sequence: f.ids.Add(1)}
+}
--- /dev/null
+++ b/internal/ledger/faults_test.go
@@ -0,0 +1,283 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// Guards against tokens of an old owner that are spent together with those of its successor. The owner loses first its
+// successor and then the store, just after it has read the record. Without the wait the checker must see the violation.
+func TestTakeoverWait(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		wait          time.Duration
+		wantViolation bool
+	}{
+		{"no wait", 0, true},
+		{"wait", TakeoverWait, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := limitTable{"kilimo": {Rate: 1000, Burst: 4000}}
+				f := newFleet(t, 1, 1, limits, "a", "b")
+				f.adjust = func(n *Node) { n.takeoverWait = test.wait }
+				f.start("a", "b")
+				defer f.stop()
+				owner := awaitOwner(t, f, 0, 5*time.Second)
+				successor := map[string]string{"a": "b", "b": "a"}[owner]
+				time.Sleep(10 * time.Second)
+				f.net.cut(owner, successor, true)
+				for f.node(successor).Status()[0].Epoch == 1 && !f.node(successor).nearTakeover(0) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.net.cut(owner, "store", true)
+				r := newReceiver()
+				// All work that the old owner grants within the age of a nonce starts at the same moment.
+				begun := time.Now()
+				granted := 0
+				for time.Since(begun) < 1900*time.Millisecond {
+					if chargeWithin(f.node(owner), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+						granted++
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				for range granted {
+					r.start("kilimo", begun, 50)
+				}
+				for time.Since(begun) < 10*time.Second {
+					issued := time.Now()
+					if chargeWithin(f.node(successor), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+						r.start("kilimo", issued, 50)
+						continue
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				got := r.check(limits)
+				if (got > tolerance) != test.wantViolation {
+					t.Errorf("excess %v, want violation: %v", got, test.wantViolation)
+				}
+				if f.owner(0) != successor {
+					t.Errorf("owner %q, want %q", f.owner(0), successor)
+				}
+			})
+		})
+	}
+}
+
+// nearTakeover reports whether the node will take over a shard within 50 ms.
+func (n *Node) nearTakeover(shard int) bool {
+	s := n.shards[shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.promisedUntil.Add(takeoverPatience)) < 50*time.Millisecond
+}
+
+// Guards against refusals within the rate while the store is down and the nodes hear each other.
+func TestThirtyMinuteOutage(t *testing.T) {
+	for _, hanging := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
+			f := newFleet(t, 1, 16, limits, "a", "b", "c")
+			f.start("a", "b", "c")
+			defer f.stop()
+			time.Sleep(5 * time.Second)
+			f.store.set(func(s *fakeStore) { s.down, s.hanging = !hanging, hanging })
+			r := newReceiver()
+			// Three clients of 100 tokens on average every 400 ms use three quarters of the rate.
+			stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+			time.Sleep(30 * time.Minute)
+			stop()
+			f.store.set(func(s *fakeStore) { s.down, s.hanging = false, false })
+			if len(r.refused) > 0 || r.stale > 0 {
+				t.Errorf("hanging %v: refused %v, stale %d", hanging, r.refused, r.stale)
+			}
+			if r.count("kilimo") < 10000 {
+				t.Errorf("only %d requests", r.count("kilimo"))
+			}
+		})
+	}
+}
+
+// Guards against a node that starts during an outage of the store and finds no owner.
+func TestStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
+		f := newFleet(t, 1, 4, limits, "a", "b", "c")
+		f.start("a", "b")
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		f.store.set(func(s *fakeStore) { s.down = true })
+		f.start("c")
+		for account := range limits {
+			id := f.id()
+			if err := chargeWithin(f.node("c"), 2*time.Second, id, account, 100); err != nil {
+				t.Errorf("charge for %s: %v", account, err)
+			}
+			f.node("c").Settle(id, account, 0)
+		}
+		ctx, cancel := context.WithTimeout(f.ctx, 10*time.Second)
+		defer cancel()
+		if err := f.node("c").Flush(ctx); err != nil {
+			t.Errorf("settlements not taken: %v", err)
+		}
+	})
+}
+
+// Guards against a shard that stays without an owner, or that two nodes grant for, after each single failure.
+func TestOwnerFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		fail  func(f *fleet, owner, successor string)
+		limit time.Duration // until another node grants; 0 means that the owner goes on
+	}{
+		{"crash", func(f *fleet, owner, _ string) { f.crash(owner) }, 10 * time.Second},
+		{"freeze", func(f *fleet, owner, _ string) { f.net.freeze(owner) }, 10 * time.Second},
+		{"crash and restart", func(f *fleet, owner, _ string) { f.crash(owner); f.start(owner) }, 10 * time.Second},
+		{"successor dies", func(f *fleet, _, successor string) { f.crash(successor) }, 0},
+		{"successor dies, then the store", func(f *fleet, _, successor string) {
+			f.crash(successor)
+			time.Sleep(5 * time.Second)
+			f.store.set(func(s *fakeStore) { s.down = true })
+		}, 0},
+		{"owner and successor hear only the store", func(f *fleet, owner, successor string) {
+			f.net.cut(owner, successor, true)
+		}, 0},
+		{"handoff", func(f *fleet, owner, _ string) {
+			if err := f.handOff(owner); err != nil {
+				f.t.Error(err)
+			}
+			f.crash(owner)
+		}, 500 * time.Millisecond},
+		{"handoff with lost answers of the store", func(f *fleet, owner, _ string) {
+			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			if err := f.handOff(owner); err != nil {
+				f.t.Error(err)
+			}
+			f.crash(owner)
+		}, 500 * time.Millisecond},
+		{"crash with lost answers of the store", func(f *fleet, owner, _ string) {
+			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			f.crash(owner)
+		}, 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
+				f := newFleet(t, 3, 1, limits, "a", "b", "c")
+				f.start("a", "b", "c")
+				defer f.stop()
+				owner := awaitOwner(t, f, 0, 5*time.Second)
+				time.Sleep(5 * time.Second)
+				status := f.node(owner).Status()[0]
+				failed := time.Now()
+				test.fail(f, owner, status.Successor)
+				if test.limit == 0 {
+					time.Sleep(20 * time.Second)
+					if got := f.owner(0); got != owner {
+						t.Errorf("owner %q, want %q", got, owner)
+					}
+					return
+				}
+				for {
+					next := f.owner(0)
+					if epoch := f.epoch(next); next != "" && epoch > status.Epoch {
+						t.Logf("%s grants %v after the failure of %s", next, time.Since(failed), owner)
+						return
+					}
+					if time.Since(failed) > test.limit {
+						t.Fatalf("no other owner after %v", test.limit)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) epoch(name string) uint64 {
+	if n := f.node(name); n != nil {
+		return n.Status()[0].Epoch
+	}
+	return 0
+}
+
+// Guards against tokens that are lost or created when a shard is handed off at a planned stop.
+func TestHandoffIsExact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}
+		f := newFleet(t, 1, 1, limits, "a", "b")
+		f.start("a", "b")
+		defer f.stop()
+		owner := awaitOwner(t, f, 0, 5*time.Second)
+		next := map[string]string{"a": "b", "b": "a"}[owner]
+		time.Sleep(2 * time.Second)
+		open := f.id()
+		for _, id := range []*wirev1.CallID{open, f.id()} {
+			if err := chargeWithin(f.node(next), time.Second, id, "kilimo", 300); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := f.handOff(owner); err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range []struct {
+			account string
+			tokens  uint64
+			granted bool
+		}{
+			{"kilimo", 401, false}, {"kilimo", 400, true}, {"kilimo", 1, false}, {"ubungo", 1000, true},
+		} {
+			err := chargeWithin(f.node(owner), time.Second, f.id(), step.account, step.tokens)
+			if (err == nil) != step.granted {
+				t.Errorf("charge of %d for %s: %v, want granted %v", step.tokens, step.account, err, step.granted)
+			}
+		}
+		f.node(owner).Settle(open, "kilimo", 100)
+		time.Sleep(time.Second)
+		if err := chargeWithin(f.node(next), time.Second, f.id(), "kilimo", 200); err != nil {
+			t.Errorf("charge of the refund: %v", err)
+		}
+	})
+}
+
+// Guards against a refusal at once while the owner changes, and against a charge that stays spent after the client gave up.
+func TestChargeDuringTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
+		f := newFleet(t, 1, 1, limits, "a", "b", "c")
+		f.start("a", "b", "c")
+		defer f.stop()
+		owner := awaitOwner(t, f, 0, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		f.crash(owner)
+		other := map[string]string{"a": "b", "b": "c", "c": "a"}[owner]
+		begun := time.Now()
+		err := chargeWithin(f.node(other), 2*time.Second, f.id(), "kilimo", 100)
+		if r := verdict.As(err); r.Reason != wirev1.Reason_REASON_LEDGER_UNAVAILABLE || r.Verdict != verdict.NotRun {
+			t.Errorf("refusal %v", r)
+		}
+		if waited := time.Since(begun); waited < 1900*time.Millisecond || waited > 2100*time.Millisecond {
+			t.Errorf("refused after %v, want the deadline of 2 s", waited)
+		}
+		if err := chargeWithin(f.node(other), 10*time.Second, f.id(), "kilimo", 100); reasonOf(err) !=
+			wirev1.Reason_REASON_RATE_EXCEEDED {
+			t.Errorf("first answer of the new owner: %v, want an empty bucket", err)
+		}
+		time.Sleep(time.Second)
+		if err := chargeWithin(f.node(other), time.Second, f.id(), "kilimo", 100); err != nil {
+			t.Errorf("charge after a second: %v", err)
+		}
+	})
+}
+
+func (f *fleet) handOff(name string) error {
+	ctx, cancel := context.WithTimeout(f.ctx, 5*time.Second)
+	defer cancel()
+	return f.node(name).Handoff(ctx)
+}
--- /dev/null
+++ b/internal/ledger/node_test.go
@@ -0,0 +1,54 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+func reasonOf(err error) wirev1.Reason {
+	if err == nil {
+		return wirev1.Reason_REASON_UNSPECIFIED
+	}
+	return verdict.As(err).Reason
+}
+
+func chargeWithin(n *Node, d time.Duration, id *wirev1.CallID, account string, tokens uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return n.Charge(ctx, id, account, tokens, nil)
+}
+
+// Guards against wrong refusals of charges from any node to any owner.
+func TestChargeFromEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 100, Burst: 1000}, "msasani": {Rate: 100, Burst: 1000}}
+		f := newFleet(t, 1, 4, limits, "a", "b", "c")
+		f.start("a", "b", "c")
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		for _, name := range []string{"a", "b", "c"} {
+			for account := range limits {
+				if err := chargeWithin(f.node(name), time.Second, f.id(), account, 250); err != nil {
+					t.Errorf("charge by %s for %s: %v", name, account, err)
+				}
+			}
+		}
+		err := chargeWithin(f.node("a"), time.Second, f.id(), "kilimo", 750)
+		if r := verdict.As(err); r.Reason != wirev1.Reason_REASON_RATE_EXCEEDED || r.RetryAfter < 6*time.Second {
+			t.Errorf("charge over the rate: %v, retry after %v", err, r.RetryAfter)
+		}
+		if got := reasonOf(chargeWithin(f.node("b"), time.Second, f.id(), "kilimo", 801)); got !=
+			wirev1.Reason_REASON_REQUEST_TOO_LARGE_FOR_BURST {
+			t.Errorf("charge over the capacity: %v", got)
+		}
+		if got := reasonOf(chargeWithin(f.node("b"), time.Second, f.id(), "nobody", 1)); got !=
+			wirev1.Reason_REASON_UNKNOWN_ACCOUNT {
+			t.Errorf("unknown account: %v", got)
+		}
+	})
+}
