--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -27,8 +27,10 @@
 	DefaultHeartbeatInterval = 500 * time.Millisecond
 
 	tickInterval = 250 * time.Millisecond
-	pushTimeout  = time.Second
-	pullTimeout  = time.Second
+	// peerSetInterval is the time between two looks at the member table.
+	peerSetInterval = time.Second
+	pushTimeout     = time.Second
+	pullTimeout     = time.Second
 )
 
 // Member is an entry process of the member table.
@@ -79,8 +81,9 @@
 	heard   map[string]contact
 	out     outbound
 	watch   watchState
-	// peerSet is PeerSet of the member table at the last tick.
-	peerSet []Member
+	// peerSet is PeerSet of the member table at peerSetAt.
+	peerSet   []Member
+	peerSetAt time.Time
 	// running is nil before and after Run.
 	running context.Context
 
@@ -161,7 +164,10 @@
 	n.noticePause(now)
 	n.fresh.tick(now)
 	n.forgetSilent(now)
-	n.peerSet = PeerSet(n.cfg.Self, n.entries())
+	if now.Sub(n.peerSetAt) >= peerSetInterval {
+		n.peerSet = PeerSet(n.cfg.Self, n.entries())
+		n.peerSetAt = now
+	}
 	n.superviseWatch(now)
 	n.repairAgain()
 }
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -10,6 +10,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -182,6 +183,32 @@
 	})
 }
 
+// Guards against watch updates that waited in a buffer while the process was paused and make it look fresh: only the
+// answer to a read that was sent lately confirms anything.
+func TestWatchUpdateConfirmsNothingByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Config{Self: "entry-000", Store: newFakeStore()})
+		w := &watcher{node: n, delivered: 5}
+		w.update(kv.WatchUpdate{Revision: 6})
+		if _, known := n.Age(); known {
+			t.Error("a progress notice confirmed the configuration")
+		}
+		sent := time.Now()
+		time.Sleep(time.Second)
+		if err := w.probed(probe{revision: 8, sent: sent}); err != nil {
+			t.Error(err)
+		}
+		w.update(kv.WatchUpdate{Revision: 7})
+		if _, known := n.Age(); known {
+			t.Error("confirmed before the watch reached the revision of the read")
+		}
+		w.update(kv.WatchUpdate{Revision: 8})
+		if age, known := n.Age(); !known || age != time.Second {
+			t.Errorf("age %v, known %v", age, known)
+		}
+	})
+}
+
 // Guards against a faulty version that removes what was in force.
 func TestFaultyVersionKeepsTheLastGoodOne(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
