--- a/internal/confsync/fake_test.go
+++ b/internal/confsync/fake_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -433,11 +431,6 @@
 	return nil, errors.New("pull lost")
 }
 
-func testHash(name string) string {
-	sum := sha256.Sum256([]byte(name))
-	return hex.EncodeToString(sum[:])
-}
-
 // teamText returns a document of a team with one account and one key.
 func teamText(team string, rate int) string {
 	return fmt.Sprintf("[document]\nteam = %s\n[account \"%s-app\"]\nrate = %d\nburst = %d\n", team, team, rate, rate*10)
--- a/internal/confsync/measure_test.go
+++ b/internal/confsync/measure_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/keys"
 )
 
 const (
@@ -39,6 +40,7 @@
 // variant. Run with -v for the figures. The time is virtual, so the bounds do not depend on the machine.
 func TestRepairOnDemandAgainstWholeState(t *testing.T) {
 	const inForceLimit = 3 * time.Second
+	const undisturbedLimit = 250 * time.Millisecond // Less than a heartbeat: without loss nothing waits for one.
 	losses := map[int][]float64{20: {0, 0.01, 0.1, 0.3}, 200: {0.3}}
 	if *full {
 		losses[200] = losses[20]
@@ -50,6 +52,9 @@
 			t.Logf("%3d nodes, loss %2.0f%%: repair %7d B per node, in force everywhere after %v (worst %v); "+
 				"whole state %8d B, %v (%v)", nodes, loss*100,
 				repair.bytesPerNode, repair.p50, repair.worst, naive.bytesPerNode, naive.p50, naive.worst)
+			if loss == 0 && repair.worst > undisturbedLimit {
+				t.Errorf("%d nodes without loss: %+v", nodes, repair)
+			}
 			if repair.worst > inForceLimit || repair.bytesPerNode >= naive.bytesPerNode {
 				t.Errorf("%d nodes, loss %v: repair %+v, whole state %+v", nodes, loss, repair, naive)
 			}
@@ -148,7 +153,7 @@
 		text += fmt.Sprintf("\n[account \"%s-%d\"]\nrate = %d\nburst = %d\n", team, i, rate*100, rate*1000)
 		for k := range 2 {
 			name := fmt.Sprintf("%s-%d-%d", team, i, k)
-			text += fmt.Sprintf("[key %q]\naccount = %s-%d\nsha256 = %s\n", name, team, i, testHash(name))
+			text += fmt.Sprintf("[key %q]\naccount = %s-%d\nsha256 = %s\n", name, team, i, keys.Hash(name))
 		}
 	}
 	return text
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -209,6 +209,42 @@
 	})
 }
 
+// Guards against an entry that takes a confirmation of a revision that it lacks for its own, or that takes the loss of
+// its pulls for an outage although its peers reach the store.
+func TestUnheldRevisionIsNotFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, newFakeStore())
+		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
+		n := f.start("entry-000", "dc-0", &fakeStore{down: true})
+		n.HandlePush("entry-001", &wirev1.ConfigPush{Document: &wirev1.Document{
+			Team: "kilimo", Revision: 1, Text: []byte(teamText("kilimo", 1))}})
+		beat := func() {
+			for _, peer := range []string{"entry-001", "entry-002"} {
+				n.OnHeartbeat(peer, &wirev1.Heartbeat{ConfigRevision: 2, ConfigAgeMs: 100, StoreContact: true})
+			}
+		}
+		beat()
+		time.Sleep(100 * time.Millisecond)
+		beat()
+		f.wantState(Isolated, "entry-000")
+		n.HandlePush("entry-001", &wirev1.ConfigPush{PreviousRevision: 1, Document: &wirev1.Document{
+			Team: "kilimo", Revision: 2, Text: []byte(teamText("kilimo", 2))}})
+		f.wantState(Fresh, "entry-000")
+		f.stopAll()
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against old answers of the store that confirm a newer configuration.
+func TestOldAnswersConfirmNothing(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.store.set((*fakeStore).toggleOld)
+		revision := f.store.write("kilimo", teamText("kilimo", 2))
+		f.wantRevision("kilimo", revision, FreshnessLimit+time.Second)
+		f.wantState(Isolated, "entry-000", "entry-001", "entry-002")
+	})
+}
+
 // Guards against a faulty version that removes what was in force.
 func TestFaultyVersionKeepsTheLastGoodOne(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
@@ -229,6 +265,7 @@
 // Guards against a team that takes over another team's account, key, model, upstream or route.
 func TestOlderClaimWins(t *testing.T) {
 	key, hash := keys.Generate()
+	thief, thiefHash := keys.Generate()
 	text := func(team, account, model, path string) string {
 		return "[document]\nteam = " + team + "\n[account \"" + account + "\"]\nrate = 1\nburst = 4\n" +
 			"[key \"k-" + team + "\"]\naccount = " + account + "\nsha256 = " + hash + "\n" +
@@ -238,7 +275,7 @@
 	}
 	h := newHistory()
 	h.apply(batch{to: 9, documents: []*wirev1.Document{
-		{Team: "b", Revision: 9, Text: []byte(text("b", "app", "drafter", "/a/"))},
+		{Team: "b", Revision: 9, Text: []byte(strings.ReplaceAll(text("b", "app", "drafter", "/a/"), hash, thiefHash))},
 		{Team: "a", Revision: 5, Text: []byte(text("a", "app", "drafter", "/a"))},
 	}})
 	s := h.snapshot(true, nil)
@@ -256,6 +293,9 @@
 	if account, state := s.Key(key); account != "app" || state != keys.Granted {
 		t.Errorf("key: %s %v", account, state)
 	}
+	if account, state := s.Key(thief); state != keys.Unknown {
+		t.Errorf("a key of another team spends the rate of %s", account)
+	}
 	if pool := s.Pool("drafter", "decode"); len(pool) != 1 || pool[0].Name != "u-a" {
 		t.Errorf("pool %v", pool)
 	}
