--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(GO) test ./internal/bench -run '^TestPolicyTable$$' -v -count=1 -args -full
 
 capacity:
-	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms
+	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms -timeout 10m
 
 # Needs protoc on the PATH; the generated code is committed.
 generate:
--- /dev/null
+++ b/internal/capacity/config_test.go
@@ -0,0 +1,244 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+)
+
+// teamDocument returns a document of about size bytes, half of it keys and half upstreams.
+func teamDocument(team, size int, version uint64) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# version %d\n[document]\nteam = team-%d\n", version, team)
+	fmt.Fprintf(&b, "[account \"account-%d\"]\nrate = 1000\nburst = 100000\n[model \"model-%d\"]\n", team, team)
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "[key \"key-%d-%d\"]\naccount = account-%d\nsha256 = %s\n", team, i, team, keys.Hash(fmt.Sprint(team, i)))
+		fmt.Fprintf(&b, "[upstream \"runner-%d-%d\"]\naddress = 10.%d.%d.%d:%d\npool = model-%d\nrole = decode\n",
+			team, i, team%250, i/250, i%250, 7000+team/250, team)
+	}
+	return []byte(b.String())
+}
+
+// countingPeer counts the pushes that a node sends.
+type countingPeer struct {
+	name  string
+	bytes *atomic.Int64
+	got   chan struct{}
+}
+
+func (p countingPeer) Name() string { return p.name }
+
+func (p countingPeer) Push(_ context.Context, push *wirev1.ConfigPush) error {
+	open := &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_ConfigPush{ConfigPush: push}}
+	p.bytes.Add(int64(proto.Size(open)))
+	p.got <- struct{}{}
+	return nil
+}
+
+func (p countingPeer) Pull(context.Context, *wirev1.ConfigPull) (*wirev1.ConfigPullReply, error) {
+	return &wirev1.ConfigPullReply{}, nil
+}
+
+type fixedPeers []confsync.Peer
+
+func (p *fixedPeers) Peers() []confsync.Peer { return *p }
+
+// BenchmarkConfigChange gives the cost of one configuration change at an entry with 12 entries and 11 sidecars as peers:
+// time until it is in force there, processor time and allocations with the pushes, and bytes in and out. One slope is over
+// the size of the changed document, the other over the number of documents.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, size := range []int{2000, 20000, 200000} {
+		b.Run(fmt.Sprintf("documents=14/bytes=%d", size), func(b *testing.B) { benchmarkChange(b, 14, size) })
+	}
+	for _, documents := range []int{100, 300} {
+		b.Run(fmt.Sprintf("documents=%d/bytes=20000", documents), func(b *testing.B) { benchmarkChange(b, documents, 20000) })
+	}
+}
+
+func benchmarkChange(b *testing.B, documents, size int) {
+	const peerCount = 12 + 11
+	var sent atomic.Int64
+	got := make(chan struct{}, peerCount)
+	var peers fixedPeers
+	node := confsync.New(confsync.Config{Self: "entry-0", DataCentre: "Kariakoo", Store: memory.New(memory.Options{}), Peers: &peers})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { node.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	before := memoryInUse()
+	revision := uint64(100)
+	received := 0
+	push := func(team int) {
+		p := &wirev1.ConfigPush{PreviousRevision: revision, Document: &wirev1.Document{
+			Team: fmt.Sprintf("team-%d", team), Revision: revision + 1, Text: teamDocument(team, size, revision),
+		}}
+		if revision == 100 {
+			p.PreviousRevision = 0
+		}
+		revision++
+		received += proto.Size(&wirev1.StreamOpen{Kind: &wirev1.StreamOpen_ConfigPush{ConfigPush: p}})
+		b.StartTimer()
+		node.HandlePush("source", p)
+		b.StopTimer()
+	}
+	for team := range documents {
+		push(team)
+	}
+	held := memoryInUse() - before
+	if node.Current().Revision != revision || len(node.Current().Conflicts()) > 0 {
+		b.Fatalf("revision %d, %d conflicts", node.Current().Revision, len(node.Current().Conflicts()))
+	}
+	for i := range peerCount {
+		peers = append(peers, countingPeer{fmt.Sprintf("peer-%d", i), &sent, got})
+	}
+	received = 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	cpu := cpuTime()
+	for n := range b.N {
+		push(n % documents)
+		for range peerCount {
+			<-got
+		}
+	}
+	spent := cpuTime() - cpu
+	per(b, float64(spent.Nanoseconds()), b.N, "cpu-ns/change")
+	per(b, float64(received), b.N, "in-B/change")
+	per(b, float64(sent.Load()), b.N, "out-B/change")
+	per(b, float64(held), documents*size, "B/document-B")
+	per(b, float64(held), len(node.Current().Upstreams()), "B/upstream")
+}
+
+// spreadPeer delivers pushes and pulls to another node of the same process after a network delay.
+type spreadPeer struct {
+	from string
+	to   *spreadNode
+}
+
+type spreadNode struct {
+	name   string
+	node   *confsync.Node
+	peers  fixedPeers
+	pushes atomic.Int64
+	pulls  atomic.Int64
+}
+
+func (p spreadPeer) Name() string { return p.to.name }
+
+func (p spreadPeer) Push(_ context.Context, push *wirev1.ConfigPush) error {
+	time.Sleep(500 * time.Microsecond)
+	p.to.pushes.Add(1)
+	p.to.node.HandlePush(p.from, push)
+	time.Sleep(500 * time.Microsecond)
+	return nil
+}
+
+func (p spreadPeer) Pull(_ context.Context, pull *wirev1.ConfigPull) (*wirev1.ConfigPullReply, error) {
+	time.Sleep(time.Millisecond)
+	p.to.pulls.Add(1)
+	return p.to.node.HandlePull(pull), nil
+}
+
+// BenchmarkConfigSpread gives the number of copies of one change that an entry receives when each has a peer set of 12
+// and sidecars of their own, and the time until all have it, against the number of entries. All run in one process.
+func BenchmarkConfigSpread(b *testing.B) {
+	for _, count := range []int{14, 50, 200} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) { benchmarkSpread(b, count) })
+	}
+}
+
+// spreadFleet returns running entries that are connected by their peer sets, in both directions as sessions are.
+func spreadFleet(b *testing.B, count int) []*spreadNode {
+	store := memory.New(memory.Options{})
+	store.SetFaults(memory.Faults{Down: true}) // the changes come from node 0
+	members := make([]confsync.Member, count)
+	byName := make(map[string]*spreadNode, count)
+	nodes := make([]*spreadNode, count)
+	for i := range nodes {
+		n := &spreadNode{name: fmt.Sprintf("entry-%d", i)}
+		n.node = confsync.New(confsync.Config{Self: n.name, DataCentre: "dc", Store: store, Peers: &n.peers})
+		members[i] = confsync.Member{Process: n.name, DataCentre: fmt.Sprintf("dc-%d", i%13)}
+		nodes[i], byName[n.name] = n, n
+	}
+	linked := map[[2]string]bool{}
+	link := func(a, c *spreadNode) {
+		if !linked[[2]string{a.name, c.name}] {
+			linked[[2]string{a.name, c.name}] = true
+			a.peers = append(a.peers, spreadPeer{a.name, c})
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range nodes {
+		for _, m := range confsync.PeerSet(n.name, members) {
+			link(n, byName[m.Process])
+			link(byName[m.Process], n)
+		}
+	}
+	for _, n := range nodes {
+		running.Go(func() { n.node.Run(ctx) })
+	}
+	b.Cleanup(func() { cancel(); running.Wait() })
+	time.Sleep(50 * time.Millisecond)
+	return nodes
+}
+
+func benchmarkSpread(b *testing.B, count int) {
+	nodes := spreadFleet(b, count)
+	text := teamDocument(1, 2000, 1)
+	revision := uint64(1)
+	spread := func() {
+		push := &wirev1.ConfigPush{PreviousRevision: revision - 1, Document: &wirev1.Document{
+			Team: "team-1", Revision: revision, Text: text,
+		}}
+		nodes[0].node.HandlePush("store", push)
+		eventually(b, "spread", func() bool {
+			for _, n := range nodes {
+				if n.node.Current().Revision < revision {
+					return false
+				}
+			}
+			return true
+		})
+		revision++
+	}
+	spread()
+	time.Sleep(100 * time.Millisecond)
+	var samples []time.Duration
+	base := totalPushes(nodes)
+	for b.Loop() {
+		begin := time.Now()
+		spread()
+		samples = append(samples, time.Since(begin))
+		time.Sleep(20 * time.Millisecond) // duplicates that are still on their way
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(percentile(samples, 0.5), "p50-us/change")
+	b.ReportMetric(percentile(samples, 1), "max-us/change")
+	per(b, float64(totalPushes(nodes)-base), len(samples)*count, "copies/entry")
+	links := 0
+	for _, n := range nodes {
+		links += len(n.peers)
+	}
+	per(b, float64(links), count, "sessions/entry")
+}
+
+func totalPushes(nodes []*spreadNode) int64 {
+	var total int64
+	for _, n := range nodes {
+		total += n.pushes.Load()
+	}
+	return total
+}
