transport: one segment for header and body of a yamux data frame

Cause: yamux writes a frame's header and body one after the other, so each message cost two system calls and two segments.

Buffering all writes was ruled out because nothing tells the last one.

--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(&frameConn{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "start yamux client")
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -113,7 +113,7 @@
 
 // Client performs the handshake on a dialled connection and starts the session.
 func Client(conn net.Conn, opts *Options) (*Session, error) {
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(&frameConn{Conn: conn}, muxConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "start yamux client")
 	}
@@ -127,7 +127,7 @@
 
 // Server performs the handshake on an accepted connection and starts the session.
 func Server(conn net.Conn, opts *Options) (*Session, error) {
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(&frameConn{Conn: conn}, muxConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "start yamux server")
 	}
