transport: smaller read buffer of streams

Cause: each stream allocated a read buffer of 4 KiB at both ends, 15% of the bytes that a completion allocates. yamux already buffers what arrives, and most messages are shorter than 512 bytes.

A pool was ruled out: Close may run while Recv still uses the buffer.

--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -15,7 +15,7 @@
 // MaxMessageBytes is the largest message that a stream accepts.
 const MaxMessageBytes = 16 << 20
 
-const readBufferBytes = 4 << 10
+const readBufferBytes = 512 // yamux buffers what arrives; most messages are shorter
 
 // Stream carries length-delimited messages. Send and Recv may run at the same time; each is safe for concurrent use.
 type Stream struct {
