call: allocate a channel for waiters only; drop acknowledged frames

Cause: each frame and acknowledgement closed a channel and made a new one, whether or not anybody waited. Acknowledged frames stayed reachable from the array of the slice for the minute that a finished call is kept.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -56,13 +56,13 @@
 	generation int
 	attached   bool
 	detachTime *time.Timer
-	changed    chan struct{} // closed and replaced at each change
+	changed    chan struct{} // closed at the next change; nil while nobody waits
 }
 
 func newCall(id ID, account string, resumeWindow time.Duration, keepFrames bool) *Call {
 	c := &Call{
 		ID: id, Account: account, resumeWindow: resumeWindow, keepFrames: keepFrames,
-		first: 1, changed: make(chan struct{}),
+		first: 1,
 	}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
@@ -76,8 +76,18 @@
 
 // notify wakes waiters. The caller holds mu.
 func (c *Call) notify() {
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// nextChange returns a channel that the next change closes. The caller holds mu.
+func (c *Call) nextChange() <-chan struct{} {
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
 }
 
 // Emit appends a frame to the answer. It waits while too much is unacknowledged, until the call is cancelled.
@@ -85,7 +95,7 @@
 	size := proto.Size(frame)
 	c.mu.Lock()
 	for c.bytes > 0 && c.bytes+size > MaxBufferedBytes {
-		changed := c.changed
+		changed := c.nextChange()
 		c.mu.Unlock()
 		select {
 		case <-c.ctx.Done():
@@ -139,7 +149,12 @@
 	}
 	c.acked = number
 	if !c.keepFrames {
-		c.frames = c.frames[number+1-c.first:]
+		dropped := number + 1 - c.first
+		clear(c.frames[:dropped]) // the array outlives them
+		c.frames = c.frames[dropped:]
+		if len(c.frames) == 0 && c.outcome != nil {
+			c.frames = nil
+		}
 		c.first = number + 1
 	}
 	c.notify()
@@ -199,7 +214,7 @@
 			c.mu.Unlock()
 			return frame, nil
 		}
-		changed := c.changed
+		changed := c.nextChange()
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
