sidecar: read buffer of a plain answer as long as the answer

Cause: each read of an answer allocated 32 KiB, the last read too, and a frame of a few bytes kept such an array until it was acknowledged, or for a minute for a call with an idempotency key.

--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -125,11 +125,13 @@
 		ran.Reason, ran.Detail = cancelReason(c.Context())
 		return ran
 	}
+	chunk := make([]byte, chunkSize(response.ContentLength))
 	for {
-		chunk := make([]byte, bodyChunkBytes)
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
-			if emitErr := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpBody{HttpBody: chunk[:n]}}); emitErr != nil {
+			// Frames are kept until they are acknowledged, some for a minute, so each has an array of its own size.
+			body := bytes.Clone(chunk[:n])
+			if emitErr := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpBody{HttpBody: body}}); emitErr != nil {
 				ran.Reason, ran.Detail = cancelReason(c.Context())
 				return ran
 			}
@@ -147,6 +149,15 @@
 	}
 }
 
+// chunkSize returns the size of the buffer for an answer of a length; a negative length is unknown. One byte more than
+// the answer lets its end show at the last read.
+func chunkSize(length int64) int {
+	if length < 0 || length >= bodyChunkBytes {
+		return bodyChunkBytes
+	}
+	return int(length) + 1
+}
+
 // cancelReason says why a call's context ended.
 func cancelReason(ctx context.Context) (wirev1.Reason, string) {
 	cause := context.Cause(ctx)
