entry: upstreams by pool and role, no map per choice

Cause: each choice looked at all upstreams under a lock and built a map of the pool by name for at most three chosen ones; a completion does this five times.

--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,14 +38,12 @@
 	return out
 }
 
+// byName returns the upstreams of the few chosen candidates.
 func byName(list []*upstream, chosen []scheduler.Candidate) []*upstream {
-	index := make(map[string]*upstream, len(list))
-	for _, u := range list {
-		index[u.name] = u
-	}
 	out := make([]*upstream, 0, len(chosen))
 	for _, candidate := range chosen {
-		out = append(out, index[candidate.Upstream])
+		i := slices.IndexFunc(list, func(u *upstream) bool { return u.name == candidate.Upstream })
+		out = append(out, list[i])
 	}
 	return out
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -68,8 +68,16 @@
 	connector transport.Connector
 	opts      *transport.Options
 
-	mu     sync.Mutex // guards byName
+	mu     sync.Mutex // guards the fields below
 	byName map[string]*upstream
+	// serving holds the upstreams that may take new work. The slices are never changed, only replaced.
+	serving map[poolRole][]*upstream
+}
+
+// poolRole is what a request looks for.
+type poolRole struct {
+	pool string
+	role wirev1.EngineRole
 }
 
 func newUpstreamPool(connector transport.Connector, opts *transport.Options) *upstreamPool {
@@ -91,6 +99,13 @@
 			go u.retire()
 		}
 	}
+	p.serving = make(map[poolRole][]*upstream)
+	for _, u := range p.byName {
+		if !u.leaving {
+			key := poolRole{u.pool, u.role}
+			p.serving[key] = append(p.serving[key], u)
+		}
+	}
 }
 
 func (p *upstreamPool) applyOne(d *configv1.Document_Upstream) {
@@ -110,17 +125,11 @@
 	next.peer, next.calls = transport.NewPeer(d.GetAddress(), p.connector, p.opts), new(atomic.Int64)
 }
 
-// find returns the upstreams of a pool and role that may take new work.
+// find returns the upstreams of a pool and role that may take new work. The caller must not change the slice.
 func (p *upstreamPool) find(pool string, want wirev1.EngineRole) []*upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var found []*upstream
-	for _, u := range p.byName {
-		if u.pool == pool && u.role == want && !u.leaving {
-			found = append(found, u)
-		}
-	}
-	return found
+	return p.serving[poolRole{pool, want}]
 }
 
 // get returns the upstream with a name, or nil.
