--- a/internal/capacity/config_test.go
+++ b/internal/capacity/config_test.go
@@ -123,36 +123,56 @@
 
 // spreadPeer delivers pushes and pulls to another node of the same process after a network delay.
 type spreadPeer struct {
-	from string
-	to   *spreadNode
+	own, to *spreadNode
 }
 
 type spreadNode struct {
-	name   string
-	node   *confsync.Node
-	peers  fixedPeers
-	pushes atomic.Int64
-	pulls  atomic.Int64
+	name  string
+	node  *confsync.Node
+	peers fixedPeers
+	// copies counts the documents that came, calls the messages, and bytes those received and sent.
+	copies, calls, bytes atomic.Int64
 }
 
+// count adds a call of size bytes between two nodes, with its overhead on a session.
+func (p spreadPeer) count(messages ...proto.Message) {
+	size := int64(0)
+	for _, m := range messages {
+		size += int64(proto.Size(m))
+	}
+	for _, n := range []*spreadNode{p.own, p.to} {
+		n.calls.Add(1)
+		n.bytes.Add(size + callOverhead)
+	}
+}
+
+// callOverhead is the size of the yamux headers and of the segments of one call on a session, as counted by
+// BenchmarkCharge with one caller.
+const callOverhead = 6*12 + 6*segmentBytes
+
 func (p spreadPeer) Name() string { return p.to.name }
 
 func (p spreadPeer) Push(_ context.Context, push *wirev1.ConfigPush) error {
 	time.Sleep(500 * time.Microsecond)
-	p.to.pushes.Add(1)
-	p.to.node.HandlePush(p.from, push)
+	if push.GetDocument() != nil {
+		p.to.copies.Add(1)
+	}
+	p.count(push, p.to.node.HandlePush(p.own.name, push))
 	time.Sleep(500 * time.Microsecond)
 	return nil
 }
 
 func (p spreadPeer) Pull(_ context.Context, pull *wirev1.ConfigPull) (*wirev1.ConfigPullReply, error) {
 	time.Sleep(time.Millisecond)
-	p.to.pulls.Add(1)
-	return p.to.node.HandlePull(pull), nil
+	reply := p.to.node.HandlePull(pull)
+	p.own.copies.Add(int64(len(reply.GetDocuments())))
+	p.count(pull, reply)
+	return reply, nil
 }
 
-// BenchmarkConfigSpread gives the number of copies of one change that an entry receives when each has a peer set of 12
-// and sidecars of their own, and the time until all have it, against the number of entries. All run in one process.
+// BenchmarkConfigSpread gives the number of copies of one change of 2 KB that an entry receives, its messages and bytes
+// in and out, and the time until all have it, against the number of entries with a peer set of 12 each. All run in one
+// process, so the time is that of the processor for many entries.
 func BenchmarkConfigSpread(b *testing.B) {
 	for _, count := range []int{14, 50, 200} {
 		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) { benchmarkSpread(b, count) })
@@ -176,7 +196,7 @@
 	link := func(a, c *spreadNode) {
 		if !linked[[2]string{a.name, c.name}] {
 			linked[[2]string{a.name, c.name}] = true
-			a.peers = append(a.peers, spreadPeer{a.name, c})
+			a.peers = append(a.peers, spreadPeer{a, c})
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -217,28 +237,29 @@
 	spread()
 	time.Sleep(100 * time.Millisecond)
 	var samples []time.Duration
-	base := totalPushes(nodes)
+	for _, n := range nodes {
+		n.copies.Store(0)
+		n.calls.Store(0)
+		n.bytes.Store(0)
+	}
 	for b.Loop() {
 		begin := time.Now()
 		spread()
 		samples = append(samples, time.Since(begin))
-		time.Sleep(20 * time.Millisecond) // duplicates that are still on their way
+		time.Sleep(100 * time.Millisecond) // copies and pulls that are still on their way
 	}
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(percentile(samples, 0.5), "p50-us/change")
 	b.ReportMetric(percentile(samples, 1), "max-us/change")
-	per(b, float64(totalPushes(nodes)-base), len(samples)*count, "copies/entry")
-	links := 0
-	for _, n := range nodes {
-		links += len(n.peers)
-	}
-	per(b, float64(links), count, "sessions/entry")
-}
-
-func totalPushes(nodes []*spreadNode) int64 {
-	var total int64
+	var copies, calls, bytes, links float64
 	for _, n := range nodes {
-		total += n.pushes.Load()
+		copies += float64(n.copies.Load())
+		calls += float64(n.calls.Load())
+		bytes += float64(n.bytes.Load())
+		links += float64(len(n.peers))
 	}
-	return total
+	per(b, copies, len(samples)*count, "copies/entry")
+	per(b, calls, len(samples)*count, "calls/entry")
+	per(b, bytes, len(samples)*count, "in+out-B/entry")
+	per(b, links, count, "sessions/entry")
 }
--- a/internal/capacity/store_test.go
+++ b/internal/capacity/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,9 +16,11 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/standin/platform"
 )
 
 // fleet is the part of the entries of one data centre that calls the key-value service: configuration and ledger, with
@@ -276,3 +279,36 @@
 		b.Fatal("failed in virtual time")
 	}
 }
+
+// BenchmarkShardRecords gives the bytes and the time of one read of all shard records through the etcd JSON gateway of
+// the platform stand-in, which each entry does every ledger.RefreshInterval, against the number of shards.
+func BenchmarkShardRecords(b *testing.B) {
+	for _, shards := range []int{16, 256, 1024} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			store := memory.New(memory.Options{})
+			for i := range shards {
+				value := fmt.Sprintf(`{"owner":"entry-%04d","successor":"entry-%04d","epoch":7,"writer":"%016x-12"}`, i, i+1, i)
+				if _, err := store.CompareAndSwap(b.Context(), fmt.Sprintf("/fulmardoor/ledger/%d", i), []byte(value), 0, 0); err != nil {
+					b.Fatal(err)
+				}
+			}
+			p := platform.New(platform.Options{Store: store, Logger: zap.NewNop()})
+			defer p.Close()
+			l := listen(b)
+			var wire traffic
+			server := &http.Server{Handler: p}
+			go func() { _ = server.Serve(countedListener{l, &wire}) }()
+			defer func() { _ = server.Close() }()
+			client := etcdhttp.New("http://"+l.Addr().String(), &http.Client{}, time.Second)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				if pairs, _, err := client.List(b.Context(), "/fulmardoor/ledger/"); err != nil || len(pairs) != shards {
+					b.Fatal(len(pairs), err)
+				}
+				n++
+			}
+			per(b, float64(wire.sent.Load()+wire.received.Load()), n, "B/read")
+		})
+	}
+}
