ledger: a stopping owner names a successor before the handoff

Cause: an owner named no successor while it was alone, and the first one only 2 s after another entry process was seen. SIGTERM in that time left its shards without successor: the handoff skipped them until its limit, the process ended, and nobody may take over a shard whose record names no successor. Its accounts were refused with ledger_unavailable for good, with the platform up. The same held for a successor that was dead or stopping itself.

Now the stopping owner names a live successor first and another one after a refused handoff, and an owner without successor looks for one at once. Ruled out: a slow handoff (the limit of 3 s passed without a single handoff request).

Not covered: an owner without successor that is killed still leaves its shards without owner until a process of the same name starts.

--- a/internal/ledger/handoff.go
+++ b/internal/ledger/handoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,11 +24,14 @@
 	n.stateMu.Lock()
 	n.leaving = true
 	n.stateMu.Unlock()
+	refused := make(map[*shard]string)
 	for ctx.Err() == nil {
 		left := 0
 		for _, s := range n.shards {
+			n.ensureSuccessor(ctx, s, refused[s])
 			if !n.passOn(ctx, s) {
 				left++
+				refused[s] = s.successor()
 			}
 		}
 		if left == 0 {
@@ -38,6 +42,32 @@
 	return ErrNotHandedOff
 }
 
+// ensureSuccessor names another successor for a shard of a stopping node whose successor is missing, not alive or has
+// just not taken the shard. A shard that keeps such a successor has no owner once this process has ended. The higher epoch
+// makes the former successor's handoff invalid.
+func (n *Node) ensureSuccessor(ctx context.Context, s *shard, refused string) {
+	members := n.cfg.Members.Entries()
+	next := ""
+	begun := s.beginWrite(func() bool {
+		current := s.record.Successor
+		if !s.held || current != "" && current != refused && slices.Contains(members, current) {
+			return false
+		}
+		next = n.chooseSuccessor(s.number, members, current)
+		return next != "" && next != current
+	})
+	if begun {
+		n.nameSuccessor(ctx, s, next)
+	}
+}
+
+// successor returns the successor of the known record.
+func (s *shard) successor() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.Successor
+}
+
 // passOn tries once to hand off a shard and reports whether this node no longer has it.
 func (n *Node) passOn(ctx context.Context, s *shard) bool {
 	request, successor := n.prepareHandoff(s)
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -73,9 +73,10 @@
 	}
 }
 
-// successorSilent reports whether the successor has given no promise for replaceAfter. It is called with s.mu held.
+// successorSilent reports whether there is no successor, or none that gave a promise within replaceAfter. It is called with
+// s.mu held.
 func (s *shard) successorSilent(now time.Time) bool {
-	return now.Sub(later(s.namedAt, s.promiseUntil.Add(-PromiseTerm))) > replaceAfter
+	return s.record.Successor == "" || now.Sub(later(s.namedAt, s.promiseUntil.Add(-PromiseTerm))) > replaceAfter
 }
 
 // lapsed reports whether this node is the successor and may take over. It is called with s.mu held.
