entry: a short answer of a plain service that breaks off ends with a verdict

Cause: the head of the answer counted as sent to the caller as soon as its frame arrived. When the sidecar died between the head and the end of the call, the entry cut the caller's connection, although net/http had sent nothing yet. The caller got EOF: neither an answer nor a verdict.

Now up to 4 KB are held back until the call has ended. Ruled out: flushing the head at once, which would make the loss visible but still leave the caller without a verdict. Longer answers still end with a cut connection, as before.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
@@ -19,6 +20,9 @@
 const (
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyRepeat = "Idempotency-Repeat"
+	// maxHeldBytes is the part of an answer that is held back until the call has ended, so that a call which breaks in a
+	// short answer still ends with a verdict. net/http buffers about as much before it sends anything.
+	maxHeldBytes = 4 << 10
 )
 
 // serviceRequest is one call of a plain service.
@@ -27,6 +31,9 @@
 	route *configv1.Document_Route
 	work  *wirev1.HTTPWork
 	w     http.ResponseWriter
+	// head and held are the part of the answer that the caller does not have yet.
+	head *wirev1.HTTPHead
+	held []byte
 	// begun is set when bytes of the answer went to the caller.
 	begun bool
 }
@@ -135,12 +142,19 @@
 		},
 	}
 	s.e.events.Record("dispatched", s.name, u.name, field("call", call.FromWire(x.request.GetCall())))
+	s.head, s.held = nil, nil
 	outcome, err := x.run(s.ctx)
 	if err == nil {
 		err = outcomeError(outcome)
 	}
 	s.noteFailure(u.name, err)
-	return err
+	if err != nil {
+		return err
+	}
+	if err := s.sendHeld(); err != nil {
+		s.e.logger.Debug("answer not written", zap.String("request", s.name), zap.Error(err))
+	}
+	return nil
 }
 
 // choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host.
@@ -163,19 +177,34 @@
 	return byName(list, chosen[:1])[0], nil
 }
 
+// onFrame holds the beginning of the answer back and passes on what follows.
 func (s *serviceRequest) onFrame(frame *wirev1.Frame) error {
 	switch body := frame.GetBody().(type) {
 	case *wirev1.Frame_HttpHead:
+		s.head = body.HttpHead
+	case *wirev1.Frame_HttpBody:
+		s.held = append(s.held, body.HttpBody...)
+		if s.begun || len(s.held) > maxHeldBytes {
+			return s.sendHeld()
+		}
+	}
+	return nil
+}
+
+// sendHeld writes what is held back to the caller.
+func (s *serviceRequest) sendHeld() error {
+	if !s.begun && s.head != nil {
 		s.begun = true
-		for _, h := range body.HttpHead.GetHeaders() {
+		for _, h := range s.head.GetHeaders() {
 			s.w.Header().Add(h.GetName(), h.GetValue())
 		}
 		s.w.Header().Set(headerRequestID, s.name)
-		s.w.WriteHeader(int(body.HttpHead.GetStatus()))
-	case *wirev1.Frame_HttpBody:
-		if _, err := s.w.Write(body.HttpBody); err != nil {
-			return errors.Wrap(err, "write to caller")
-		}
+		s.w.WriteHeader(int(s.head.GetStatus()))
+	}
+	held := s.held
+	s.held = s.held[:0]
+	if _, err := s.w.Write(held); err != nil {
+		return errors.Wrap(err, "write to caller")
 	}
 	return nil
 }
