sidecar: probe a stalled engine with work that its role takes

Cause: the probe of a stalled engine was a prefill, which an engine in the decode role refuses, so a decode engine that was once judged stalled never came back into service. A sidecar that wakes from SIGSTOP judges its engine stalled, because it saw no token meanwhile.

The probe is now one token of output, or a short prefill if the engine refuses that; orders change the role of engines, so the role in the settings is not used. Ruled out: a probe that timed out (the engine worked, and answered each probe at once with "bad request").

Before: after SIGSTOP for 6 s a decode upstream was still stalled 40 s later.

--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -22,6 +22,7 @@
 	abortRetry     = 500 * time.Millisecond
 	// assumedPrefillSpeed in tokens per second is used until the engine's speed is learnt.
 	assumedPrefillSpeed = 10000
+	probeID             = "probe"
 	probePrompt         = "probe"
 	// minTokenLimit and tokenLimitGaps bound the wait for a token by time and by learnt gaps.
 	minTokenLimit  = 2 * time.Second
@@ -212,19 +213,29 @@
 // Stalled implements Upstream.
 func (u *ModelUpstream) Stalled() bool { return u.tracker.Stalled() }
 
-// Probe implements Upstream: a short prefill must end.
+// Probe implements Upstream: the engine must generate one token, or process a short prompt if it takes no decodes. Orders
+// change the role of engines, so both are tried.
 func (u *ModelUpstream) Probe(ctx context.Context) error {
-	result, err := u.cfg.Engine.Prefill(ctx, "probe", &wirev1.PrefillWork{Model: u.cfg.Model, Prompt: probePrompt})
+	work := &wirev1.DecodeWork{Model: u.cfg.Model, Prompt: probePrompt, MaxTokens: 1}
+	_, err := u.cfg.Engine.Decode(ctx, probeID, work, func(string) error { return nil })
+	if err != nil && ctx.Err() == nil {
+		err = u.probePrefill(ctx)
+	}
 	if err != nil {
 		return errors.Wrap(err, "probe")
 	}
-	if err := u.cfg.Engine.Release(ctx, result.Handle.GetHandle()); err != nil {
-		return errors.Wrap(err, "release probe")
-	}
 	u.tracker.Recovered()
 	return nil
 }
 
+func (u *ModelUpstream) probePrefill(ctx context.Context) error {
+	result, err := u.cfg.Engine.Prefill(ctx, probeID, &wirev1.PrefillWork{Model: u.cfg.Model, Prompt: probePrompt})
+	if err != nil {
+		return err
+	}
+	return u.cfg.Engine.Release(ctx, result.Handle.GetHandle())
+}
+
 // Order implements Upstream.
 func (u *ModelUpstream) Order(ctx context.Context, fencingNumber uint64, order *wirev1.EngineOrder) error {
 	return u.cfg.Engine.Order(ctx, engine.Order{FencingNumber: fencingNumber, Engine: order})
