entry: open no session before the process is set up

Cause: the member table dialled the other entry processes when it was created, before configuration and ledger were set. A heartbeat that arrived in between called a method of a nil node, and the process ended with a nil pointer panic at its start. Sessions now start last in New.

The order of the assignments in New explains it; the panic was not reproduced on purpose.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,16 +90,18 @@
 		idle:      make(chan struct{}),
 	}
 	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
-	e.members = newMemberTable(e.hello, cfg.Settings.GetCallers().GetEntries(), cfg.Connector, e.Options(), cfg.Logger)
+	e.members = newMemberTable(e.hello, cfg.Connector, e.Options(), cfg.Logger)
 	e.conf = confsync.New(confsync.Config{
 		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: cfg.Store,
 		Members: configMembers{e.members}, Peers: configPeers{e.members, e.upstreams}, Logger: cfg.Logger,
 	})
-	e.conf.Subscribe(e.applySnapshot)
 	e.ledger = ledger.New(ledger.Config{
 		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: cfg.Store,
 		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Logger: cfg.Logger,
 	})
+	// Sessions use everything above, so none is opened before.
+	e.conf.Subscribe(e.applySnapshot)
+	e.members.start(cfg.Settings.GetCallers().GetEntries())
 	return e
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -49,15 +49,20 @@
 }
 
 func newMemberTable(
-	self *wirev1.Hello, addresses string, connector transport.Connector, opts *transport.Options, logger *zap.Logger,
+	self *wirev1.Hello, connector transport.Connector, opts *transport.Options, logger *zap.Logger,
 ) *memberTable {
-	t := &memberTable{self: self, connector: connector, opts: opts, logger: logger, byAddress: make(map[string]*member)}
+	return &memberTable{self: self, connector: connector, opts: opts, logger: logger, byAddress: make(map[string]*member)}
+}
+
+// start connects to the processes that the settings name. Their streams and heartbeats may arrive from then on.
+func (t *memberTable) start(addresses string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for address := range strings.SplitSeq(addresses, ",") {
-		if address = strings.TrimSpace(address); address != "" && address != self.GetAddress() {
+		if address = strings.TrimSpace(address); address != "" && address != t.self.GetAddress() {
 			t.byAddress[address] = t.connect(address, true)
 		}
 	}
-	return t
 }
 
 func (t *memberTable) connect(address string, fixed bool) *member {
