ledger: take over shards whose owner is gone and had no successor

Cause: an owner that dies before it has named a successor leaves a record that nobody may take over, until a process of the same name starts. Its accounts are refused with ledger_unavailable, with the platform up.

Without a successor there are no promises: only reads of the record confirm the owner. So the best placed member may take the shard over by compare-and-swap when the owner has not been alive for PromiseTerm, with the usual wait before the first grant, which outlasts every confirmation. Ruled out: the same for a record with a successor, whose promise may confirm an owner that the others do not hear; that still needs a statement that both are gone (Config.Gone, which is not wired).

Before: an entry process killed about a second after its start left the other one refusing every request for 40 s.

--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -137,6 +137,10 @@
 
 	// Successor.
 	promisedUntil time.Time
+
+	// Others.
+	attended     time.Time // when the duties of this node were last decided
+	ownerMissing time.Time // since when a shard without successor has had no live owner; zero while it has one
 }
 
 // New returns a node. Run must be called for it to own shards and to settle charges.
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -68,6 +68,8 @@
 		return confirmed < readBelow || s.successorSilent(now) && now.Sub(s.readUntil.Add(-PromiseTerm)) >= renewInterval
 	case s.revision == 0 || s.record.Owner == self:
 		return true
+	case s.record.Successor == "":
+		return now.Sub(s.attended) >= renewInterval
 	default:
 		return s.lapsed(self, now)
 	}
@@ -96,6 +98,8 @@
 	}
 	self := n.cfg.Self
 	now := time.Now()
+	s.attended = now
+	abandoned := n.abandoned(s, members, now)
 	switch {
 	case s.held && !s.stopped:
 		if next, ok := n.otherSuccessor(s, members, now); ok {
@@ -108,7 +112,7 @@
 			s.writing = true
 			go n.takeOver(ctx, s, n.chooseSuccessor(s.number, members, ""), true)
 		}
-	case s.record.Owner == self, s.lapsed(self, now), n.orphaned(s, members):
+	case s.record.Owner == self, s.lapsed(self, now), n.orphaned(s, members), abandoned:
 		s.writing = true
 		go n.takeOver(ctx, s, n.chooseSuccessor(s.number, members, s.record.Owner), false)
 	}
@@ -124,6 +128,20 @@
 	return len(members) > 0 && ranked(members, s.number)[0] == n.cfg.Self
 }
 
+// abandoned reports whether a shard without successor has had no live owner for PromiseTerm and this node is the best
+// placed member. Only reads of the record confirm such an owner, so the wait after a takeover covers one that is alive but
+// not heard. It is called with s.mu held.
+func (n *Node) abandoned(s *shard, members []string, now time.Time) bool {
+	if s.revision == 0 || s.record.Successor != "" || slices.Contains(members, s.record.Owner) {
+		s.ownerMissing = time.Time{}
+		return false
+	}
+	if s.ownerMissing.IsZero() {
+		s.ownerMissing = now
+	}
+	return now.Sub(s.ownerMissing) >= PromiseTerm && len(members) > 0 && ranked(members, s.number)[0] == n.cfg.Self
+}
+
 // chooseSuccessor returns the best placed member besides this node; avoid is chosen only if there is no other.
 func (n *Node) chooseSuccessor(shard uint32, members []string, avoid string) string {
 	fallback := ""
