entry: no key in the log line of a refusal

Cause: the line "request refused" quotes what the caller sent, such as an unknown path or model. A caller that put its key there found it in the log of the entry process. Events were clean, because their recorder redacts texts.

The detail is now redacted as in events, and the redaction knows the prefix of the router's own keys: a random key without a digit did not look like a key. The caller still gets the detail unchanged.

Before: the process test found the key in the logs of both entry processes. After: in no log at level debug, event, metric, page for operators or request to an upstream.

--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/openai"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -47,8 +48,9 @@
 	reason := verdict.ReasonName(refusal.Reason)
 	e.events.Record("refused", requestID, "", field("reason", reason), field("verdict", refusal.Verdict))
 	e.metrics.Refused(reason, refusal.Verdict.String())
+	// The detail can quote what the caller sent, and a caller may have put a key in the wrong place.
 	e.logger.Info("request refused", zap.String("request", requestID), zap.String("reason", reason),
-		zap.Stringer("verdict", refusal.Verdict), zap.String("detail", refusal.Detail))
+		zap.Stringer("verdict", refusal.Verdict), zap.String("detail", events.Redact(refusal.Detail)))
 }
 
 // readBody reads a request body within the limit.
--- a/internal/events/redact.go
+++ b/internal/events/redact.go
@@ -25,8 +25,8 @@
 )
 
 var (
-	// credentials matches the value of an Authorization header and keys with the usual prefix.
-	credentials = regexp.MustCompile(`(?i)\b(bearer|basic)\s+[^\s"',;]+|\bsk-[A-Za-z0-9_-]{8,}`)
+	// credentials matches the value of an Authorization header and keys with the prefix of this or of other systems.
+	credentials = regexp.MustCompile(`(?i)\b(bearer|basic)\s+[^\s"',;]+|\bsk-[A-Za-z0-9_-]{8,}|fd_[A-Za-z0-9_-]{8,}`)
 	// wordRuns matches the texts that may be keys as a whole.
 	wordRuns = regexp.MustCompile(`[A-Za-z0-9_~+/=-]+`)
 )
@@ -67,6 +67,9 @@
 	return false
 }
 
+// Redact returns a text for a log line: without keys, of valid UTF-8 and at most MaxTextBytes long.
+func Redact(text string) string { return cleanText(text) }
+
 // cleanText returns a text without keys, of valid UTF-8, which protobuf strings need, and at most MaxTextBytes long. It
 // is cut last, so that no cut key passes as harmless.
 func cleanText(text string) string {
@@ -96,7 +99,7 @@
 
 func mayHoldCredentials(text string) bool {
 	lower := strings.ToLower(text)
-	return strings.Contains(lower, "sk-") || strings.Contains(lower, "bearer") || strings.Contains(lower, "basic")
+	return strings.Contains(lower, "sk-") || strings.Contains(lower, "fd_") || strings.Contains(lower, "bearer") || strings.Contains(lower, "basic")
 }
 
 // run counts the characters of a text without gaps.
