--- a/internal/processtest/deployment_test.go
+++ b/internal/processtest/deployment_test.go
@@ -23,6 +23,8 @@
 const (
 	team          = "kilimo"
 	operatorToken = "operator-of-the-process-tests"
+	// maxBodyBytes is small enough for the buffers of a connection, so that a client can send a body that is refused.
+	maxBodyBytes = 64 << 10
 )
 
 // deployment is a set of processes that belong together.
@@ -56,6 +58,7 @@
 	address          string // of the upstream
 	peers            string // of the sidecar
 	declared         string // address in the document: the sidecar's, or that of a relay
+	reached          string // address at which the sidecar reaches the upstream
 	config           string
 	arguments        []string
 }
@@ -64,7 +67,7 @@
 type shape struct {
 	entries                   int
 	prefill, decode, services int
-	// relays puts a relay in front of each sidecar.
+	// relays puts a relay in front of each sidecar, and one between each sidecar and its upstream.
 	relays bool
 	// latency is the time of each call of the plain services.
 	latency time.Duration
@@ -141,15 +144,16 @@
 
 func (d *deployment) addUpstream(name, pool, role string, places int, relayed bool) *upstreamHost {
 	u := &upstreamHost{name: name, pool: pool, role: role, address: freeAddress(d.t), peers: freeAddress(d.t)}
-	u.declared = u.peers
+	u.declared, u.reached = u.peers, u.address
 	if relayed {
-		u.declared = startRelay(d.t, u.peers).address
+		u.declared, u.reached = startRelay(d.t, u.peers).address, startRelay(d.t, u.address).address
 	}
 	var text ini
-	text.section("process", "name", "sidecar-"+name, "host", "host-"+name, "data_centre", "Kariakoo")
+	text.section("process", "name", "sidecar-"+name, "host", "host-"+name, "data_centre", "Kariakoo",
+		"log_level", "debug")
 	text.section("peers", "listen", u.peers)
 	text.section("platform", "store_url", d.storeURL)
-	text.section("upstream", "name", name, "url", "http://"+u.address, "pool", pool, "role", role,
+	text.section("upstream", "name", name, "url", "http://"+u.reached, "pool", pool, "role", role,
 		"places", fmt.Sprint(places))
 	text.section("admin", "listen", freeAddress(d.t))
 	u.config = d.write("sidecar-"+name+".ini", text.String())
@@ -189,10 +193,12 @@
 	}
 	e := d.entries[number]
 	var text ini
-	text.section("process", "name", e.name, "host", "host-"+e.name, "data_centre", "Kariakoo")
+	text.section("process", "name", e.name, "host", "host-"+e.name, "data_centre", "Kariakoo",
+		"log_level", "debug")
 	text.section("peers", "listen", e.peers)
 	text.section("platform", "store_url", d.storeURL)
-	text.section("callers", "listen", e.callers, "entries", strings.Join(peers, ","), "drain_delay", "1s")
+	text.section("callers", "listen", e.callers, "entries", strings.Join(peers, ","), "drain_delay", "1s",
+		"max_body_bytes", fmt.Sprint(maxBodyBytes))
 	text.section("admin", "listen", e.admin, "operators", "tests:"+keys.Hash(operatorToken)+":*")
 	e.config = d.write(e.name+".ini", text.String())
 	return e
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,6 +53,22 @@
 	<-p.done
 }
 
+// freeze stops the process with SIGSTOP and returns when all its threads stand still.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(p.t, p.name+" is frozen", func() string {
+		threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		for _, thread := range threads {
+			text, err := os.ReadFile(thread)
+			if state := string(text); err == nil && !strings.HasPrefix(state[strings.LastIndex(state, ")")+1:], " T") {
+				return state
+			}
+		}
+		return ""
+	})
+}
+
 func (p *process) ended() bool {
 	select {
 	case <-p.done:
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -18,6 +18,9 @@
 	links map[*link]struct{}
 	// trigger makes the relay deaf once it has passed on a request that contains all of it.
 	trigger []string
+	// requests is everything that was passed on to the target, if record is set.
+	requests bytes.Buffer
+	record   bool
 	// deaf drops all answers, also on new connections.
 	deaf bool
 }
@@ -126,12 +129,29 @@
 func (r *relay) requestPassed(data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.record {
+		r.requests.Write(data)
+	}
 	missing := func(text string) bool { return !bytes.Contains(data, []byte(text)) }
 	if len(r.trigger) > 0 && !slices.ContainsFunc(r.trigger, missing) {
 		r.deaf = true
 	}
 }
 
+// startRecording keeps what is passed on to the target from now on.
+func (r *relay) startRecording() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record = true
+}
+
+// recorded returns what was passed on to the target.
+func (r *relay) recorded() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return bytes.Clone(r.requests.Bytes())
+}
+
 func (r *relay) isDeaf() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/processtest/streams_test.go
+++ b/internal/processtest/streams_test.go
@@ -144,7 +144,7 @@
 	d.waitWhole(load, 20)
 	frozen := []*process{d.find("ledger-0").sidecar, d.find("decode-0").sidecar}
 	for _, p := range frozen {
-		p.signal(syscall.SIGSTOP)
+		p.freeze()
 	}
 	time.Sleep(pauseTime)
 	for _, p := range frozen {
