bench, places: count lost calls apart; refuse nothing for times not yet learnt

The few refusals at half load came from the guess of 1 ms a token before the first prefill had finished.

--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -45,6 +45,8 @@
 	load       Load
 
 	Offered, WithinRate, Completed, Good, Cancelled int
+	// Lost counts calls whose entry died.
+	Lost int
 	// RefusedWithinRate counts calls within rate that did not get their answer, by reason.
 	RefusedWithinRate map[string]int
 	Retried           map[string]int
@@ -109,6 +111,8 @@
 		}
 	case errors.Is(err, errCancelled):
 		r.Cancelled++
+	case errors.Is(err, errEntryDied):
+		r.Lost++
 	case d.conforms && verdict.As(err).Reason != wirev1.Reason_REASON_RATE_EXCEEDED:
 		r.RefusedWithinRate[causeOf(err)]++
 	}
@@ -238,8 +242,8 @@
 
 // String returns one row of the table.
 func (r *Result) String() string {
-	return fmt.Sprintf("goodput %5.3f  wasted %6.2f%%  repeated %5.2f%%  worst %5.3f  refused %6.2f%%  first p50 %5.2fs p95 %5.2fs  late %d  busy %.2f held %.2f  %s",
-		r.Goodput(), 100*r.WastedShare(), 100*r.RepeatedShare(), r.WorstServed(), 100*r.RefusedShare(),
+	return fmt.Sprintf("goodput %5.3f  wasted %6.2f%%  repeated %5.2f%%  worst %5.3f  refused %6.2f%%  lost %3d  first p50 %5.2fs p95 %5.2fs  late %d  busy %.2f held %.2f  %s",
+		r.Goodput(), 100*r.WastedShare(), 100*r.RepeatedShare(), r.WorstServed(), 100*r.RefusedShare(), r.Lost,
 		r.percentile(0.5).Seconds(), r.percentile(0.95).Seconds(), r.Late, r.Busy, r.Held, r.causes())
 }
 
--- a/internal/places/estimate.go
+++ b/internal/places/estimate.go
@@ -218,8 +218,12 @@
 	return sum / total * maxRatio / ratioBins
 }
 
-// holdSeconds returns the expected time that work holds a place.
+// holdSeconds returns the expected time that work holds a place; 0 if nothing was learnt about such work, so that nothing
+// is refused for a guess.
 func (e *estimator) holdSeconds(units float64, tokens bool) float64 {
+	if !tokens && e.unitSeconds == 0 {
+		return 0
+	}
 	hold := units * e.meanRatio() * e.unitTime(tokens)
 	if tokens {
 		hold += e.startSeconds
