scheduler, bench: quote again after a wait, avoid failed upstreams only while others serve

A quote that is older than the wait for the decode place sent prefills to engines that had filled up since: the mean wait for a prefill place was 0.20 s of a 0.07 s prefill, held by a decode place.

--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -55,6 +56,17 @@
 	return a.fleet.find(quote.Candidate.Upstream), nil
 }
 
+// requoteWait is the wait for a decode place after which the prefill quote is too old to use.
+const requoteWait = 50 * time.Millisecond
+
+// refreshPrefill chooses the prefill engine again if the wait for the decode place was long.
+func (a *attempt) refreshPrefill(prefill *sidecar, since time.Time) (*sidecar, error) {
+	if a.policy.Choice != ChooseScheduler || time.Since(since) < requoteWait {
+		return prefill, nil
+	}
+	return a.choosePrefill()
+}
+
 // naiveChoice takes the next upstream in turn, or the one with the least reported load.
 func (a *attempt) naiveChoice(candidates []scheduler.Candidate, role wirev1.EngineRole) *sidecar {
 	var usable []scheduler.Candidate
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,37 +124,55 @@
 // Prefill returns up to PrefillQuotes prefill candidates to quote: two that the prompt's first block prefers, and the
 // better of two random ones by load.
 func (s *Scheduler) Prefill(req *Request, candidates []Candidate) []Candidate {
-	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_PREFILL)
-	var chosen []Candidate
-	if len(req.BlockHashes) > 0 {
-		chosen = s.affinity.Pick(req, candidates, filter, affinityQuotes)
-	}
-	rest := exceptFilter{filter, chosen}
-	return append(chosen, s.prefill.Pick(req, candidates, rest, PrefillQuotes-len(chosen))...)
+	return s.choose(wirev1.EngineRole_ENGINE_ROLE_PREFILL, func(filter Filter) []Candidate {
+		var chosen []Candidate
+		if len(req.BlockHashes) > 0 {
+			chosen = s.affinity.Pick(req, candidates, filter, affinityQuotes)
+		}
+		rest := exceptFilter{filter, chosen}
+		return append(chosen, s.prefill.Pick(req, candidates, rest, PrefillQuotes-len(chosen))...)
+	})
 }
 
 // Decode returns up to Config.DecodeReservations decode candidates to ask for a reservation, best first.
 func (s *Scheduler) Decode(req *Request, candidates []Candidate) []Candidate {
-	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_DECODE)
-	return s.decode.Pick(req, candidates, filter, s.config.DecodeReservations)
+	return s.choose(wirev1.EngineRole_ENGINE_ROLE_DECODE, func(filter Filter) []Candidate {
+		return s.decode.Pick(req, candidates, filter, s.config.DecodeReservations)
+	})
 }
 
 // Service returns up to ServiceChoices upstreams of a plain service, best first.
 func (s *Scheduler) Service(req *Request, candidates []Candidate) []Candidate {
-	return s.service.Pick(req, candidates, s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE), ServiceChoices)
+	return s.choose(wirev1.EngineRole_ENGINE_ROLE_SERVICE, func(filter Filter) []Candidate {
+		return s.service.Pick(req, candidates, filter, ServiceChoices)
+	})
 }
 
-// ServiceByKey returns the upstream that every process with the same candidates chooses for an idempotency key.
+// ServiceByKey returns the upstream that every process with the same candidates chooses for an idempotency key. It does
+// not avoid an upstream that this process saw fail, because other processes would not.
 func (s *Scheduler) ServiceByKey(key uint64, req *Request, candidates []Candidate) (Candidate, bool) {
 	keyed := Request{Model: req.Model, BlockHashes: []uint64{key}}
-	chosen := s.affinity.Pick(&keyed, candidates, s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE), 1)
+	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	filter.learnt = nil
+	chosen := s.affinity.Pick(&keyed, candidates, filter, 1)
 	if len(chosen) == 0 {
 		return Candidate{}, false
 	}
 	return chosen[0], true
 }
 
-func (s *Scheduler) filter(role wirev1.EngineRole) Filter {
+// choose picks without the upstreams that have just failed, and with them if there are no others.
+func (s *Scheduler) choose(role wirev1.EngineRole, pick func(Filter) []Candidate) []Candidate {
+	filter := s.filter(role)
+	chosen := pick(filter)
+	if len(chosen) > 0 {
+		return chosen
+	}
+	filter.learnt = nil
+	return pick(filter)
+}
+
+func (s *Scheduler) filter(role wirev1.EngineRole) *servingFilter {
 	return &servingFilter{role: role, maxAge: s.config.MaxLoadAge, learnt: s.learnt, now: time.Now()}
 }
 
@@ -162,6 +180,7 @@
 type servingFilter struct {
 	role   wirev1.EngineRole
 	maxAge time.Duration
+	// learnt knows the upstreams that have just failed; nil to keep those too.
 	learnt *learnt
 	now    time.Time
 }
@@ -173,7 +192,7 @@
 	if c.Load == nil || !c.Load.Accepting || c.Load.Stalled {
 		return false
 	}
-	return !f.learnt.avoided(c.Upstream, f.now)
+	return f.learnt == nil || !f.learnt.avoided(c.Upstream, f.now)
 }
 
 // exceptFilter drops candidates that were chosen already.
