scheduler, bench: import again from a kept export after a stalled transfer

The transfer's limit (250 ms) is well below the eviction (800 ms), so the result can go to another decode engine.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -245,12 +245,23 @@
 	return x, uncached, nil
 }
 
-// decode takes the decode place, transfers the KV cache and streams.
+// decode takes the decode place, transfers the KV cache and streams. After a stalled transfer it takes another place as
+// long as the export is kept, which saves the prefill.
 func (a *attempt) decode(ctx context.Context, x *export, h *held) error {
 	h, err := a.place(ctx, x, h)
-	if err != nil {
-		return err
+	for err == nil {
+		err = a.stream(ctx, x, h)
+		if !errors.Is(err, errTransfer) || !time.Now().Before(x.until) {
+			return err
+		}
+		a.scheduler.ObserveTransferFailure(x.dataCentre, h.sidecar.dataCentre)
+		h, err = a.placeBefore(ctx, x, h)
 	}
+	return err
+}
+
+// stream imports the KV cache at a decode place, streams, and frees the place.
+func (a *attempt) stream(ctx context.Context, x *export, h *held) error {
 	defer a.release(h)
 	ctx, done := h.sidecar.stream(ctx)
 	defer done()
@@ -260,7 +271,7 @@
 	deployment := a.fleet.deployment
 	delay := deployment.latency(a.dataCentre, h.sidecar.dataCentre) + deployment.ClientHop
 	start := a.delivered.tokens
-	err = h.sidecar.decode.decode(ctx, a.call.Output-start, func(n int) {
+	err := h.sidecar.decode.decode(ctx, a.call.Output-start, func(n int) {
 		if a.delivered.tokens == 0 {
 			a.delivered.first = time.Since(a.arrived) + delay
 			a.observeFirstToken()
--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -221,11 +221,11 @@
 	if a.policy.Reserve == ReserveAtArrival {
 		return h, nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.until)
-	defer cancel()
 	if h == nil {
-		return a.placeNow(ctx, x, nil)
+		return a.placeBefore(ctx, x, nil)
 	}
+	ctx, cancel := context.WithDeadline(ctx, x.until)
+	defer cancel()
 	answers := make(chan answer, 2)
 	go func() {
 		time.Sleep(a.fleet.deployment.latency(a.dataCentre, h.sidecar.dataCentre))
@@ -260,6 +260,13 @@
 	return nil, last
 }
 
+// placeBefore is placeNow with the eviction as its limit.
+func (a *attempt) placeBefore(ctx context.Context, x *export, except *held) (*held, error) {
+	ctx, cancel := context.WithDeadline(ctx, x.until)
+	defer cancel()
+	return a.placeNow(ctx, x, except)
+}
+
 // placeNow asks for an immediate place until the export is evicted.
 func (a *attempt) placeNow(ctx context.Context, x *export, except *held) (*held, error) {
 	h, err := a.reserveFirst(ctx, a.decodeTargets(except), a.decodeRequest(0, time.Until(x.until)))
--- a/internal/scheduler/learnt.go
+++ b/internal/scheduler/learnt.go
@@ -38,7 +38,8 @@
 type linkRecord struct {
 	tokenSeconds float64
 	// pending is the number of prompt tokens that this process has under way.
-	pending int
+	pending    int
+	avoidUntil time.Time
 }
 
 // learnt holds the learnt estimates.
@@ -135,7 +136,11 @@
 	if perToken == 0 {
 		perToken = defaultTransferSeconds
 	}
-	return float64(tokens+r.pending) * perToken
+	seconds := float64(tokens+r.pending) * perToken
+	if time.Now().Before(r.avoidUntil) {
+		seconds += avoidTime.Seconds()
+	}
+	return seconds
 }
 
 // ObservePrefill learns the speed of an upstream from a finished prefill of tokens that were not cached.
@@ -167,6 +172,13 @@
 	r.pending = max(0, r.pending-tokens)
 }
 
+// ObserveTransferFailure keeps a link on which a transfer stalled from being chosen for a second, if others serve.
+func (s *Scheduler) ObserveTransferFailure(from, to string) {
+	s.learnt.mu.Lock()
+	defer s.learnt.mu.Unlock()
+	s.learnt.linkLocked(from, to).avoidUntil = time.Now().Add(avoidTime)
+}
+
 // ObserveTransfer learns the rate of a link from a finished transfer of a prompt's KV cache.
 func (s *Scheduler) ObserveTransfer(from, to string, tokens int, elapsed time.Duration) {
 	if tokens <= 0 {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -138,6 +138,10 @@
 			s.StartTransfer("Fukuoka", "Kumamoto", 1e6)
 			c.DataCentre = "Kumamoto"
 		},
+		"stalled link": func(s *Scheduler, c *Candidate) {
+			s.ObserveTransferFailure("Fukuoka", "Kumamoto")
+			c.DataCentre = "Kumamoto"
+		},
 		"own choices": func(s *Scheduler, c *Candidate) {
 			for range 15 {
 				s.ObserveChoice(c.Upstream)
