--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -38,7 +38,7 @@
 func newEntry(ctx context.Context, f *fleet, p Policy, i int, l *ledger, r *Result, seed uint64) *entry {
 	e := &entry{fleet: f, policy: p, ledger: l, result: r, budget: retry.NewBudget()}
 	e.dataCentre = f.deployment.DataCentres[i%len(f.deployment.DataCentres)]
-	e.scheduler = scheduler.New(scheduler.Config{DataCentre: e.dataCentre, Random: rand.NewPCG(seed, uint64(i)), DecodeReservations: dTest})
+	e.scheduler = scheduler.New(scheduler.Config{DataCentre: e.dataCentre, Random: rand.NewPCG(seed, uint64(i))})
 	e.ctx, e.die = context.WithCancelCause(ctx)
 	return e
 }
@@ -316,5 +316,3 @@
 		return false
 	}
 }
-
-var dTest = 2
--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -180,6 +180,7 @@
 	defer cancel()
 	answers := make(chan answer, len(targets))
 	for _, s := range targets {
+		a.scheduler.ObserveChoice(s.name)
 		hop := a.fleet.deployment.latency(a.dataCentre, s.dataCentre)
 		go func() {
 			time.Sleep(hop)
@@ -198,7 +199,6 @@
 		if got.err == nil {
 			cancel()
 			go releaseRest(answers, len(targets)-i-1)
-			a.scheduler.ObserveChoice(got.held.sidecar.name)
 			return got.held, nil
 		}
 		last = got.err
--- a/internal/places/authority.go
+++ b/internal/places/authority.go
@@ -140,9 +140,7 @@
 		refusal.RetryAfter = a.waitEstimateLocked(w.account, w.priority)
 		a.queue.remove(w)
 		w.done = true
-		if gone {
-			a.learnt.decided(false)
-		}
+		a.learnt.decided(false)
 		a.lookLocked()
 		return nil, refusal
 	}
--- a/internal/scheduler/learnt.go
+++ b/internal/scheduler/learnt.go
@@ -193,7 +193,8 @@
 	r.pending = max(0, r.pending-tokens)
 }
 
-// ObserveChoice records that work was sent to an upstream, which its last report cannot show yet.
+// ObserveChoice records that an upstream was asked to take work, which its last report cannot show yet. It is called for
+// every reservation that is asked for: without it, all requests between two reports go to the same upstreams.
 func (s *Scheduler) ObserveChoice(upstream string) {
 	s.learnt.mu.Lock()
 	defer s.learnt.mu.Unlock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,8 +15,9 @@
 	PrefillQuotes = 3
 	// affinityQuotes is the number of them that are chosen by the prompt's first block.
 	affinityQuotes = 2
-	// DefaultDecodeReservations is the number of decode candidates asked at the same time; the first grant wins.
-	DefaultDecodeReservations = 2
+	// DefaultDecodeReservations is the number of decode candidates asked at the same time; the first grant wins. With 2,
+	// reports that lag leave some lists without requests that can still meet their target.
+	DefaultDecodeReservations = 4
 	// ServiceChoices is the number of upstreams of a plain service, the later ones for retries.
 	ServiceChoices = 3
 	// sampleSize limits the candidates that are scored for one choice. A sample also keeps entry processes with the same
