places: a ready request is expected to wait only behind other ready ones

The estimate counted the whole list, so a finished prefill whose place was lost was refused as hopeless by every engine. Prefill reservations of calls that hold a decode place are all of one priority: lower priority for late calls let decode places expire while they waited.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -182,6 +182,15 @@
 	return firstTokenTarget - 2*a.fleet.deployment.ClientHop - time.Since(a.arrived)
 }
 
+// prefillPriority puts broken streams first. The other calls hold a decode place already, so none of them should wait
+// longer than its turn.
+func (a *attempt) prefillPriority() int32 {
+	if a.delivered.tokens > 0 {
+		return 1
+	}
+	return 0
+}
+
 // priority puts broken streams first, and calls that can meet their target before those of their account that cannot.
 func (a *attempt) priority() int32 {
 	if a.delivered.tokens > 0 {
@@ -215,7 +224,7 @@
 		Account:    a.accounts,
 		CostTokens: uint64(uncached),
 		WaitMs:     uint32(max(0, a.limit()).Milliseconds()),
-		Priority:   a.priority(),
+		Priority:   a.prefillPriority(),
 	})
 	if err != nil {
 		return nil, 0, a.final(err)
--- a/internal/places/authority.go
+++ b/internal/places/authority.go
@@ -121,7 +121,7 @@
 	// A request that would wait too long is refused now, so that its caller can go elsewhere at once.
 	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
 	a.queue.remove(w)
-	if estimate := a.waitEstimateLocked(w.account, w.priority); estimate > wait+w.readyIn+a.config.LateLimit {
+	if estimate := a.waitEstimateLocked(w.account, w.priority, w.ready()); estimate > wait+w.readyIn+a.config.LateLimit {
 		refusal := verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "no place expected within %v", estimate.Round(time.Millisecond))
 		refusal.RetryAfter = estimate
 		return nil, refusal
@@ -137,7 +137,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !w.done {
-		refusal.RetryAfter = a.waitEstimateLocked(w.account, w.priority)
+		refusal.RetryAfter = a.waitEstimateLocked(w.account, w.priority, w.ready())
 		a.queue.remove(w)
 		w.done = true
 		a.learnt.decided(false)
--- a/internal/places/grant.go
+++ b/internal/places/grant.go
@@ -54,8 +54,8 @@
 	return margin >= a.learnt.confidence*math.Sqrt(variance)
 }
 
-// waitEstimateLocked returns the expected wait of a new request of an account and priority.
-func (a *Authority) waitEstimateLocked(account string, priority int32) time.Duration {
+// waitEstimateLocked returns the expected wait of a new request of an account and priority, ready now or later.
+func (a *Authority) waitEstimateLocked(account string, priority int32, ready bool) time.Duration {
 	now := time.Now()
 	free := a.config.Places - len(a.running) - len(a.granted)
 	if free > 0 && a.queue.len() == 0 {
@@ -71,7 +71,7 @@
 	}
 	// The first of the busy places ends after the mean remaining time divided by their number.
 	seconds /= places
-	a.queue.each(account, priority, func(w *waiter) {
+	a.queue.ahead(account, priority, ready, func(w *waiter) {
 		seconds += a.learnt.holdSeconds(w.units, w.tokens) * a.learnt.useShare / places
 	})
 	return time.Duration(seconds * float64(time.Second))
@@ -82,7 +82,7 @@
 func (a *Authority) WaitEstimate(account string) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.waitEstimateLocked(account, 0)
+	return a.waitEstimateLocked(account, 0, true)
 }
 
 // Load fills the fields of load that this package knows.
@@ -92,7 +92,7 @@
 	load.Places = uint32(a.config.Places)
 	load.PlacesFree = uint32(max(0, a.config.Places-len(a.running)-len(a.granted)))
 	load.Waiting = uint32(a.queue.len())
-	load.QueueMs = uint32(a.waitEstimateLocked("", 0).Milliseconds())
+	load.QueueMs = uint32(a.waitEstimateLocked("", 0, false).Milliseconds())
 	load.TokenGapMs = a.learnt.gapSeconds * 1000
 	load.Accepting = !a.draining && !a.stalled
 	load.Stalled = a.stalled
--- a/internal/places/queue.go
+++ b/internal/places/queue.go
@@ -206,16 +206,22 @@
 // maxIdleAccounts is the number of idle accounts that are kept without a look at their tags.
 const maxIdleAccounts = 64
 
-// each calls visit for the requests that are served before a new request of an account and priority; for all if account
-// is empty.
-func (l *fairList) each(account string, priority int32, visit func(*waiter)) {
+// ahead calls visit for the requests that are served before a new request of an account and priority that is ready now or
+// later; for all if account is empty.
+func (l *fairList) ahead(account string, priority int32, ready bool, visit func(*waiter)) {
 	limit := math.Inf(1)
+	first := func(w *waiter) bool {
+		return w.ready() || !ready
+	}
+	mine := func(w *waiter) bool {
+		return first(w) && (w.ready() != ready || w.priority >= priority)
+	}
 	if account != "" {
 		limit = l.virtual
 		if q := l.accounts[account]; q != nil {
 			limit = max(q.tag, l.virtual)
 			for _, w := range q.waiters {
-				if w.priority >= priority {
+				if mine(w) {
 					limit += w.cost
 				}
 			}
@@ -224,7 +230,8 @@
 	for name, q := range l.accounts {
 		tag := q.tag
 		for _, w := range q.waiters {
-			if tag > limit || (name == account && w.priority < priority) {
+			overtaken := name == account && !mine(w)
+			if !first(w) || overtaken || (tag > limit && w.ready() == ready) {
 				break
 			}
 			visit(w)
