--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -43,6 +43,7 @@
 	mu         sync.Mutex
 	deployment Deployment
 	load       Load
+	started    time.Time
 
 	Offered, WithinRate, Completed, Good, Cancelled int
 	// Lost counts calls whose entry died.
@@ -65,6 +66,7 @@
 	return &Result{
 		deployment:        d,
 		load:              load,
+		started:           time.Now(),
 		RefusedWithinRate: make(map[string]int),
 		Retried:           make(map[string]int),
 		Wasted:            make(map[string]int),
@@ -99,7 +101,10 @@
 	if d.conforms {
 		r.WithinRate++
 	}
-	r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
+	if time.Since(r.started) <= r.load.Duration {
+		// What is served after the last arrival would go to the accounts with the longest backlog.
+		r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
+	}
 	if d.tokens > 0 {
 		r.firsts = append(r.firsts, d.first)
 	}
--- a/internal/places/queue.go
+++ b/internal/places/queue.go
@@ -88,7 +88,7 @@
 // arrival.
 type fairList struct {
 	accounts map[string]*accountQueue
-	// virtual is the start tag of the request granted last.
+	// virtual is the least tag of a waiting account at the last grant.
 	virtual float64
 	// credit is the cost by which an account that used less than its share may run ahead of the others. Without it, an
 	// account within its share waits behind a large one whenever its requests come in a cluster.
@@ -120,7 +120,7 @@
 		l.accounts[w.account] = q
 	}
 	if len(q.waiters) == 0 {
-		q.tag = max(q.tag, l.virtual-l.credit)
+		q.tag = max(q.tag, l.now()-l.credit)
 	}
 	i := len(q.waiters)
 	for i > 0 && w.before(q.waiters[i-1]) {
@@ -132,6 +132,21 @@
 	l.size++
 }
 
+// now returns the virtual time: the least tag of the accounts that wait. Tags also fall, when a request used less than it
+// was charged, so the tag of the last grant would put an account that starts to wait behind one that has had more.
+func (l *fairList) now() float64 {
+	least := math.Inf(1)
+	for _, q := range l.accounts {
+		if len(q.waiters) > 0 {
+			least = min(least, q.tag)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return l.virtual
+	}
+	return least
+}
+
 // head returns the next request, or nil. A request that is ready now goes before those that are not: its prefill is done
 // and will be evicted, while the others lose only time. Its account pays for it like for any other.
 func (l *fairList) head() *waiter {
@@ -163,7 +178,7 @@
 // pop removes a granted request and charges its account.
 func (l *fairList) pop(w *waiter) {
 	q := l.accounts[w.account]
-	l.virtual = max(l.virtual, q.tag)
+	l.virtual = l.now()
 	q.tag += w.cost
 	l.meanCost += (w.cost - l.meanCost) * costWeight
 	l.credit = l.meanCost * float64(l.creditRequests)
@@ -217,9 +232,9 @@
 		return first(w) && (w.ready() != ready || w.priority >= priority)
 	}
 	if account != "" {
-		limit = l.virtual
+		limit = l.now() - l.credit
 		if q := l.accounts[account]; q != nil {
-			limit = max(q.tag, l.virtual)
+			limit = max(limit, q.tag)
 			for _, w := range q.waiters {
 				if mine(w) {
 					limit += w.cost
