--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -38,7 +38,7 @@
 func newEntry(ctx context.Context, f *fleet, p Policy, i int, l *ledger, r *Result, seed uint64) *entry {
 	e := &entry{fleet: f, policy: p, ledger: l, result: r, budget: retry.NewBudget()}
 	e.dataCentre = f.deployment.DataCentres[i%len(f.deployment.DataCentres)]
-	e.scheduler = scheduler.New(scheduler.Config{DataCentre: e.dataCentre, Random: rand.NewPCG(seed, uint64(i)), DecodeReservations: dTest})
+	e.scheduler = scheduler.New(scheduler.Config{DataCentre: e.dataCentre, Random: rand.NewPCG(seed, uint64(i))})
 	e.ctx, e.die = context.WithCancelCause(ctx)
 	return e
 }
@@ -137,11 +137,15 @@
 	}
 	var decode *held
 	if a.policy.Reserve == ReservePromise || a.policy.Reserve == ReserveAtArrival {
+		asked := time.Now()
 		decode, err = a.reserveDecode(ctx)
 		if err != nil {
 			return err
 		}
 		defer a.release(decode)
+		if prefill, err = a.refreshPrefill(prefill, asked); err != nil {
+			return err
+		}
 	}
 	x, cost, err := a.prefill(ctx, prefill, decode)
 	if err != nil {
@@ -178,6 +182,15 @@
 	return firstTokenTarget - 2*a.fleet.deployment.ClientHop - time.Since(a.arrived)
 }
 
+// prefillPriority puts broken streams first. The other calls hold a decode place already, so none of them should wait
+// longer than its turn.
+func (a *attempt) prefillPriority() int32 {
+	if a.delivered.tokens > 0 {
+		return 1
+	}
+	return 0
+}
+
 // priority puts broken streams first, and calls that can meet their target before those of their account that cannot.
 func (a *attempt) priority() int32 {
 	if a.delivered.tokens > 0 {
@@ -211,7 +224,7 @@
 		Account:    a.accounts,
 		CostTokens: uint64(uncached),
 		WaitMs:     uint32(max(0, a.limit()).Milliseconds()),
-		Priority:   a.priority(),
+		Priority:   a.prefillPriority(),
 	})
 	if err != nil {
 		return nil, 0, a.final(err)
@@ -228,9 +241,9 @@
 	x, err := s.prefill.prefill(ctx, s.dataCentre, a.request.PromptTokens, a.call.Blocks)
 	elapsed := time.Since(begun)
 	if err != nil {
-		done := min(uncached, int(elapsed.Seconds()*s.prefill.speed))
+		done := min(uncached, int(elapsed.Seconds()*s.prefill.speed/prefillPlaces))
 		a.result.prefilled(done)
-		a.scheduler.ObserveFailure(s.name)
+		a.observeFailure(ctx, s)
 		return nil, done, err
 	}
 	a.result.prefilled(uncached)
@@ -241,12 +254,23 @@
 	return x, uncached, nil
 }
 
-// decode takes the decode place, transfers the KV cache and streams.
+// decode takes the decode place, transfers the KV cache and streams. After a stalled transfer it takes another place as
+// long as the export is kept, which saves the prefill.
 func (a *attempt) decode(ctx context.Context, x *export, h *held) error {
 	h, err := a.place(ctx, x, h)
-	if err != nil {
-		return err
+	for err == nil {
+		err = a.stream(ctx, x, h)
+		if !errors.Is(err, errTransfer) || !time.Now().Before(x.until) {
+			return err
+		}
+		a.scheduler.ObserveTransferFailure(x.dataCentre, h.sidecar.dataCentre)
+		h, err = a.placeBefore(ctx, x, h)
 	}
+	return err
+}
+
+// stream imports the KV cache at a decode place, streams, and frees the place.
+func (a *attempt) stream(ctx context.Context, x *export, h *held) error {
 	defer a.release(h)
 	ctx, done := h.sidecar.stream(ctx)
 	defer done()
@@ -256,7 +280,7 @@
 	deployment := a.fleet.deployment
 	delay := deployment.latency(a.dataCentre, h.sidecar.dataCentre) + deployment.ClientHop
 	start := a.delivered.tokens
-	err = h.sidecar.decode.decode(ctx, a.call.Output-start, func(n int) {
+	err := h.sidecar.decode.decode(ctx, a.call.Output-start, func(n int) {
 		if a.delivered.tokens == 0 {
 			a.delivered.first = time.Since(a.arrived) + delay
 			a.observeFirstToken()
@@ -266,11 +290,20 @@
 		h.reservation.Progress(a.delivered.tokens - start)
 	})
 	if err != nil {
-		a.scheduler.ObserveFailure(h.sidecar.name)
+		a.observeFailure(ctx, h.sidecar)
 	}
 	return err
 }
 
+// observeFailure tells the scheduler of an upstream that failed, unless the caller or the entry ended the call.
+func (a *attempt) observeFailure(ctx context.Context, s *sidecar) {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errCancelled) || errors.Is(cause, errEntryDied) {
+		return
+	}
+	a.scheduler.ObserveFailure(s.name)
+}
+
 // transfer imports the KV cache at a decode engine.
 func (a *attempt) transfer(ctx context.Context, x *export, s *sidecar) error {
 	link := a.fleet.link(x.dataCentre, s.dataCentre)
@@ -292,5 +325,3 @@
 		return false
 	}
 }
-
-var dTest = 2
