entry: requests wait for the retry budget instead of ending when it is empty

Ruled out: lost places. Change: when the table permits a retry and the budget is empty, the request waits for room while its first token can be in time (services: while younger than 2 s). The rate of retries stays bounded by the budget.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -134,6 +134,11 @@
 	if refusal.Reason != wirev1.Reason_REASON_NO_UPSTREAM || refusal.Verdict != verdict.NotRun {
 		return false
 	}
+	return c.worthWaiting()
+}
+
+// worthWaiting reports whether the first token can still be in time, or the gap in the stream is still short.
+func (c *completion) worthWaiting() bool {
 	if len(c.delivered) > 0 {
 		return time.Since(c.lastToken) < continueLimit
 	}
@@ -148,7 +153,7 @@
 	if retry.Decide(refusal.Verdict, true, len(c.delivered) > 0, true) == retry.GiveUp {
 		return false
 	}
-	return c.e.budget.Allow()
+	return c.awaitBudget(c.worthWaiting)
 }
 
 func (c *completion) endCause(err error) error {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -92,6 +92,17 @@
 	r.chargeID = nil
 }
 
+// awaitBudget waits for room in the retry budget while waiting is worth it, so that a burst of failures delays requests in
+// place of ending them, and the rate of retries stays bounded. It reports whether the request may be tried again.
+func (r *request) awaitBudget(worthWaiting func() bool) bool {
+	for !r.e.budget.Allow() {
+		if !worthWaiting() || !pause(r.ctx, replanPause) {
+			return false
+		}
+	}
+	return true
+}
+
 // noteFailure keeps an upstream that failed a request from being chosen again at once.
 func (r *request) noteFailure(upstream string, err error) {
 	if err != nil && r.ctx.Err() == nil && retryable(verdict.As(err)) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -20,6 +21,9 @@
 const (
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerIdempotencyRepeat = "Idempotency-Repeat"
+
+	// serviceRetryLimit is the age of a call of a service after which it is not retried any more.
+	serviceRetryLimit = 2 * time.Second
 	// maxHeldBytes is the part of an answer that is held back until the call has ended, so that a call which breaks in a
 	// short answer still ends with a verdict. net/http buffers about as much before it sends anything.
 	maxHeldBytes = 4 << 10
@@ -95,7 +99,7 @@
 		refusal := verdict.As(err)
 		again := s.ctx.Err() == nil && retryable(refusal) &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
-		if again && s.e.budget.Allow() {
+		if again && s.awaitBudget(s.worthWaiting) {
 			s.e.metrics.Retried("service")
 			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)))
 			continue
@@ -105,6 +109,9 @@
 	}
 }
 
+// worthWaiting reports whether the caller of a service, who expects a prompt answer, should still wait for a retry.
+func (s *serviceRequest) worthWaiting() bool { return time.Since(s.request.begin) < serviceRetryLimit }
+
 // fail ends the request. After the first byte only a broken connection tells the caller that the answer is not whole.
 func (s *serviceRequest) fail(refusal *verdict.Refusal) {
 	s.settle(0, refusal.Verdict)
