confsync: the end of an outage does not look like isolation

Cause: when the store comes back, the first entry that reaches it ends the outage for the others, whose confirmation is still minutes old; until theirs arrives they refused with 'isolated'. Ruled out: the slow store of 400 ms, which starts only after that phase. Change: the last moment at which the store was out of reach for everyone counts like a confirmation of that age, less the time that a contact may go unheard (3.25 s at the default), and not for a process that has heard of a change it lacks. The virtual-time test now also asks for admission every 10 ms while the store comes back; it passed before as well, so it does not show the cause.

--- a/internal/confsync/freshness.go
+++ b/internal/confsync/freshness.go
@@ -59,6 +59,8 @@
 
 	lastTick      time.Time
 	distrustUntil time.Time
+	// outageSeen is the last time at which the store was seen to be out of reach for everyone; zero for never.
+	outageSeen time.Time
 }
 
 // confirmation says that revision was the newest at a time.
@@ -121,6 +123,7 @@
 	n.fresh.tick(now)
 	n.fresh.distrustUntil = now.Add(distrustPeriod)
 	n.fresh.pending = nil
+	n.fresh.outageSeen = time.Time{}
 	for peer, last := range n.heard {
 		n.heard[peer] = contact{revision: last.revision}
 	}
@@ -137,7 +140,7 @@
 		return NoConfiguration
 	case n.fresh.isFresh(now):
 		return Fresh
-	case n.isOutage(now):
+	case n.isOutage(now), n.inOutageGrace(now):
 		return Outage
 	default:
 		return Isolated
@@ -163,6 +166,23 @@
 	}
 }
 
+// inOutageGrace reports whether the store was out of reach for everyone a moment ago. When it comes back, the first process
+// that reaches it ends the outage before the others have a confirmation. Nothing could be accepted up to the last sight of
+// the outage, so going on is as safe as with a confirmation of that age; the time that a contact may go unheard is taken off.
+// A process that has heard of a change which it lacks has no grace.
+func (n *Node) inOutageGrace(now time.Time) bool {
+	grace := FreshnessLimit - n.heardLimit()
+	if n.fresh.outageSeen.IsZero() || now.Sub(n.fresh.outageSeen) >= grace {
+		return false
+	}
+	for _, last := range n.heard {
+		if last.revision > n.history.revision {
+			return false
+		}
+	}
+	return true
+}
+
 // isOutage reports whether more than half of the entries, this one included, are heard directly and none has contact to
 // the store. n.mu must be held.
 func (n *Node) isOutage(now time.Time) bool {
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -168,6 +168,9 @@
 		n.peerSet = PeerSet(n.cfg.Self, n.entries())
 		n.peerSetAt = now
 	}
+	if n.isOutage(now) {
+		n.fresh.outageSeen = now
+	}
 	n.superviseWatch(now)
 	n.repairAgain()
 }
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -140,6 +140,14 @@
 		time.Sleep(time.Second)
 		f.wantState(Outage, "entry-002")
 		f.store.set(func(s *fakeStore) { s.down = false })
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			for _, name := range names {
+				if err := f.all()[name].Admit(); err != nil {
+					t.Fatalf("%s while the store comes back: %v", name, err)
+				}
+			}
+		}
 		revision := f.store.write("kilimo", teamText("kilimo", 7))
 		f.wantRevision("kilimo", revision, 3*time.Second)
 		f.wantState(Fresh, names...)
