--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -282,3 +282,101 @@
 	defer cancel()
 	return f.node(name).Handoff(ctx)
 }
+
+// Guards against shards that all move at once to a node that joins, or never.
+func TestJoiningNodeReceivesShardsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
+		f := newFleet(t, 1, 24, limits, "a", "b")
+		f.start("a", "b")
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		f.members.set("a", "b", "c")
+		f.start("c")
+		r := newReceiver()
+		stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+		best := 0
+		for shard := range uint32(24) {
+			if ranked([]string{"a", "b", "c"}, shard)[0] == "c" {
+				best++
+			}
+		}
+		time.Sleep(RebalanceInterval + RefreshInterval)
+		early := f.owned("c")
+		time.Sleep(10 * RebalanceInterval)
+		stop()
+		if early > 2*2 || early >= best || f.owned("c") != best {
+			t.Errorf("c owns %d shards after one interval and %d at the end, want at last %d", early, f.owned("c"), best)
+		}
+		if len(r.refused) > 0 {
+			t.Errorf("refused %v", r.refused)
+		}
+	})
+}
+
+func (f *fleet) owned(name string) int {
+	count := 0
+	for _, status := range f.node(name).Status() {
+		if status.State == StateGranting {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a takeover by a third node that merely cannot reach owner and successor, and against a shard that stays
+// without an owner when the platform states that both are gone.
+func TestOwnerAndSuccessorGone(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
+			f := newFleet(t, 1, 1, limits, "a", "b", "c")
+			f.adjust = func(n *Node) { n.cfg.Gone = func(name string) bool { return gone && f.node(name) == nil } }
+			f.start("a", "b", "c")
+			defer f.stop()
+			owner := awaitOwner(t, f, 0, 5*time.Second)
+			time.Sleep(5 * time.Second)
+			successor := f.node(owner).Status()[0].Successor
+			f.crash(owner)
+			f.crash(successor)
+			for _, name := range fleetNames {
+				if name != owner && name != successor {
+					f.members.set(name)
+				}
+			}
+			time.Sleep(time.Minute)
+			if got := f.owner(0) != ""; got != gone {
+				t.Errorf("gone %v: owner found %v", gone, got)
+			}
+		})
+	}
+}
+
+// Guards against an exchange that charges twice or leaves the old charge refundable.
+func TestExchangeThroughNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}}
+		f := newFleet(t, 1, 1, limits, "a", "b")
+		f.start("a", "b")
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		for _, name := range []string{"a", "b"} {
+			old, fresh := f.id(), f.id()
+			n := f.node(name)
+			if err := chargeWithin(n, time.Second, old, "kilimo", 400); err != nil {
+				t.Fatal(err)
+			}
+			if err := n.Charge(f.ctx, fresh, "kilimo", 400, old); err != nil {
+				t.Fatal(err)
+			}
+			n.Settle(old, "kilimo", 0)
+			time.Sleep(time.Second)
+		}
+		if err := chargeWithin(f.node("a"), time.Second, f.id(), "kilimo", 201); err == nil {
+			t.Error("granted 1001 tokens of 1000")
+		}
+		if err := chargeWithin(f.node("b"), time.Second, f.id(), "kilimo", 200); err != nil {
+			t.Error(err)
+		}
+	})
+}
