--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -52,3 +52,37 @@
 		}
 	})
 }
+
+// Guards against a lost or late write that is believed not to be done, or to be done when another node's was.
+func TestSwapOutcome(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   func(f *fakeStore)
+		written bool
+		least   time.Duration
+	}{
+		{"no fault", func(*fakeStore) {}, true, 0},
+		{"unavailable", func(f *fakeStore) { f.down = true }, false, 0},
+		{"answer lost", func(f *fakeStore) { f.loseRate = 1 }, true, 0},
+		{"write takes effect late", func(f *fakeStore) { f.loseRate, f.late = 1, 3*time.Second }, true, 3 * time.Second},
+		{"other write first", func(f *fakeStore) { _, _ = f.swap("key", []byte("{}"), 1) }, false, 0},
+		{"other write while in doubt", func(f *fakeStore) {
+			f.loseRate, f.late = 1, time.Hour
+			time.AfterFunc(2*time.Second, func() { f.set(func(f *fakeStore) { _, _ = f.swap("key", []byte("{}"), 1) }) })
+		}, false, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore(1)
+				store.set(func(f *fakeStore) { _, _ = f.swap("key", []byte("first"), 0) })
+				store.set(test.fault)
+				begun := time.Now()
+				result, ok := swap(t.Context(), store, "key", record{Owner: "a", Epoch: 2}, 1)
+				if !ok || result.written != test.written || time.Since(begun) < test.least {
+					t.Errorf("written %v after %v, certain %v", result.written, time.Since(begun), ok)
+				}
+			})
+		})
+	}
+}
