capacity: heartbeats in the spread benchmark; time of a change with all rows

Cause: BenchmarkConfigSpread/entries=200 once waited 20 s. Its entries had no heartbeats, and confsync forgets the revision of a peer that it never heard by heartbeat at the next tick, so a missed push was not noticed. Real sessions always have heartbeats.

--- a/internal/capacity/config_test.go
+++ b/internal/capacity/config_test.go
@@ -209,12 +209,30 @@
 	}
 	for _, n := range nodes {
 		running.Go(func() { n.node.Run(ctx) })
+		running.Go(func() { n.beat(ctx) })
 	}
 	b.Cleanup(func() { cancel(); running.Wait() })
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(time.Second)
 	return nodes
 }
 
+// beat sends the heartbeats of one node, by which its peers notice what they missed.
+func (n *spreadNode) beat(ctx context.Context) {
+	ticker := time.NewTicker(confsync.DefaultHeartbeatInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, peer := range n.peers {
+			beat := &wirev1.Heartbeat{}
+			n.node.FillHeartbeat(beat)
+			peer.(spreadPeer).to.node.OnHeartbeat(n.name, beat)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
 func benchmarkSpread(b *testing.B, count int) {
 	nodes := spreadFleet(b, count)
 	text := teamDocument(1, 2000, 1)
--- a/internal/capacity/request_test.go
+++ b/internal/capacity/request_test.go
@@ -210,8 +210,8 @@
 }
 
 // BenchmarkRows gives the memory of a row of the upstream table with its place in the snapshot, the time until a changed
-// document with all rows is in force, and the time of a booking, against the number of upstreams in 14 pools. The rows
-// beyond the first three belong to sidecars that do not answer.
+// document with all rows is in force (new rows, and a change of no row), and the time of a booking, against the number of
+// upstreams in 14 pools. The rows beyond the first three belong to sidecars that do not answer.
 func BenchmarkRows(b *testing.B) {
 	for _, rows := range []int{100, 1000, 12000} {
 		b.Run(fmt.Sprintf("upstreams=%d", rows), func(b *testing.B) {
@@ -230,9 +230,13 @@
 			taken := time.Since(begin)
 			time.Sleep(2 * time.Second) // first dials
 			held := memoryInUse() - before
+			begin = time.Now()
+			s.apply(b, more.String()+"# changed\n")
+			again := time.Since(begin)
 			measureBookings(b, s)
 			per(b, float64(held), rows, "B/row")
 			b.ReportMetric(float64(taken.Microseconds()), "apply-us")
+			b.ReportMetric(float64(again.Microseconds()), "change-us")
 		})
 	}
 }
