--- a/internal/processtest/platform_test.go
+++ b/internal/processtest/platform_test.go
@@ -58,6 +58,23 @@
 	}
 }
 
+// waitFresh waits until each entry process has a confirmation that its configuration is the newest.
+func (d *deployment) waitFresh() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		eventually(d.t, e.name+" is fresh", func() string {
+			status, err := d.adminClient(e).Status(d.t.Context())
+			if err != nil {
+				return err.Error()
+			}
+			if want := confsync.Fresh.String(); status.State != want {
+				return status.State
+			}
+			return ""
+		})
+	}
+}
+
 // Guards H5, H6 and H10: the key-value service is down for longer than the freshness limit, and then slow. Requests go on,
 // and apply says what is true.
 func TestPlatformDownAndSlow(t *testing.T) {
@@ -76,6 +93,7 @@
 	time.Sleep(2*confsync.FreshnessLimit - time.Second)
 	d.waitWhole(load, 40)
 	d.platformFaults(platform.Faults{})
+	d.waitFresh()
 	d.mustApply(d.withModel("after-outage"))
 	for _, e := range d.entries {
 		d.waitModel(e, "after-outage")
