scheduler: a failed upstream of a plain service is a last choice, not none

Cause: an upstream that failed one request was not chosen for a second. When every upstream of a service had failed one within that second, or the service has only one, all its callers were refused with no_upstream although the sidecars took work. Calls of a plain service do not wait for an upstream as model requests do.

Now Service chooses among those that have just failed when there is no other, within the retry budget. ServiceByKey ignores the failure: the upstream that took the first attempt is the only one that can know it. Ruled out: slow reconnection (50 to 75 ms); waiting in the entry, which would keep the refusals for a service with one upstream a second long.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -139,22 +139,32 @@
 	return s.decode.Pick(req, candidates, filter, s.config.DecodeReservations)
 }
 
-// Service returns up to ServiceChoices upstreams of a plain service, best first.
+// Service returns up to ServiceChoices upstreams of a plain service, best first. If all that take work have just failed, it
+// chooses among these: an attempt costs less than a refusal.
 func (s *Scheduler) Service(req *Request, candidates []Candidate) []Candidate {
-	return s.service.Pick(req, candidates, s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE), ServiceChoices)
+	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	chosen := s.service.Pick(req, candidates, filter, ServiceChoices)
+	if len(chosen) == 0 {
+		filter.keepFailed = true
+		chosen = s.service.Pick(req, candidates, filter, ServiceChoices)
+	}
+	return chosen
 }
 
-// ServiceByKey returns the upstream that every process with the same candidates chooses for an idempotency key.
+// ServiceByKey returns the upstream that every process with the same candidates chooses for an idempotency key. One that
+// has just failed a request of this process stays the choice, because only it can know an earlier attempt.
 func (s *Scheduler) ServiceByKey(key uint64, req *Request, candidates []Candidate) (Candidate, bool) {
 	keyed := Request{Model: req.Model, BlockHashes: []uint64{key}}
-	chosen := s.affinity.Pick(&keyed, candidates, s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE), 1)
+	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	filter.keepFailed = true
+	chosen := s.affinity.Pick(&keyed, candidates, filter, 1)
 	if len(chosen) == 0 {
 		return Candidate{}, false
 	}
 	return chosen[0], true
 }
 
-func (s *Scheduler) filter(role wirev1.EngineRole) Filter {
+func (s *Scheduler) filter(role wirev1.EngineRole) *servingFilter {
 	return &servingFilter{role: role, maxAge: s.config.MaxLoadAge, learnt: s.learnt, now: time.Now()}
 }
 
@@ -164,6 +174,8 @@
 	maxAge time.Duration
 	learnt *learnt
 	now    time.Time
+	// keepFailed keeps those that have just failed too.
+	keepFailed bool
 }
 
 func (f *servingFilter) Keep(req *Request, c *Candidate) bool {
@@ -173,7 +185,7 @@
 	if c.Load == nil || !c.Load.Accepting || c.Load.Stalled {
 		return false
 	}
-	return !f.learnt.avoided(c.Upstream, f.now)
+	return f.keepFailed || !f.learnt.avoided(c.Upstream, f.now)
 }
 
 // exceptFilter drops candidates that were chosen already.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -239,3 +239,23 @@
 		})
 	}
 }
+
+// Guards against refusals while every upstream of a service has just failed one request, and against a repeat that is sent
+// past the only upstream that knows its first attempt.
+func TestServiceAfterFailures(t *testing.T) {
+	s, all := newScheduler(), fleet(2, serviceRole)
+	kept, _ := s.ServiceByKey(42, prompt(0), all)
+	s.ObserveFailure(kept.Upstream)
+	if again, _ := s.ServiceByKey(42, prompt(0), all); again.Upstream != kept.Upstream {
+		t.Errorf("a repeat goes to %s, its first attempt went to %s", again.Upstream, kept.Upstream)
+	}
+	if got := s.Service(prompt(0), all); len(got) != 1 || got[0].Upstream == kept.Upstream {
+		t.Errorf("chose %q beside an upstream that has not failed", names(got))
+	}
+	for _, c := range all {
+		s.ObserveFailure(c.Upstream)
+	}
+	if got := s.Service(prompt(0), all); len(got) == 0 {
+		t.Error("no upstream chosen although all take work")
+	}
+}
