processtest: repeated bookings, more rounds of killed sidecars

Purpose: H7 for a caller whose entry process dies: the repeat through another one gets the answer of the only run, or is told that nobody can tell. The rounds of killed sidecars are 20 instead of 8, since a round no longer waits for refusals to end.

--- a/internal/processtest/bookings_test.go
+++ b/internal/processtest/bookings_test.go
@@ -1,7 +1,10 @@
 package processtest
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -68,8 +71,11 @@
 	t.Parallel()
 	d := deploy(t, shape{entries: 2, services: 2, latency: 20 * time.Millisecond})
 	load := startTraffic(12, d.urls(), d.booking)
-	for round := range 8 {
+	for round := range 20 {
 		d.waitWhole(load, 30)
+		if round%2 == 0 {
+			d.waitReady() // in other rounds the last one may still be on its way back
+		}
 		u := d.upstreams[round%2]
 		u.sidecar.kill()
 		d.startSidecar(u)
@@ -88,3 +94,48 @@
 	d.checkBookings(answers, false)
 	t.Log(load.summary())
 }
+
+// Guards H7, H6 and H5: an entry process dies with SIGKILL in the middle of a booking. Its caller repeats the booking through
+// the other one and gets the answer of the only run. When the sidecar has been killed too, nobody can tell any more, and
+// the caller is told so.
+func TestRepeatedBookingThroughAnotherEntry(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, shape{entries: 2, services: 2, latency: 1500 * time.Millisecond})
+	first := http.Header{"Idempotency-Key": {"booking-of-an-agent"}}
+	lost := make(chan answer, 1)
+	go func() { lost <- bookWith(context.Background(), d.entries[0].url(), d.keys[0], "repeated", first) }()
+	var taken *upstreamHost
+	eventually(t, "the booking runs", func() string {
+		for _, u := range d.upstreams {
+			if d.serviceAudit(u).Running > 0 {
+				taken = u
+				return ""
+			}
+		}
+		return "not yet"
+	})
+	d.entries[0].kill()
+	if a := <-lost; a.err == nil {
+		t.Errorf("the caller of a dead entry process got %v", a)
+	}
+	other := d.entries[1].url()
+	repeat := func() answer {
+		header := http.Header{"Idempotency-Key": {"booking-of-an-agent"}, "Idempotency-Repeat": {"true"}}
+		return bookWith(t.Context(), other, d.keys[0], "repeated", header)
+	}
+	for range 2 {
+		if a := repeat(); !a.whole || !strings.Contains(a.text, `"run":1`) {
+			t.Errorf("repeat: %v %s", a, a.text)
+		}
+	}
+	taken.sidecar.kill()
+	d.startSidecar(taken)
+	d.entries = d.entries[1:]
+	d.waitReady()
+	if a := repeat(); a.status != http.StatusConflict || a.code != "earlier_run_unknown" || a.verdict != "may have run" {
+		t.Errorf("repeat after the sidecar has forgotten: %v", a)
+	}
+	if runs := d.bookingRuns()["repeated"]; runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
--- a/internal/processtest/caller_test.go
+++ b/internal/processtest/caller_test.go
@@ -69,8 +69,14 @@
 
 // book sends a booking.
 func book(ctx context.Context, url, key, booking string) answer {
+	return bookWith(ctx, url, key, booking, http.Header{})
+}
+
+// bookWith sends a booking with more headers.
+func bookWith(ctx context.Context, url, key, booking string, header http.Header) answer {
 	a := answer{kind: "booking", name: booking}
-	response := send(ctx, &a, http.MethodPost, url+"/bookings", key, "{}", http.Header{"X-Booking-Id": {booking}})
+	header.Set("X-Booking-Id", booking)
+	response := send(ctx, &a, http.MethodPost, url+"/bookings", key, "{}", header)
 	if response == nil {
 		return a
 	}
