--- a/internal/processtest/platform_test.go
+++ b/internal/processtest/platform_test.go
@@ -140,6 +140,35 @@
 	d.waitModel(d.entries[0], "outcome-unknown")
 }
 
+// Guards H10, H6 and H5: all connections to the platform go silent, while new ones work. Requests go on, and a change still
+// gets everywhere although the watches hear nothing any more.
+func TestSilentPlatformConnections(t *testing.T) {
+	t.Parallel()
+	d := prepare(t)
+	store := startRelay(t, d.platformAddress)
+	d.storeURL = "http://" + store.address
+	d.deployHere(whole)
+	d.waitSuccessors()
+	load := startTraffic(6, d.urls(), d.mixed)
+	d.waitWhole(load, 20)
+	if store.silence() == 0 {
+		t.Fatal("no connection to silence")
+	}
+	file := d.write("silent.ini", d.withModel("after-silence"))
+	eventually(t, "the change is accepted", func() string {
+		if _, stderr, status := d.ctl(d.entries[0], "document", "apply", file); status != 0 {
+			return stderr
+		}
+		return ""
+	})
+	for _, e := range d.entries {
+		d.waitModel(e, "after-silence")
+	}
+	d.waitFresh()
+	d.waitWhole(load, 20)
+	d.allWhole(load.stop())
+}
+
 // Guards H10: two operators apply different changes of the same version at the same time, through two entry processes.
 // Exactly one is accepted, and the other is told so with the version that won.
 func TestTwoOperatorsRace(t *testing.T) {
