--- a/internal/processtest/platform_test.go
+++ b/internal/processtest/platform_test.go
@@ -58,6 +58,23 @@
 	}
 }
 
+// waitFresh waits until each entry process has a confirmation that its configuration is the newest.
+func (d *deployment) waitFresh() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		eventually(d.t, e.name+" is fresh", func() string {
+			status, err := d.adminClient(e).Status(d.t.Context())
+			if err != nil {
+				return err.Error()
+			}
+			if want := confsync.Fresh.String(); status.State != want {
+				return status.State
+			}
+			return ""
+		})
+	}
+}
+
 // Guards H5, H6 and H10: the key-value service is down for longer than the freshness limit, and then slow. Requests go on,
 // and apply says what is true.
 func TestPlatformDownAndSlow(t *testing.T) {
@@ -76,6 +93,7 @@
 	time.Sleep(2*confsync.FreshnessLimit - time.Second)
 	d.waitWhole(load, 40)
 	d.platformFaults(platform.Faults{})
+	d.waitFresh()
 	d.mustApply(d.withModel("after-outage"))
 	for _, e := range d.entries {
 		d.waitModel(e, "after-outage")
@@ -122,6 +140,35 @@
 	d.waitModel(d.entries[0], "outcome-unknown")
 }
 
+// Guards H10, H6 and H5: all connections to the platform go silent, while new ones work. Requests go on, and a change still
+// gets everywhere although the watches hear nothing any more.
+func TestSilentPlatformConnections(t *testing.T) {
+	t.Parallel()
+	d := prepare(t)
+	store := startRelay(t, d.platformAddress)
+	d.storeURL = "http://" + store.address
+	d.deployHere(whole)
+	d.waitSuccessors()
+	load := startTraffic(6, d.urls(), d.mixed)
+	d.waitWhole(load, 20)
+	if store.silence() == 0 {
+		t.Fatal("no connection to silence")
+	}
+	file := d.write("silent.ini", d.withModel("after-silence"))
+	eventually(t, "the change is accepted", func() string {
+		if _, stderr, status := d.ctl(d.entries[0], "document", "apply", file); status != 0 {
+			return stderr
+		}
+		return ""
+	})
+	for _, e := range d.entries {
+		d.waitModel(e, "after-silence")
+	}
+	d.waitFresh()
+	d.waitWhole(load, 20)
+	d.allWhole(load.stop())
+}
+
 // Guards H10: two operators apply different changes of the same version at the same time, through two entry processes.
 // Exactly one is accepted, and the other is told so with the version that won.
 func TestTwoOperatorsRace(t *testing.T) {
