bench: weigh accounts by their granted rates, keep the load on while measured calls end

The load now goes on after the measured time, because a backlog at its end was served at leisure or not at all.

--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -155,10 +155,14 @@
 	return a.reserveFirst(ctx, a.decodeTargets(nil), req)
 }
 
+// decodeRequest asks for a decode place. The cost is divided by the account's weight, its part of the granted rates:
+// with equal weights the largest account alone would bear every shortage, although it is within its rate.
 func (a *attempt) decodeRequest(ready, wait time.Duration) *wirev1.ReserveRequest {
+	cost := float64(a.request.PromptTokens + a.request.MaxTokens)
+	weight := accountShares[a.call.Account] * float64(len(accountShares))
 	return &wirev1.ReserveRequest{
 		Account:              a.accounts,
-		CostTokens:           uint64(a.request.PromptTokens + a.request.MaxTokens),
+		CostTokens:           uint64(cost / weight),
 		ReadyInMs:            uint32(ready.Milliseconds()),
 		WaitMs:               uint32(max(0, wait).Milliseconds()),
 		ExpectedOutputTokens: uint32(max(1, a.request.MaxTokens)),
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -43,7 +43,6 @@
 	mu         sync.Mutex
 	deployment Deployment
 	load       Load
-	started    time.Time
 
 	Offered, WithinRate, Completed, Good, Cancelled int
 	// Lost counts calls whose entry died.
@@ -66,7 +65,6 @@
 	return &Result{
 		deployment:        d,
 		load:              load,
-		started:           time.Now(),
 		RefusedWithinRate: make(map[string]int),
 		Retried:           make(map[string]int),
 		Wasted:            make(map[string]int),
@@ -89,22 +87,26 @@
 }
 
 func (r *Result) admitted(call *Call) {
+	if call.At >= r.load.Duration {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.demand[call.Account] += call.cost()
 }
 
+// finish records the end of a call. Calls of the time after the measured one are left out.
 func (r *Result) finish(call *Call, d *delivery, err error) {
+	if call.At >= r.load.Duration {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Offered++
 	if d.conforms {
 		r.WithinRate++
 	}
-	if time.Since(r.started) <= r.load.Duration {
-		// What is served after the last arrival would go to the accounts with the longest backlog.
-		r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
-	}
+	r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
 	if d.tokens > 0 {
 		r.firsts = append(r.firsts, d.first)
 	}
@@ -222,17 +224,22 @@
 	return worst
 }
 
-// fairShares divides total max-min fairly among demands.
+// fairShares divides total max-min fairly among demands, in proportion to the granted rates of the accounts.
 func fairShares(demand []float64, total float64) []float64 {
 	order := make([]int, len(demand))
+	weights := 0.0
 	for i := range order {
 		order[i] = i
+		weights += accountShares[i]
 	}
-	sort.Slice(order, func(i, j int) bool { return demand[order[i]] < demand[order[j]] })
+	sort.Slice(order, func(i, j int) bool {
+		return demand[order[i]]/accountShares[order[i]] < demand[order[j]]/accountShares[order[j]]
+	})
 	fair := make([]float64, len(demand))
-	for n, i := range order {
-		fair[i] = min(demand[i], total/float64(len(order)-n))
+	for _, i := range order {
+		fair[i] = min(demand[i], total*accountShares[i]/weights)
 		total -= fair[i]
+		weights -= accountShares[i]
 	}
 	return fair
 }
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -51,8 +51,15 @@
 	Hog bool
 	// CancelShare of the calls are cancelled within the first three seconds.
 	CancelShare float64
-	Duration    time.Duration
-	Seed        uint64
+	// Duration is the measured time.
+	Duration time.Duration
+	Seed     uint64
+}
+
+// tail is how long the load goes on after the measured time, so that the calls of that time end under the same load.
+// Without it, a backlog at its end would be served at leisure.
+func (d Deployment) tail() time.Duration {
+	return time.Duration(d.Patience*float64(firstTokenTarget)) + 5*time.Second
 }
 
 // generate returns the calls in order of time.
@@ -67,7 +74,7 @@
 		at := 0.0
 		for {
 			at += random.ExpFloat64() / rate
-			if at >= load.Duration.Seconds() {
+			if at >= (load.Duration + d.tail()).Seconds() {
 				break
 			}
 			call := newCall(random, account)
