places: tests of virtual time, refunds, credit and a release during Begin

Adds tests of places for deliberate faults that no test saw: virtual time that takes the tag of the served request in place of the least waiting one, refunds of unused cost, credit of accounts below their share, and a release during Begin.

--- a/internal/places/authority_test.go
+++ b/internal/places/authority_test.go
@@ -138,6 +138,13 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		wantRefusal(t, late[1].Begin(ctx), wirev1.Reason_REASON_NO_PLACE)
+		withdrawn := mustReserve(t, a, request("b", 20*time.Second, 0))
+		time.AfterFunc(time.Second, withdrawn.Release)
+		start := time.Now()
+		wantRefusal(t, withdrawn.Begin(t.Context()), wirev1.Reason_REASON_NO_RESERVATION)
+		if waited := time.Since(start); waited != time.Second {
+			t.Errorf("begin returned %v after the release", waited-time.Second)
+		}
 	})
 }
 
--- a/internal/places/fair_test.go
+++ b/internal/places/fair_test.go
@@ -106,6 +106,54 @@
 	}
 }
 
+// Guards against an account that starts to wait behind one that has had more: after refunds of unused cost, and after its
+// own idle time.
+func TestFairListOrder(t *testing.T) {
+	cases := []struct {
+		name   string
+		before int // requests of "small" served before
+		credit int
+		served float64 // part of each cost of 100 that "big" used
+		want   string
+	}{
+		// Equal tags go by arrival.
+		{"idle time earns nothing", 0, 0, 1, "big small big small big "},
+		{"refunds lower the tag", 2, 0, 0, "big big small big small "},
+		{"credit of two requests", 0, 2, 1, "small small big big big "},
+	}
+	for _, c := range cases {
+		l := newFairList(c.credit)
+		add := func(account string, n int) {
+			for range n {
+				l.push(newWaiter(request(account, 0, 0)))
+			}
+		}
+		add("small", c.before)
+		for range c.before {
+			l.pop(l.head())
+		}
+		add("big", 8)
+		for range 5 {
+			l.pop(l.head())
+		}
+		l.meanCost = 100
+		l.credit = l.meanCost * float64(c.credit)
+		for range 5 {
+			l.settle("big", 100, 100*c.served)
+		}
+		add("small", 2)
+		got := ""
+		for l.len() > 0 {
+			w := l.head()
+			l.pop(w)
+			got += w.account + " "
+		}
+		if got != c.want {
+			t.Errorf("%s: order %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a large account that takes the places of one whose requests come in clusters within its share, and
 // against long-term unfairness from refunds of unused cost.
 func TestFairShareOverTime(t *testing.T) {
