entry: the host list says which entry processes are gone; shorter fence window

Cause, by reading: a charge could be up to FenceWindow/2 old when a nonce was taken and the nonce up to FenceWindow old at the start of work, 3 s together, while the ledger held back only 2 s of rate. Now a charge is reused for 0.5 s and a nonce lives 1.5 s, which add up to the 2 s that the ledger holds back; the capacity of buckets is unchanged. The ledger's window tests now use this sum. The ledger takes over shards whose owner and successor died together only if the platform says that they are gone; the member table now answers from the host list.

--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -26,7 +26,7 @@
 const (
 	// MaxBytes is the longest text of a document. The key-value service holds values of up to 1 MB.
 	MaxBytes = 1_000_000
-	// MinBurstSeconds is the least burst in seconds of rate: the ledger holds back FenceWindow (2 s) of rate from the
+	// MinBurstSeconds is the least burst in seconds of rate: the ledger holds back StartSlack (2 s) of rate from the
 	// burst, and a request needs room beside it.
 	MinBurstSeconds = 4
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,7 +97,7 @@
 	})
 	e.ledger = ledger.New(ledger.Config{
 		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: cfg.Store,
-		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Logger: cfg.Logger,
+		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Gone: e.members.gone, Logger: cfg.Logger,
 	})
 	// Sessions use everything above, so none is opened before.
 	e.conf.Subscribe(e.applySnapshot)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -34,7 +34,8 @@
 	dataCentre string
 	lastSeen   time.Time
 	fixed      bool // named in the settings
-	listed     bool // named in the host list
+	listed     bool // named in the newest host list
+	wasListed  bool // named in an earlier host list
 }
 
 // memberTable keeps a session to each other entry process.
@@ -44,8 +45,10 @@
 	opts      *transport.Options
 	logger    *zap.Logger
 
-	mu        sync.Mutex // guards byAddress and its members
+	mu        sync.Mutex // guards the fields below and the members
 	byAddress map[string]*member
+	// departed holds the names of processes that the host list named and no longer does, until they are heard again.
+	departed map[string]bool
 }
 
 func newMemberTable(
@@ -97,8 +100,12 @@
 			t.byAddress[host.Address] = t.connect(host.Address, false)
 		}
 		t.byAddress[host.Address].listed = true
+		t.byAddress[host.Address].wasListed = true
 	}
 	for address, m := range t.byAddress {
+		if m.wasListed && !m.listed && m.name != "" && m.peer.Session() == nil {
+			t.departed[m.name] = true
+		}
 		gone := !m.fixed && !m.listed && m.peer.Session() == nil && time.Since(m.lastSeen) > forgetAfter
 		if gone {
 			delete(t.byAddress, address)
@@ -115,6 +122,14 @@
 	if m := t.byAddress[remote.GetAddress()]; m != nil {
 		m.name, m.dataCentre, m.lastSeen = remote.GetProcess(), remote.GetDataCentre(), time.Now()
 	}
+	delete(t.departed, remote.GetProcess())
+}
+
+// gone reports whether the platform has taken a process away. Not reaching it is no proof: it may only be cut off.
+func (t *memberTable) gone(process string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departed[process]
 }
 
 // alive returns the members with a live session.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,14 +6,10 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-// chargeReuse is the age at which a charge is exchanged for a new one before work starts, so that a charge and the start of
-// its work are never further apart than the window that the ledger allows for.
-const chargeReuse = transport.FenceWindow / 2
-
 // ledgerDeadline limits the wait for the ledger while the owner of an account's shard changes.
 const ledgerDeadline = 10 * time.Second
 
@@ -52,8 +48,8 @@
 	return func(kind string) { r.e.events.Record(kind, r.name, upstream) }
 }
 
-// authorize checks key and configuration again and makes sure that the account was charged recently. The caller of
-// authorize holds a nonce that it got before.
+// authorize checks key and configuration again and makes sure that the account was charged recently. Its caller already
+// holds the nonce with which the work will start, so the charge is at most ledger.StartSlack old by then.
 func (r *request) authorize(tokens uint64) error {
 	if err := r.e.recheck(r.caller); err != nil {
 		return err
@@ -61,7 +57,7 @@
 	if r.caller.account == "" {
 		return nil
 	}
-	if r.chargeID != nil && time.Since(r.chargedAt) < chargeReuse {
+	if r.chargeID != nil && time.Since(r.chargedAt) < ledger.MaxChargeAge {
 		return nil
 	}
 	return r.charge(tokens)
--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -21,10 +21,17 @@
 // Limits are the rate in tokens per second and the burst in tokens of a client account.
 type Limits struct{ Rate, Burst uint64 }
 
-// Capacity returns the bucket capacity in tokens. A charge and the start of its work are up to FenceWindow apart, so
-// the bucket keeps FenceWindow of rate back from the burst.
+const (
+	// MaxChargeAge is the age up to which a caller may use a charge with a nonce that it got after the charge.
+	MaxChargeAge = 500 * time.Millisecond
+	// StartSlack is the longest time between a charge and the start of its work.
+	StartSlack = MaxChargeAge + transport.FenceWindow
+)
+
+// Capacity returns the bucket capacity in tokens. A charge and the start of its work are up to StartSlack apart, so the
+// bucket keeps StartSlack of rate back from the burst.
 func (l Limits) Capacity() float64 {
-	capacity := float64(l.Burst) - float64(l.Rate)*transport.FenceWindow.Seconds()
+	capacity := float64(l.Burst) - float64(l.Rate)*StartSlack.Seconds()
 	return max(capacity, 0)
 }
 
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -29,7 +28,7 @@
 func (r *receiver) start(account string, issued time.Time, tokens uint64) (index int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(issued) > transport.FenceWindow {
+	if time.Since(issued) > StartSlack {
 		r.stale++
 		return 0, false
 	}
@@ -77,7 +76,7 @@
 	maxTokens uint64
 	gap       time.Duration // mean time between requests
 	hold      time.Duration // longest time between the grant and the start of the work
-	align     bool          // most work starts at a multiple of FenceWindow, which is the worst that an entry may do
+	align     bool          // most work starts at a multiple of StartSlack, which is the worst that an entry may do
 	settles   bool
 }
 
@@ -114,9 +113,9 @@
 		return
 	}
 	if hold < 0 {
-		hold = time.Until(time.Now().Truncate(transport.FenceWindow).Add(transport.FenceWindow))
+		hold = time.Until(time.Now().Truncate(StartSlack).Add(StartSlack))
 	}
-	time.Sleep(min(hold, time.Until(issued.Add(transport.FenceWindow))))
+	time.Sleep(min(hold, time.Until(issued.Add(StartSlack))))
 	index, ok := c.receiver.start(c.account, issued, tokens)
 	if !ok {
 		node.Settle(id, c.account, 0)
--- a/internal/transport/nonce.go
+++ b/internal/transport/nonce.go
@@ -9,7 +9,7 @@
 )
 
 // FenceWindow is the largest age of a nonce, on the clock of its issuer, with which work may start.
-const FenceWindow = 2 * time.Second
+const FenceWindow = 1500 * time.Millisecond
 
 // NewIncarnation draws the identity of a process. It is never 0.
 func NewIncarnation() uint64 {
