--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -43,8 +43,11 @@
 	mu         sync.Mutex
 	deployment Deployment
 	load       Load
+	started    time.Time
 
 	Offered, WithinRate, Completed, Good, Cancelled int
+	// Lost counts calls whose entry died.
+	Lost int
 	// RefusedWithinRate counts calls within rate that did not get their answer, by reason.
 	RefusedWithinRate map[string]int
 	Retried           map[string]int
@@ -63,6 +66,7 @@
 	return &Result{
 		deployment:        d,
 		load:              load,
+		started:           time.Now(),
 		RefusedWithinRate: make(map[string]int),
 		Retried:           make(map[string]int),
 		Wasted:            make(map[string]int),
@@ -97,7 +101,10 @@
 	if d.conforms {
 		r.WithinRate++
 	}
-	r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
+	if time.Since(r.started) <= r.load.Duration {
+		// What is served after the last arrival would go to the accounts with the longest backlog.
+		r.served[call.Account] += float64(d.tokens) / float64(call.Output) * call.cost()
+	}
 	if d.tokens > 0 {
 		r.firsts = append(r.firsts, d.first)
 	}
@@ -109,6 +116,8 @@
 		}
 	case errors.Is(err, errCancelled):
 		r.Cancelled++
+	case errors.Is(err, errEntryDied):
+		r.Lost++
 	case d.conforms && verdict.As(err).Reason != wirev1.Reason_REASON_RATE_EXCEEDED:
 		r.RefusedWithinRate[causeOf(err)]++
 	}
@@ -179,6 +188,15 @@
 	return float64(sum(r.Wasted)) / float64(max(1, r.Prefilled))
 }
 
+// PrefillUse returns the share of the prefill engines' speed that was used.
+func (r *Result) PrefillUse() float64 {
+	speed := 0.0
+	for i := range r.deployment.PrefillSpeeds {
+		speed += r.deployment.Prefill(i)
+	}
+	return float64(r.Prefilled) / r.load.Duration.Seconds() / speed
+}
+
 // RepeatedShare returns the share of prefill work that continued a broken stream.
 func (r *Result) RepeatedShare() float64 {
 	return float64(r.Repeated) / float64(max(1, r.Prefilled))
@@ -238,9 +256,9 @@
 
 // String returns one row of the table.
 func (r *Result) String() string {
-	return fmt.Sprintf("goodput %5.3f  wasted %6.2f%%  repeated %5.2f%%  worst %5.3f  refused %6.2f%%  first p50 %5.2fs p95 %5.2fs  late %d  busy %.2f held %.2f  %s",
-		r.Goodput(), 100*r.WastedShare(), 100*r.RepeatedShare(), r.WorstServed(), 100*r.RefusedShare(),
-		r.percentile(0.5).Seconds(), r.percentile(0.95).Seconds(), r.Late, r.Busy, r.Held, r.causes())
+	return fmt.Sprintf("goodput %5.3f  wasted %6.2f%%  repeated %5.2f%%  worst %5.3f  refused %6.2f%%  lost %3d  first p50 %5.2fs p95 %5.2fs  late %d  busy %.2f held %.2f prefill %.2f  %s",
+		r.Goodput(), 100*r.WastedShare(), 100*r.RepeatedShare(), r.WorstServed(), 100*r.RefusedShare(), r.Lost,
+		r.percentile(0.5).Seconds(), r.percentile(0.95).Seconds(), r.Late, r.Busy, r.Held, r.PrefillUse(), r.causes())
 }
 
 func (r *Result) causes() string {
--- a/internal/confsync/fake_test.go
+++ b/internal/confsync/fake_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -37,6 +35,8 @@
 	oldRevision int64
 	// loseAnswers is the number of writes that take effect without an answer.
 	loseAnswers int
+	// afterLost is called after each of these writes.
+	afterLost func(*fakeStore)
 	// silent turns off progress notices.
 	silent bool
 	lists  int
@@ -93,6 +93,9 @@
 	s.put(key, value)
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
+		if s.afterLost != nil {
+			s.afterLost(s)
+		}
 		return 0, kv.ErrOutcomeUnknown
 	}
 	return s.revision, nil
@@ -104,33 +107,36 @@
 	pair := kv.Pair{Key: key, Value: value, ModRevision: s.revision}
 	s.pairs[key] = pair
 	s.events = append(s.events, kv.Event{Pair: pair})
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 func (s *fakeStore) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	delete(s.pairs, key)
-	s.events = append(s.events, kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.set(func(s *fakeStore) {
+		s.revision++
+		delete(s.pairs, key)
+		s.events = append(s.events, kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
+	})
 }
 
-func (s *fakeStore) write(team, text string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.put(Prefix+team, []byte(text))
-	return uint64(s.revision)
+func (s *fakeStore) write(team, text string) (revision uint64) {
+	s.set(func(s *fakeStore) {
+		s.put(Prefix+team, []byte(text))
+		revision = uint64(s.revision)
+	})
+	return revision
+}
+
+// wake ends the wait of all watches. s.mu must be held.
+func (s *fakeStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) set(f func(*fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f(s)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 func (s *fakeStore) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.WatchUpdate, error) {
@@ -433,11 +439,6 @@
 	return nil, errors.New("pull lost")
 }
 
-func testHash(name string) string {
-	sum := sha256.Sum256([]byte(name))
-	return hex.EncodeToString(sum[:])
-}
-
 // teamText returns a document of a team with one account and one key.
 func teamText(team string, rate int) string {
 	return fmt.Sprintf("[document]\nteam = %s\n[account \"%s-app\"]\nrate = %d\nburst = %d\n", team, team, rate, rate*10)
