--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -54,7 +54,10 @@
 func newMemberTable(
 	self *wirev1.Hello, connector transport.Connector, opts *transport.Options, logger *zap.Logger,
 ) *memberTable {
-	return &memberTable{self: self, connector: connector, opts: opts, logger: logger, byAddress: make(map[string]*member)}
+	return &memberTable{
+		self: self, connector: connector, opts: opts, logger: logger,
+		byAddress: make(map[string]*member), departed: make(map[string]bool),
+	}
 }
 
 // start connects to the processes that the settings name. Their streams and heartbeats may arrive from then on.
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -42,7 +42,7 @@
 		opts := &transport.Options{
 			Hello: hello("self"), Logger: zap.NewNop(), OnOpen: func(s *transport.Session) { table.opened(s) },
 		}
-		table = newMemberTable(hello("self"), "", testConnector{network}, opts, zap.NewNop())
+		table = newMemberTable(hello("self"), testConnector{network}, opts, zap.NewNop())
 		defer table.close()
 		table.applyList([]hostlist.Host{{Address: "other", Role: "entry"}, {Address: "self", Role: "entry"}})
 		time.Sleep(time.Second)
