--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -127,6 +127,8 @@
 		BlockHashes:      a.call.Blocks,
 		FirstTokenTarget: firstTokenTarget,
 		Patience:         a.fleet.deployment.Patience,
+		Weight:           accountShares[a.call.Account] * float64(len(accountShares)),
+		Continued:        a.delivered.tokens > 0,
 	}
 	if a.policy.Fair {
 		a.accounts = a.request.Account
@@ -174,34 +176,6 @@
 	return limit - time.Since(a.arrived)
 }
 
-// untilTarget returns the time left until the call misses its first-token target.
-func (a *attempt) untilTarget() time.Duration {
-	if a.delivered.tokens > 0 {
-		return a.limit()
-	}
-	return firstTokenTarget - 2*a.fleet.deployment.ClientHop - time.Since(a.arrived)
-}
-
-// prefillPriority puts broken streams first. The other calls hold a decode place already, so none of them should wait
-// longer than its turn.
-func (a *attempt) prefillPriority() int32 {
-	if a.delivered.tokens > 0 {
-		return 1
-	}
-	return 0
-}
-
-// priority puts broken streams first, and calls that can meet their target before those of their account that cannot.
-func (a *attempt) priority() int32 {
-	if a.delivered.tokens > 0 {
-		return 2
-	}
-	if a.untilTarget() > 0 {
-		return 1
-	}
-	return 0
-}
-
 func (a *attempt) observeFirstToken() {
 	if !a.granted.IsZero() && a.policy.Reserve == ReservePromise {
 		a.scheduler.ObserveFirstToken(a.estimate, time.Since(a.granted))
@@ -224,7 +198,7 @@
 		Account:    a.accounts,
 		CostTokens: uint64(uncached),
 		WaitMs:     uint32(max(0, a.limit()).Milliseconds()),
-		Priority:   a.prefillPriority(),
+		Priority:   a.request.PrefillPriority(),
 	})
 	if err != nil {
 		return nil, 0, a.final(err)
--- a/internal/bench/pairing.go
+++ b/internal/bench/pairing.go
@@ -14,9 +14,6 @@
 // lateWait is how long a promised place may be late before other decode engines are asked.
 const lateWait = places.DefaultLateLimit
 
-// targetMargin keeps the wait for a place short enough that a late place or transfer does not miss the target.
-const targetMargin = 200 * time.Millisecond
-
 // choosePrefill returns the prefill engine by the policy. For the product's choice it also sets the estimates, and may
 // refuse early.
 func (a *attempt) choosePrefill() (*sidecar, error) {
@@ -56,12 +53,9 @@
 	return a.fleet.find(quote.Candidate.Upstream), nil
 }
 
-// requoteWait is the wait for a decode place after which the prefill quote is too old to use.
-const requoteWait = 50 * time.Millisecond
-
 // refreshPrefill chooses the prefill engine again if the wait for the decode place was long.
 func (a *attempt) refreshPrefill(prefill *sidecar, since time.Time) (*sidecar, error) {
-	if a.policy.Choice != ChooseScheduler || time.Since(since) < requoteWait {
+	if a.policy.Choice != ChooseScheduler || time.Since(since) < scheduler.RequoteWait {
 		return prefill, nil
 	}
 	return a.choosePrefill()
@@ -116,21 +110,28 @@
 	return targets
 }
 
-// reserveDecode reserves a decode place for the time when the prefill is ready. A request that can meet its target goes
-// before requests of its account that cannot any more; when it misses the target, it asks again behind them.
+// reserveDecode reserves a decode place for the time when the prefill is ready.
 func (a *attempt) reserveDecode(ctx context.Context) (*held, error) {
-	h, err := a.reserveUntil(ctx, a.untilTarget()-targetMargin, a.priority())
-	if err != nil && verdict.As(err).Reason == wirev1.Reason_REASON_NO_PLACE && a.limit() > a.estimate {
-		h, err = a.reserveUntil(ctx, a.limit(), 0)
-	}
-	if err != nil {
-		return nil, a.final(err)
-	}
-	a.granted = time.Now()
+	ready := a.ready
 	if a.policy.Reserve == ReserveAtArrival {
-		return h, h.reservation.Begin(ctx)
+		ready = 0
 	}
-	return h, nil
+	var err error = verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "no time left to wait for a place")
+	for _, ask := range a.request.DecodeAsks(time.Since(a.arrived), a.estimate) {
+		var h *held
+		h, err = a.reserveFirst(ctx, a.decodeTargets(nil), a.decodeRequest(ready, ask))
+		if err == nil {
+			a.granted = time.Now()
+			if a.policy.Reserve == ReserveAtArrival {
+				return h, h.reservation.Begin(ctx)
+			}
+			return h, nil
+		}
+		if verdict.As(err).Reason != wirev1.Reason_REASON_NO_PLACE {
+			break
+		}
+	}
+	return nil, a.final(err)
 }
 
 // final turns a refusal for want of places into one that is not retried: the call has waited as long as it may.
@@ -144,27 +145,13 @@
 	return missed
 }
 
-// reserveUntil waits for a grant as long as the first token can come within left.
-func (a *attempt) reserveUntil(ctx context.Context, left time.Duration, priority int32) (*held, error) {
-	ready := a.ready
-	if a.policy.Reserve == ReserveAtArrival {
-		ready = 0
-	}
-	req := a.decodeRequest(ready, left-a.estimate)
-	req.Priority = priority
-	return a.reserveFirst(ctx, a.decodeTargets(nil), req)
-}
-
-// decodeRequest asks for a decode place. The cost is divided by the account's weight, its part of the granted rates:
-// with equal weights the largest account alone would bear every shortage, although it is within its rate.
-func (a *attempt) decodeRequest(ready, wait time.Duration) *wirev1.ReserveRequest {
-	cost := float64(a.request.PromptTokens + a.request.MaxTokens)
-	weight := accountShares[a.call.Account] * float64(len(accountShares))
+func (a *attempt) decodeRequest(ready time.Duration, ask scheduler.Ask) *wirev1.ReserveRequest {
 	return &wirev1.ReserveRequest{
 		Account:              a.accounts,
-		CostTokens:           uint64(cost / weight),
+		CostTokens:           a.request.DecodeCost(),
 		ReadyInMs:            uint32(ready.Milliseconds()),
-		WaitMs:               uint32(max(0, wait).Milliseconds()),
+		WaitMs:               uint32(max(0, ask.Wait).Milliseconds()),
+		Priority:             ask.Priority,
 		ExpectedOutputTokens: uint32(max(1, a.request.MaxTokens)),
 	}
 }
@@ -273,7 +260,7 @@
 
 // placeNow asks for an immediate place until the export is evicted.
 func (a *attempt) placeNow(ctx context.Context, x *export, except *held) (*held, error) {
-	h, err := a.reserveFirst(ctx, a.decodeTargets(except), a.decodeRequest(0, time.Until(x.until)))
+	h, err := a.reserveFirst(ctx, a.decodeTargets(except), a.decodeRequest(0, scheduler.Ask{Wait: time.Until(x.until)}))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -55,7 +55,12 @@
 	FirstTokenTarget time.Duration
 	// Patience is the factor on the target above which a request is refused early; zero means 1.
 	Patience float64
+	// Priority of the caller; higher runs first within an account.
 	Priority int32
+	// Weight of the account in the fair order, its granted rate over the mean granted rate; zero means 1.
+	Weight float64
+	// Continued says that the request continues a broken stream from its delivered tokens.
+	Continued bool
 	// PrefillDataCentre is where the KV cache comes from; empty for the data centre of this process.
 	PrefillDataCentre string
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -208,6 +209,40 @@
 	}
 }
 
+// Guards against late requests that make in-time ones late, broken streams that wait behind new requests, and a caller's
+// priority that is overruled by either.
+func TestDecodeAsks(t *testing.T) {
+	const ms = time.Millisecond
+	base := Request{FirstTokenTarget: 1800 * ms, Patience: 2}
+	with := func(change func(*Request)) Request {
+		r := base
+		change(&r)
+		return r
+	}
+	cases := []struct {
+		name              string
+		request           Request
+		elapsed, estimate time.Duration
+		want              []Ask
+	}{
+		{"new", base, 0, 300 * ms, []Ask{{1300 * ms, 1}, {2000 * ms, 0}}},
+		{"late", base, 2000 * ms, 300 * ms, []Ask{{1300 * ms, 0}}},
+		{"too late", base, 3400 * ms, 300 * ms, nil},
+		{"continued", with(func(r *Request) { r.Continued = true }), time.Minute, 0, []Ask{{3600 * ms, 2}}},
+		{"no target", Request{}, time.Minute, 0, []Ask{{time.Hour, 1}}},
+		{"priority", with(func(r *Request) { r.Priority = 1 }), 2000 * ms, 300 * ms, []Ask{{1300 * ms, 3}}},
+	}
+	for _, c := range cases {
+		if got := c.request.DecodeAsks(c.elapsed, c.estimate); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	heavy := Request{PromptTokens: 900, MaxTokens: 100, Weight: 2}
+	if got := heavy.DecodeCost(); got != 500 {
+		t.Errorf("cost %d, want 500", got)
+	}
+}
+
 // Guards against a repeated booking that reaches another upstream, where it could run a second time (H7).
 func TestServiceByKey(t *testing.T) {
 	all := fleet(4, serviceRole)
