entry: one cancel for an imported prefill

Cause: the prefill sidecar was told to free the KV cache at the first token and again when the answer had ended, seconds after its eviction.

Ruled out: the second message as a repeat of a lost first one. The sidecar frees an export at its eviction time whatever messages it gets.

--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -157,11 +157,13 @@
 	entry    *Entry
 }
 
-// release frees the exported KV cache. One that no decode engine imported was wasted.
+// release frees the exported KV cache if no decode engine imported it, which wasted the prefill. One that was imported
+// has been freed at the first token, or at its eviction if that message was lost.
 func (p *prefilled) release() {
-	if !p.used {
-		p.entry.metrics.PrefillWasted(p.upstream.pool, p.done.GetHandle().GetPromptTokens())
+	if p.used {
+		return
 	}
+	p.entry.metrics.PrefillWasted(p.upstream.pool, p.done.GetHandle().GetPromptTokens())
 	go cancelCall(p.upstream.peer, p.call)
 }
 
