--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -174,19 +174,21 @@
 	if err != nil {
 		return nil, err
 	}
+	asked := time.Now()
 	place, err := c.reserveDecode(plan)
 	if err != nil {
 		return nil, err
 	}
 	defer place.close()
-	place.upstream.calls.Add(1)
-	defer place.upstream.calls.Add(-1)
-	prefilled, err := c.prefill(plan, prompt)
+	if plan, err = c.refresh(plan, prompt, asked); err != nil {
+		return nil, err
+	}
+	prefilled, err := c.prefill(plan, prompt, place)
 	if err != nil {
 		return nil, err
 	}
 	defer prefilled.release()
-	return c.decode(plan, place, prefilled)
+	return c.decodeAnywhere(plan, place, prefilled)
 }
 
 func (c *completion) tokens() uint64 { return uint64(c.promptTokens + c.maxTokens) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,7 @@
 	logger    *zap.Logger
 	hello     *wirev1.Hello
 	sequence  atomic.Uint64
+	meanRate  atomic.Uint64 // bits of a float64
 	conf      *confsync.Node
 	ledger    *ledger.Node
 	scheduler *scheduler.Scheduler
@@ -151,7 +153,28 @@
 // Events returns the recorder of the process.
 func (e *Entry) Events() *events.Recorder { return e.events }
 
+// weight returns an account's granted rate over the mean granted rate, its share when places are short.
+func (e *Entry) weight(account string) float64 {
+	limits, ok := e.conf.Current().Account(account)
+	mean := math.Float64frombits(e.meanRate.Load())
+	if !ok || mean == 0 {
+		return 1
+	}
+	return float64(limits.GetRate()) / mean
+}
+
+// setMeanRate keeps the mean granted rate of a snapshot, so that it is not summed for each request.
+func (e *Entry) setMeanRate(snapshot *confsync.Snapshot) {
+	accounts := snapshot.Accounts()
+	sum := 0.0
+	for _, account := range accounts {
+		sum += float64(account.GetRate())
+	}
+	e.meanRate.Store(math.Float64bits(sum / float64(max(1, len(accounts)))))
+}
+
 func (e *Entry) applySnapshot(snapshot *confsync.Snapshot) {
+	e.setMeanRate(snapshot)
 	e.upstreams.apply(snapshot.Upstreams())
 	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -7,7 +7,6 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/prefix"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -26,8 +25,8 @@
 	prefill  *upstream
 	quote    scheduler.Quote
 	request  *scheduler.Request
-	estimate time.Duration // from at to the first token
-	at       time.Time
+	estimate time.Duration // from the grant of a decode place to the first token
+	granted  time.Time     // of the decode place
 }
 
 func candidates(list []*upstream) []scheduler.Candidate {
@@ -53,12 +52,15 @@
 		Account: c.caller.account, Model: c.model.GetName(), PromptTokens: prefix.TokenCount(prompt),
 		MaxTokens: c.maxTokens - len(c.delivered), BlockHashes: prefix.BlockHashes(prompt, affinityBlockTokens),
 		FirstTokenTarget: c.model.GetFirstTokenTarget().AsDuration(), Patience: c.model.GetPatience(),
-		Priority: int32(c.in.Priority),
+		Priority: int32(c.in.Priority), Weight: c.e.weight(c.caller.account), Continued: len(c.delivered) > 0,
 	}
 }
 
-// deadline is the longest useful wait for the first token from now on.
+// deadline is the longest useful wait for the next token from now on.
 func (c *completion) deadline(request *scheduler.Request) time.Duration {
+	if request.Continued {
+		return continueLimit - time.Since(c.lastToken)
+	}
 	return min(request.FirstTokenLimit()-time.Since(c.begin), maxWait)
 }
 
@@ -83,7 +85,7 @@
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no prefill engine of %s accepts work now", request.Model)
 	}
 	request.PrefillDataCentre = best.Candidate.DataCentre
-	p := &plan{prefill: byName(list, []scheduler.Candidate{best.Candidate})[0], quote: best, request: request, at: time.Now()}
+	p := &plan{prefill: byName(list, []scheduler.Candidate{best.Candidate})[0], quote: best, request: request}
 	if refusal := c.refuseEarly(p); refusal != nil {
 		return nil, refusal
 	}
@@ -125,156 +127,11 @@
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no decode engine of %s accepts work now", p.request.Model)
 	}
 	p.estimate = c.e.scheduler.EstimateFirstToken(p.request, p.quote, chosen[0])
-	if refusal := c.e.scheduler.RefuseEarly(p.request, p.estimate+time.Since(c.begin)); refusal != nil {
-		return refusal
-	}
-	return nil
-}
-
-// reserveDecode gets a decode place for the moment at which the prefill will be ready.
-func (c *completion) reserveDecode(p *plan) (*hold, error) {
-	ready := p.quote.Reply.GetReadyInMs()
-	wait := c.deadline(p.request) - time.Duration(ready)*time.Millisecond
-	if wait <= 0 {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_TARGET_MISSED, "the first token would be too late")
-	}
-	list := c.e.upstreams.find(p.request.Model, wirev1.EngineRole_ENGINE_ROLE_DECODE)
-	chosen := byName(list, c.e.scheduler.Decode(p.request, candidates(list)))
-	return c.e.reserve(c.ctx, chosen, &wirev1.ReserveRequest{
-		Account: c.caller.account, CostTokens: c.tokens(), ReadyInMs: ready,
-		WaitMs: uint32(wait.Milliseconds()), Priority: p.request.Priority, ExpectedOutputTokens: uint32(p.request.MaxTokens),
-	})
-}
-
-// prefilled is a finished prefill whose KV cache the prefill engine still holds.
-type prefilled struct {
-	upstream *upstream
-	call     *wirev1.CallID
-	done     *wirev1.PrefillDone
-	prompt   string
-	at       time.Time
-	used     bool
-	entry    *Entry
-}
-
-// release frees the exported KV cache if no decode engine imported it, which wasted the prefill. One that was imported
-// has been freed at the first token, or at its eviction if that message was lost.
-func (p *prefilled) release() {
-	if p.used {
-		return
-	}
-	p.entry.metrics.PrefillWasted(p.upstream.pool, p.done.GetHandle().GetPromptTokens())
-	go cancelCall(p.upstream.peer, p.call)
-}
-
-func (c *completion) prefill(p *plan, prompt string) (*prefilled, error) {
-	place, err := c.e.reserve(c.ctx, []*upstream{p.prefill}, &wirev1.ReserveRequest{
-		Account: c.caller.account, CostTokens: uint64(p.request.PromptTokens), Priority: p.request.Priority,
-		WaitMs: uint32(max(c.deadline(p.request), 0).Milliseconds()),
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer place.close()
-	c.e.scheduler.ObserveChoice(p.prefill.name)
-	if err := c.authorize(c.tokens()); err != nil {
-		return nil, err
-	}
-	out := &prefilled{upstream: p.prefill, call: place.request.GetCall(), prompt: prompt, entry: c.e}
-	p.prefill.calls.Add(1)
-	defer p.prefill.calls.Add(-1)
-	begin := time.Now()
-	x := c.exchange(place, &wirev1.Work{Kind: &wirev1.Work_Prefill{Prefill: &wirev1.PrefillWork{
-		Model: p.request.Model, Prompt: prompt, Priority: p.request.Priority,
-	}}})
-	x.onFrame = func(frame *wirev1.Frame) error {
-		out.done, out.at = frame.GetPrefillDone(), time.Now()
+	if p.request.Continued {
 		return nil
 	}
-	outcome, err := x.run(c.ctx)
-	if err == nil {
-		err = outcomeError(outcome)
-	}
-	c.noteFailure(p.prefill.name, err)
-	if err != nil {
-		return nil, err
-	}
-	if out.done == nil {
-		return nil, mayHaveRun(wirev1.Reason_REASON_UPSTREAM_ERROR, "the prefill engine returned no KV cache")
-	}
-	c.e.scheduler.ObservePrefill(p.prefill.name, p.request.PromptTokens-int(out.done.GetCachedTokens()), time.Since(begin))
-	c.e.metrics.Prefilled(c.model.GetName(), out.done.GetHandle().GetPromptTokens())
-	return out, nil
-}
-
-func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
-	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
-	return &exchange{
-		peer: place.upstream.peer, logger: c.e.logger, clock: c.e.events, onEvent: c.event(place.upstream.name),
-		request: &wirev1.ExecuteRequest{
-			Call: place.request.GetCall(), Nonce: place.nonce, Account: c.caller.account, ChargedTokens: c.tokens(), Work: work,
-		},
-	}
-}
-
-// decode imports the KV cache and passes the tokens on.
-func (c *completion) decode(pl *plan, place *hold, p *prefilled) (*wirev1.Outcome, error) {
-	session := place.upstream.peer.Session()
-	if session == nil {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "the decode engine was lost during the prefill")
-	}
-	nonce, err := freshNonce(c.ctx, session)
-	if err != nil {
-		return nil, err
-	}
-	place.nonce = nonce
-	if err := c.e.recheck(c.caller); err != nil {
-		return nil, err
-	}
-	x := c.exchange(place, &wirev1.Work{Kind: &wirev1.Work_Decode{Decode: &wirev1.DecodeWork{
-		Model: c.model.GetName(), Prompt: p.prompt, Handle: p.done.GetHandle(),
-		MaxTokens: uint32(c.maxTokens - len(c.delivered)), Priority: int32(c.in.Priority),
-	}}})
-	x.onFrame = func(frame *wirev1.Frame) error { return c.onToken(frame, pl, place, p) }
-	from, to, tokens := pl.quote.Candidate.DataCentre, session.Remote().GetDataCentre(), pl.request.PromptTokens
-	c.e.scheduler.StartTransfer(from, to, tokens)
-	outcome, err := x.run(c.ctx)
-	if !p.used {
-		c.e.scheduler.AbandonTransfer(from, to, tokens)
-	}
-	if err == nil {
-		err = outcomeError(outcome)
-	}
-	c.noteFailure(place.upstream.name, err)
-	return outcome, err
-}
-
-func (c *completion) onToken(frame *wirev1.Frame, pl *plan, place *hold, p *prefilled) error {
-	token := frame.GetToken()
-	if token == nil {
-		return nil
-	}
-	now := time.Now()
-	if !p.used {
-		p.used = true
-		c.e.scheduler.ObserveTransfer(
-			pl.quote.Candidate.DataCentre, place.upstream.dataCentre(), pl.request.PromptTokens, now.Sub(p.at))
-		go cancelCall(p.upstream.peer, p.call)
-	}
-	if c.firstToken.IsZero() {
-		c.firstToken = now
-		c.e.scheduler.ObserveFirstToken(pl.estimate, now.Sub(pl.at))
-		c.e.events.Record("first_token", c.name, place.upstream.name,
-			field("elapsed_ms", now.Sub(c.begin).Milliseconds()))
-		c.e.metrics.FirstToken(c.model.GetName(), now.Sub(c.begin))
-	} else {
-		c.gapSum += now.Sub(c.lastToken)
-		c.e.metrics.TokenGap(c.model.GetName(), now.Sub(c.lastToken))
-	}
-	c.lastToken = now
-	if err := c.writer.Token(token.GetText()); err != nil {
-		return err
+	if refusal := c.e.scheduler.RefuseEarly(p.request, p.estimate+time.Since(c.begin)); refusal != nil {
+		return refusal
 	}
-	c.delivered = append(c.delivered, token.GetText())
 	return nil
 }
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -16,6 +16,24 @@
 	request  *wirev1.ReserveRequest
 	nonce    *wirev1.Nonce
 	stream   *transport.Stream
+	// lost is closed when the stream ended: the sidecar closes it when it gives up the place.
+	lost chan struct{}
+}
+
+// isLost reports whether the sidecar is known to have given up the place.
+func (h *hold) isLost() bool {
+	select {
+	case <-h.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+// watch waits for the end of the stream.
+func (h *hold) watch() {
+	_ = h.stream.Recv(new(wirev1.ReserveReply))
+	close(h.lost)
 }
 
 func (h *hold) close() {
@@ -102,5 +120,7 @@
 		refusal.RetryAfter = time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 		return reserveResult{err: refusal}
 	}
-	return reserveResult{hold: &hold{upstream: u, request: request, nonce: reply.GetNonce(), stream: stream}}
+	h := &hold{upstream: u, request: request, nonce: reply.GetNonce(), stream: stream, lost: make(chan struct{})}
+	go h.watch()
+	return reserveResult{hold: h}
 }
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -46,6 +46,8 @@
 	tracker *progress.Tracker
 	index   *prefix.Index
 
+	imports importTimes
+
 	mu      sync.Mutex // guards exports
 	exports map[call.ID]string
 }
@@ -101,7 +103,7 @@
 	u.keepExport(c.ID, result.Handle.GetHandle())
 	done := &wirev1.PrefillDone{
 		Handle: result.Handle, CachedTokens: uint32(result.CachedTokens),
-		ElapsedMs: uint32(time.Since(begin).Milliseconds()),
+		ElapsedMs: uint32(time.Since(begin).Milliseconds()), KeptMs: uint32(u.cfg.Eviction.Milliseconds()),
 	}
 	if err := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_PrefillDone{PrefillDone: done}}); err != nil {
 		u.Release(c.ID)
@@ -114,9 +116,14 @@
 	id := u.tracker.Begin(progress.Decode, 0)
 	tokens := 0
 	ctx := engine.WithAccount(c.Context(), c.Account)
-	watchdog := time.AfterFunc(u.tokenLimit(), func() { c.Cancel(call.ErrStalled) })
+	begin := time.Now()
+	bytes := work.GetHandle().GetBytes()
+	watchdog := time.AfterFunc(u.imports.limit(bytes), func() { c.Cancel(call.ErrStalled) })
 	defer watchdog.Stop()
 	result, err := u.cfg.Engine.Decode(ctx, c.ID.String(), work, func(text string) error {
+		if tokens == 0 {
+			u.imports.observe(bytes, time.Since(begin))
+		}
 		tokens++
 		watchdog.Reset(u.tokenLimit())
 		u.tracker.Token(id)
@@ -138,8 +145,8 @@
 	}
 }
 
-// tokenLimit is the longest wait for a token of one stream, the import included. The tracker finds engines that stall as a
-// whole; this finds a single transfer or stream that does.
+// tokenLimit is the longest wait for a further token of one stream. The tracker finds engines that stall as a whole; this
+// finds a single stream that does.
 func (u *ModelUpstream) tokenLimit() time.Duration {
 	return max(minTokenLimit, tokenLimitGaps*u.tracker.TokenGap())
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -84,7 +84,10 @@
 	s.addReservation(id, reservation)
 	s.events.Record("place_reserved", id.String(), s.settings.GetUpstream().GetName())
 	s.reply(stream, &wirev1.ReserveReply{Granted: true, Nonce: s.issuer.Issue(), Lamport: s.events.Now()})
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-reservation.Lost():
+	}
 	if left := s.takeReservation(id); left != nil {
 		left.Release()
 	}
