openai, httpengine: no copies of an event

Cause: each token was copied three times between its JSON and the caller's connection, and twice between the engine's connection and the decoder.

--- a/internal/engine/httpengine/stream.go
+++ b/internal/engine/httpengine/stream.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
-	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -16,18 +16,20 @@
 // maxEvent is the longest event of a stream, bytes.
 const maxEvent = 1 << 20
 
+var dataPrefix = []byte("data:")
+
 // readStream passes the tokens of a stream to emit. A stream without its end event is broken.
 func readStream(ctx context.Context, body io.Reader, emit func(text string) error) (engine.DecodeResult, error) {
 	var result engine.DecodeResult
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
 	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
+		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
 		if !ok {
 			continue
 		}
-		data = strings.TrimSpace(data)
-		if data == vllm.StreamEnd {
+		data = bytes.TrimSpace(data)
+		if string(data) == vllm.StreamEnd {
 			return result, nil
 		}
 		if err := readEvent(data, &result, emit); err != nil {
@@ -40,9 +42,10 @@
 	return result, broken(ctx, io.ErrUnexpectedEOF)
 }
 
-func readEvent(data string, result *engine.DecodeResult, emit func(text string) error) error {
+// readEvent does not keep data.
+func readEvent(data []byte, result *engine.DecodeResult, emit func(text string) error) error {
 	event := new(vllm.CompletionResponse)
-	if err := json.Unmarshal([]byte(data), event); err != nil {
+	if err := json.Unmarshal(data, event); err != nil {
 		return errors.Wrap(err, "event of stream")
 	}
 	if event.Error != nil {
--- a/internal/openai/write.go
+++ b/internal/openai/write.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -18,6 +19,8 @@
 	created int64
 	text    strings.Builder
 	begun   bool
+	// buf is the buffer of one event.
+	buf bytes.Buffer
 }
 
 // NewWriter returns a writer; nothing is sent before the first token or the end.
@@ -51,7 +54,7 @@
 			return err
 		}
 	}
-	return w.raw("data: [DONE]\n\n")
+	return w.raw([]byte("data: [DONE]\n\n"))
 }
 
 // Fail ends a begun stream with an error event. A stream without the [DONE] event is not a whole answer.
@@ -104,21 +107,24 @@
 }
 
 func (w *Writer) event(v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
+	w.buf.Reset()
+	w.buf.WriteString("data: ")
+	// Encode ends the value with a newline; an event ends with an empty line.
+	if err := json.NewEncoder(&w.buf).Encode(v); err != nil {
 		return errors.Wrap(err, "encode event")
 	}
-	return w.raw("data: " + string(data) + "\n\n")
+	w.buf.WriteByte('\n')
+	return w.raw(w.buf.Bytes())
 }
 
-func (w *Writer) raw(text string) error {
+func (w *Writer) raw(text []byte) error {
 	if !w.begun {
 		w.begun = true
 		w.w.Header().Set("Content-Type", "text/event-stream")
 		w.w.Header().Set("Cache-Control", "no-store")
 		w.w.WriteHeader(http.StatusOK)
 	}
-	if _, err := w.w.Write([]byte(text)); err != nil {
+	if _, err := w.w.Write(text); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
 	if w.flusher != nil {
