--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"sort"
 	"strings"
 	"sync"
 	"testing"
@@ -81,6 +82,7 @@
 type table struct {
 	mu      sync.Mutex
 	results map[row]*Result
+	order   []row
 }
 
 // Guards against a change of the decisions that loses goodput, wastes prefills, refuses within rate or starves an
@@ -92,6 +94,9 @@
 		duration = fullDuration
 	}
 	t.Run("runs", func(t *testing.T) { results.run(t, duration) })
+	if *full {
+		results.print()
+	}
 	if *only == "" {
 		results.check(t)
 	}
@@ -123,8 +128,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.results[r] = result
-	if *full {
-		fmt.Println(r, result)
+	b.order = append(b.order, r)
+}
+
+// print writes the table, ordered by deployment, scenario and policy.
+func (b *table) print() {
+	sort.Slice(b.order, func(i, j int) bool { return b.order[i].String() < b.order[j].String() })
+	for _, r := range b.order {
+		fmt.Println(r, b.results[r])
 	}
 }
 
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -151,7 +151,7 @@
 	}
 	x, cost, err := a.prefill(ctx, prefill, decode)
 	if err != nil {
-		a.result.wasted(causeOf(err), cost)
+		a.result.wasted(a.call, causeOf(err), cost)
 		return err
 	}
 	before := a.delivered.tokens
@@ -160,9 +160,9 @@
 		err = errEvicted
 	}
 	if a.delivered.tokens == before {
-		a.result.wasted(causeOf(err), cost)
+		a.result.wasted(a.call, causeOf(err), cost)
 	} else if before > 0 {
-		a.result.repeated(cost)
+		a.result.repeated(a.call, cost)
 	}
 	return err
 }
@@ -216,11 +216,11 @@
 	elapsed := time.Since(begun)
 	if err != nil {
 		done := min(uncached, int(elapsed.Seconds()*s.prefill.speed/prefillPlaces))
-		a.result.prefilled(done)
+		a.result.prefilled(a.call, done)
 		a.observeFailure(ctx, s)
 		return nil, done, err
 	}
-	a.result.prefilled(uncached)
+	a.result.prefilled(a.call, uncached)
 	s.learnSpeed(uncached, elapsed)
 	a.scheduler.ObservePrefill(s.name, uncached, elapsed)
 	h.reservation.Release()
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -131,14 +131,17 @@
 	r.Retried[causeOf(err)]++
 }
 
-func (r *Result) prefilled(tokens int) {
+func (r *Result) prefilled(call *Call, tokens int) {
+	if call.At >= r.load.Duration {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Prefilled += tokens
 }
 
-func (r *Result) wasted(cause string, tokens int) {
-	if tokens == 0 {
+func (r *Result) wasted(call *Call, cause string, tokens int) {
+	if tokens == 0 || call.At >= r.load.Duration {
 		return
 	}
 	r.mu.Lock()
@@ -146,7 +149,10 @@
 	r.Wasted[cause] += tokens
 }
 
-func (r *Result) repeated(tokens int) {
+func (r *Result) repeated(call *Call, tokens int) {
+	if call.At >= r.load.Duration {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Repeated += tokens
