--- /dev/null
+++ b/internal/entry/admission_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// Guards against an account that takes the room of others in a full process.
+func TestAdmissionIsFair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmission(4)
+		served := map[string]int{}
+		stop := time.Now().Add(20 * time.Second)
+		var mu sync.Mutex // guards served
+		run := func(account string) {
+			for time.Now().Before(stop) {
+				if a.enter(context.Background(), account, 1, 1, time.Minute) != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				mu.Lock()
+				served[account]++
+				mu.Unlock()
+				a.leave()
+			}
+		}
+		for range 100 {
+			go run("large")
+		}
+		for range 4 {
+			go run("small")
+		}
+		time.Sleep(2 * time.Minute)
+		total := served["large"] + served["small"]
+		if served["small"]*10 < total*4 {
+			t.Errorf("the small account got %d of %d turns", served["small"], total)
+		}
+	})
+}
+
+// Guards against room that is lost when a request stops waiting, and against a wait without end.
+func TestAdmissionWithdraws(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmission(1)
+		if err := a.enter(t.Context(), "x", 1, 1, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		refusal := verdict.As(a.enter(t.Context(), "y", 1, 1, time.Second))
+		if refusal.Verdict != verdict.NotRun || refusal.Reason != wirev1.Reason_REASON_NO_PLACE {
+			t.Errorf("refusal %v", refusal)
+		}
+		if waited := time.Since(begin); waited != time.Second {
+			t.Errorf("waited %v", waited)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		if err := a.enter(ctx, "y", 1, 1, time.Minute); err == nil {
+			t.Error("entered although the caller is gone")
+		}
+		a.leave()
+		if err := a.enter(t.Context(), "z", 1, 1, 0); err != nil {
+			t.Errorf("room was lost: %v", err)
+		}
+	})
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -50,6 +50,12 @@
 			e.writeRefusal(w, req.name, err)
 			return
 		}
+		weight := e.weight(req.caller.account)
+		if err := e.admission.enter(req.ctx, req.caller.account, weight, float64(c.tokens()), c.firstTokenLimit()); err != nil {
+			c.fail(err)
+			return
+		}
+		defer e.admission.leave()
 		go e.watchKey(req.ctx, req.caller, req.cancel)
 		c.serve()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,7 @@
 	metrics   *metrics.Entry
 	upstreams *upstreamPool
 	members   *memberTable
+	admission *admission
 
 	mu       sync.Mutex // guards the fields below
 	running  int
@@ -90,6 +91,7 @@
 		events:    events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
 		metrics:   metrics.NewEntry(),
 		idle:      make(chan struct{}),
+		admission: newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning())),
 	}
 	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
 	e.members = newMemberTable(e.hello, cfg.Connector, e.Options(), cfg.Logger)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -68,6 +68,12 @@
 	}
 	req.caller = c
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
+	weight := e.weight(c.account)
+	if err := e.admission.enter(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
+		s.fail(verdict.As(err))
+		return
+	}
+	defer e.admission.leave()
 	s.serve()
 }
 
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -19,6 +19,7 @@
 	maxPlaces     = 1 << 16
 	maxBlock      = 1 << 20
 	maxBodyBytes  = 1 << 30
+	maxRunning    = 1 << 20
 	maxShards     = 1 << 16
 	sha256Hex     = 64
 	operatorParts = 3
@@ -41,6 +42,7 @@
 
 	pkg + "CallerSettings.listen":         ListenAddress().Need(),
 	pkg + "CallerSettings.max_body_bytes": Between(1, maxBodyBytes).Or("8388608"),
+	pkg + "CallerSettings.max_running":    Between(1, maxRunning).Or("4096"),
 	pkg + "CallerSettings.drain_delay":    DurationBetween(0, maxDrain).Or("3s"),
 	pkg + "CallerSettings.drain_limit":    DurationBetween(0, maxDrain).Or("10m"),
 	pkg + "CallerSettings.entries": optional(Rule{Check: everyPart(isAddress),
