--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -119,9 +119,6 @@
 	delivered int64
 	// waiting is a read of the store's revision that the watch has not reached yet.
 	waiting *probe
-	// confirmed says that the state was confirmed in this run. Before, an answer of the store is no contact: a
-	// node with contact and an old confirmation counts as cut off, and each end of an outage would look like that.
-	confirmed bool
 }
 
 // probe is a read of the store's revision.
@@ -135,7 +132,6 @@
 func (w *watcher) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w.confirmed = false
 	w.waiting = nil
 	if !w.listed {
 		if err := w.list(ctx); err != nil {
@@ -201,8 +197,9 @@
 	w.waiting = nil
 	w.documents = newest
 	w.delivered = revision
+	w.node.answeredByStore()
 	w.node.take(batch{documents: documents, to: newest, whole: true}, "")
-	w.confirm(newest, sent)
+	w.node.confirm(newest, sent)
 	return nil
 }
 
@@ -215,23 +212,9 @@
 	}
 }
 
-// confirm notes that the documents up to a revision were the newest at a time.
-func (w *watcher) confirm(revision uint64, at time.Time) {
-	w.node.confirm(revision, at)
-	w.confirmed = true
-	w.node.answeredByStore()
-}
-
-// answered notes an answer of the store that confirms nothing.
-func (w *watcher) answered() {
-	if w.confirmed {
-		w.node.answeredByStore()
-	}
-}
-
 // update applies changes in the order of their revisions, each as a batch of its own.
 func (w *watcher) update(update kv.WatchUpdate) {
-	w.answered()
+	w.node.answeredByStore()
 	for _, event := range update.Events {
 		d := wireDocument(event.Pair, event.Deleted)
 		if event.Deleted {
@@ -244,7 +227,7 @@
 	}
 	w.delivered = max(w.delivered, update.Revision)
 	if w.waiting != nil && w.waiting.revision <= w.delivered {
-		w.confirm(w.documents, w.waiting.sent)
+		w.node.confirm(w.documents, w.waiting.sent)
 		w.waiting = nil
 	}
 }
@@ -259,11 +242,11 @@
 	if !w.node.isCurrent(uint64(p.revision)) {
 		return nil
 	}
+	w.node.answeredByStore()
 	if p.revision <= w.delivered {
-		w.confirm(w.documents, p.sent)
+		w.node.confirm(w.documents, p.sent)
 		return nil
 	}
-	w.answered()
 	if w.waiting != nil {
 		// The watch gave neither a change nor a notice for a whole interval.
 		return errListAgain
