metrics: goodput, wasted prefill by cause, least account shares, refusals within rate, store, spread, traffic, sidecar

The account shares are kept over one minute and name the account only in the log and in the status of operators of all teams. The granted share alone shows an account over its rate as badly served, so the served share, without tokens refused for rate, is beside it. Transport counts only control messages, since sizes of request messages are not needed and cost on the data path.

The sidecar serves /metrics and /readyz. A caller that closed only its sending side got an empty 200; it now gets the refusal, which is not counted as one.

Run: transport, systemtest, entry, confsync tests.

--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
@@ -93,8 +92,7 @@
 	if err != nil {
 		return err
 	}
-	router := mux.NewRouter()
-	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router := car.OperationsHandler()
 	router.Handle("/log-level", level)
 	adminServer := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	stop, cut := process.Signals()
--- a/cmd/fulmardoorctl/live.go
+++ b/cmd/fulmardoorctl/live.go
@@ -100,6 +100,8 @@
 	}
 	fmt.Printf("%s on %s in %s: configuration revision %d, %s\n\n",
 		status.Process, status.Host, status.DataCentre, status.Revision, status.State)
+	printShare("worst-served account", status.WorstServed)
+	printShare("least granted account", status.LeastGranted)
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "node\trole\tdata centre\tconnected\trevision\tin force")
 	for _, n := range status.Nodes {
@@ -112,6 +114,12 @@
 	return table.Flush()
 }
 
+func printShare(title string, share *admin.AccountShare) {
+	if share != nil {
+		fmt.Printf("%s in the last minute: %s, share %.3f\n", title, share.Account, share.Ratio)
+	}
+}
+
 func eventsCommand() *cli.Command {
 	return &cli.Command{
 		Name: "events", Usage: "print the event timeline over all processes",
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -54,6 +54,16 @@
 	State      string       `json:"configuration_state"`
 	Nodes      []NodeStatus `json:"nodes"`
 	Shards     []Shard      `json:"ledger_shards"`
+	// WorstServed and LeastGranted are the accounts with the least shares in the last minute at the answering entry.
+	// Only operators of all teams see them.
+	WorstServed  *AccountShare `json:"worst_served_account,omitempty"`
+	LeastGranted *AccountShare `json:"least_granted_account,omitempty"`
+}
+
+// AccountShare is the share of one client account.
+type AccountShare struct {
+	Account string  `json:"account"`
+	Ratio   float64 `json:"ratio"`
 }
 
 // NodeStatus is a process as the answering entry hears it.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -140,8 +140,12 @@
 	}
 }
 
-func (s *server) status(w http.ResponseWriter, _ *http.Request, _ Operator) {
-	s.write(w, http.StatusOK, s.backend.Status())
+func (s *server) status(w http.ResponseWriter, _ *http.Request, operator Operator) {
+	status := s.backend.Status()
+	if operator.Team != AllTeams {
+		status.WorstServed, status.LeastGranted = nil, nil
+	}
+	s.write(w, http.StatusOK, status)
 }
 
 func (s *server) upstreams(w http.ResponseWriter, _ *http.Request, operator Operator) {
--- a/internal/confsync/freshness.go
+++ b/internal/confsync/freshness.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// StateNames lists the names of all states.
+func StateNames() []string {
+	return []string{NoConfiguration.String(), Fresh.String(), Outage.String(), Isolated.String()}
+}
+
 // freshness holds the time of the last confirmation: at that time the store had no change that is missing here. All
 // times are on this process's monotonic clock.
 type freshness struct {
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -10,6 +10,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/admin"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/orders"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -76,6 +77,8 @@
 		Process: e.hello.GetProcess(), Host: e.hello.GetHost(), DataCentre: e.hello.GetDataCentre(),
 		Revision: revision, State: e.conf.State().String(),
 	}
+	status.WorstServed = accountShare(e.metrics.Accounts.LeastServed())
+	status.LeastGranted = accountShare(e.metrics.Accounts.LeastGranted())
 	for _, m := range e.members.all() {
 		status.Nodes = append(status.Nodes, nodeStatus(m.label(), "entry", m.peer.Session(), revision))
 	}
@@ -90,6 +93,14 @@
 	return status
 }
 
+// accountShare returns nil if no account got less than it asked for.
+func accountShare(share metrics.AccountShare) *admin.AccountShare {
+	if share.Account == "" {
+		return nil
+	}
+	return &admin.AccountShare{Account: share.Account, Ratio: share.Ratio}
+}
+
 func nodeStatus(name, role string, session *transport.Session, revision uint64) admin.NodeStatus {
 	node := admin.NodeStatus{Process: name, Role: role}
 	if session == nil {
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -11,6 +11,7 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/openai"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -122,7 +123,7 @@
 			c.fail(refusal)
 			return
 		}
-		c.e.metrics.Retried("model")
+		c.e.metrics.Retried("model", refusal.Reason)
 		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
 			field("delivered", len(c.delivered)))
 	}
@@ -185,8 +186,20 @@
 	if err != nil {
 		return nil, err
 	}
-	defer prefilled.release()
-	return c.decode(plan, place, prefilled)
+	outcome, err := c.decode(plan, place, prefilled)
+	prefilled.release(c.wasteCause(err))
+	return outcome, err
+}
+
+// wasteCause names why a prefill was not used after the error of the attempt.
+func (c *completion) wasteCause(err error) string {
+	if c.callerGone() {
+		return metrics.CauseCallerGone
+	}
+	if err == nil {
+		return "no_output"
+	}
+	return verdict.ReasonName(verdict.As(err).Reason)
 }
 
 func (c *completion) tokens() uint64 { return uint64(c.promptTokens + c.maxTokens) }
@@ -204,6 +217,7 @@
 	}
 	c.e.metrics.Served("model", c.model.GetName())
 	c.e.metrics.Latency(c.model.GetName(), c.targetsMet())
+	c.noteEnd(c.tokens(), nil)
 }
 
 // targetsMet reports whether both latency targets were met.
@@ -223,15 +237,10 @@
 		used = uint64(c.promptTokens + len(c.delivered))
 	}
 	c.settle(used, refusal.Verdict)
-	if c.ctx.Err() != nil && errors.Is(context.Cause(c.ctx), context.Canceled) {
-		c.e.metrics.CallerLost()
-		c.e.events.Record("caller_gone", c.name, "")
-		return
-	}
+	c.noteFailed(c.tokens(), &refusal)
 	if !c.writer.Begun() {
-		c.e.writeRefusal(c.w, c.name, &refusal)
+		c.e.sendRefusal(c.w, c.name, &refusal)
 		return
 	}
-	c.e.noteRefusal(c.name, &refusal)
 	_ = c.writer.Fail(errorBody(&refusal, c.name)) // the caller may be gone
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,8 @@
 	budget    *retry.Budget
 	events    *events.Recorder
 	metrics   *metrics.Entry
+	spread    *metrics.Spread
+	traffic   *transport.Traffic
 	upstreams *upstreamPool
 	members   *memberTable
 
@@ -75,7 +77,6 @@
 	incarnation := transport.NewIncarnation()
 	e := &Entry{
 		settings: cfg.Settings,
-		store:    cfg.Store,
 		hosts:    cfg.Hosts,
 		logger:   cfg.Logger,
 		hello: &wirev1.Hello{
@@ -87,18 +88,22 @@
 		budget:    retry.NewBudget(),
 		events:    events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
 		metrics:   metrics.NewEntry(),
+		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
 	}
+	e.spread = metrics.NewSpread(e.metrics.Registry)
+	e.store = metrics.Store(e.metrics.Registry, cfg.Store)
 	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
 	e.members = newMemberTable(e.hello, cfg.Connector, e.Options(), cfg.Logger)
 	e.conf = confsync.New(confsync.Config{
-		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: cfg.Store,
+		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: e.store,
 		Members: configMembers{e.members}, Peers: configPeers{e.members, e.upstreams}, Logger: cfg.Logger,
 	})
 	e.ledger = ledger.New(ledger.Config{
-		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: cfg.Store,
+		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: e.store,
 		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Gone: e.members.gone, Logger: cfg.Logger,
 	})
+	e.watchMetrics()
 	// Sessions use everything above, so none is opened before.
 	e.conf.Subscribe(e.applySnapshot)
 	e.members.start(cfg.Settings.GetCallers().GetEntries())
@@ -133,6 +138,8 @@
 		Heartbeat:         e.heartbeat,
 		OnHeartbeat:       e.onHeartbeat,
 		OnOpen:            func(s *transport.Session) { e.members.opened(s) },
+		OnClose:           func(s *transport.Session) { e.spread.Forget(s.Remote().GetProcess()) },
+		Traffic:           e.traffic,
 		Clock:             e.events,
 		Handler:           e,
 		Logger:            e.logger,
@@ -145,6 +152,7 @@
 	running.Go(func() { e.conf.Run(ctx) })
 	running.Go(func() { e.ledger.Run(ctx) })
 	running.Go(func() { e.members.run(ctx, e.hosts) })
+	running.Go(func() { e.logWorstServed(ctx) })
 	running.Wait()
 }
 
@@ -153,6 +161,7 @@
 
 func (e *Entry) applySnapshot(snapshot *confsync.Snapshot) {
 	e.upstreams.apply(snapshot.Upstreams())
+	e.spread.Applied(snapshot.Revision)
 	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
 }
@@ -167,6 +176,7 @@
 }
 
 func (e *Entry) onHeartbeat(session *transport.Session, beat *wirev1.Heartbeat) {
+	e.spread.Reported(session.Remote().GetProcess(), beat.GetConfigRevision())
 	if session.Remote().GetRole() == wirev1.Role_ROLE_ENTRY {
 		e.conf.OnHeartbeat(session.Remote().GetProcess(), beat)
 	}
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -157,10 +157,10 @@
 	entry    *Entry
 }
 
-// release frees the exported KV cache. One that no decode engine imported was wasted.
-func (p *prefilled) release() {
+// release frees the exported KV cache. One that no decode engine imported was wasted for the cause.
+func (p *prefilled) release(cause string) {
 	if !p.used {
-		p.entry.metrics.PrefillWasted(p.upstream.pool, p.done.GetHandle().GetPromptTokens())
+		p.entry.metrics.PrefillWasted(p.upstream.pool, cause, p.done.GetHandle().GetPromptTokens())
 	}
 	go cancelCall(p.upstream.peer, p.call)
 }
@@ -195,6 +195,7 @@
 	}
 	c.noteFailure(p.prefill.name, err)
 	if err != nil {
+		c.noteLostPrefill(p.request, err)
 		return nil, err
 	}
 	if out.done == nil {
@@ -205,6 +206,16 @@
 	return out, nil
 }
 
+// noteLostPrefill counts a prefill that may have run and left nothing that a decode engine could use.
+func (c *completion) noteLostPrefill(request *scheduler.Request, err error) {
+	if verdict.As(err).Verdict == verdict.NotRun {
+		return
+	}
+	tokens := uint32(request.PromptTokens)
+	c.e.metrics.Prefilled(c.model.GetName(), tokens)
+	c.e.metrics.PrefillWasted(c.model.GetName(), c.wasteCause(err), tokens)
+}
+
 func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
 	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
 	return &exchange{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -44,6 +46,11 @@
 	r.e.end()
 }
 
+// callerGone reports whether the request ended because its caller went away.
+func (r *request) callerGone() bool {
+	return r.ctx.Err() != nil && errors.Is(context.Cause(r.ctx), context.Canceled)
+}
+
 func (r *request) event(upstream string) func(kind string) {
 	return func(kind string) { r.e.events.Record(kind, r.name, upstream) }
 }
@@ -68,7 +75,12 @@
 	defer cancel()
 	id := r.e.nextCallID()
 	asked := time.Now()
-	if err := r.e.ledger.Charge(ctx, id, r.caller.account, tokens, r.chargeID); err != nil {
+	first := r.chargeID == nil
+	err := r.e.ledger.Charge(ctx, id, r.caller.account, tokens, r.chargeID)
+	if first {
+		r.e.metrics.Accounts.Asked(r.caller.account, tokens, err == nil)
+	}
+	if err != nil {
 		return err
 	}
 	r.chargeID, r.charged, r.chargedAt = id, tokens, asked
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -38,6 +38,7 @@
 	if len(candidates) == 0 {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream accepts work now")
 	}
+	waited := e.metrics.WaitForPlace(candidates[0].pool, candidates[0].roleName)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(template.GetWaitMs())*time.Millisecond+reserveGrace)
 	results := make(chan reserveResult, len(candidates))
 	var asking sync.WaitGroup
@@ -47,6 +48,7 @@
 		asking.Go(func() { results <- askPlace(ctx, u, request) })
 	}
 	winner, err := firstGrant(results, len(candidates))
+	waited(winner != nil)
 	cancel() // withdraws the requests that have not been answered
 	go dropRest(&asking, results)
 	return winner, err
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -32,6 +32,11 @@
 func (e *Entry) writeRefusal(w http.ResponseWriter, requestID string, err error) {
 	refusal := verdict.As(err)
 	e.noteRefusal(requestID, refusal)
+	e.sendRefusal(w, requestID, refusal)
+}
+
+// sendRefusal writes a refusal without counting it.
+func (e *Entry) sendRefusal(w http.ResponseWriter, requestID string, refusal *verdict.Refusal) {
 	header := w.Header()
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
@@ -47,7 +52,7 @@
 func (e *Entry) noteRefusal(requestID string, refusal *verdict.Refusal) {
 	reason := verdict.ReasonName(refusal.Reason)
 	e.events.Record("refused", requestID, "", field("reason", reason), field("verdict", refusal.Verdict))
-	e.metrics.Refused(reason, refusal.Verdict.String())
+	e.metrics.Refused(refusal)
 	// The detail can quote what the caller sent, and a caller may have put a key in the wrong place.
 	e.logger.Info("request refused", zap.String("request", requestID), zap.String("reason", reason),
 		zap.Stringer("verdict", refusal.Verdict), zap.String("detail", events.Redact(refusal.Detail)))
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -90,7 +90,7 @@
 	for {
 		err := s.attempt()
 		if err == nil {
-			s.e.metrics.Served("service", s.route.GetPool())
+			s.settled()
 			return
 		}
 		if s.ctx.Err() != nil {
@@ -100,7 +100,7 @@
 		again := s.ctx.Err() == nil && retryable(refusal) &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
-			s.e.metrics.Retried("service")
+			s.e.metrics.Retried("service", refusal.Reason)
 			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)))
 			continue
 		}
@@ -109,17 +109,23 @@
 	}
 }
 
+// settled counts a whole answer.
+func (s *serviceRequest) settled() {
+	s.e.metrics.Served("service", s.route.GetPool())
+	s.noteEnd(s.route.GetCostTokens(), nil)
+}
+
 // worthWaiting reports whether the caller of a service, who expects a prompt answer, should still wait for a retry.
 func (s *serviceRequest) worthWaiting() bool { return time.Since(s.request.begin) < serviceRetryLimit }
 
 // fail ends the request. After the first byte only a broken connection tells the caller that the answer is not whole.
 func (s *serviceRequest) fail(refusal *verdict.Refusal) {
 	s.settle(0, refusal.Verdict)
+	s.noteFailed(s.route.GetCostTokens(), refusal)
 	if !s.begun {
-		s.e.writeRefusal(s.w, s.name, refusal)
+		s.e.sendRefusal(s.w, s.name, refusal)
 		return
 	}
-	s.e.noteRefusal(s.name, refusal)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -1,80 +1,70 @@
-// Package metrics has the Prometheus collectors of the processes. Label sets are bounded: no label holds an account, a key
-// or a request.
 package metrics
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-)
-
-const namespace = "fulmardoor"
 
-var (
-	firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4, 8, 16, 32, 64}
-	tokenGapBuckets   = []float64{0.005, 0.01, 0.02, 0.03, 0.035, 0.05, 0.1, 0.25, 0.5, 1, 2}
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-// NewRegistry returns a registry with the collectors of the Go runtime and the process.
-func NewRegistry() *prometheus.Registry {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(
-		collectors.NewGoCollector(),
-		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-	)
-	return registry
-}
-
-// Handler serves a registry.
-func Handler(registry *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
-}
+// CauseCallerGone is the cause of a wasted prefill whose caller went away.
+const CauseCallerGone = "caller_gone"
 
 // Entry has the collectors of an entry process.
 type Entry struct {
 	Registry *prometheus.Registry
-
-	served        *prometheus.CounterVec
-	refused       *prometheus.CounterVec
-	retried       *prometheus.CounterVec
-	targets       *prometheus.CounterVec
-	callersLost   prometheus.Counter
-	firstToken    *prometheus.HistogramVec
-	tokenGap      *prometheus.HistogramVec
-	prefillTokens *prometheus.CounterVec
-	prefillWasted *prometheus.CounterVec
-}
-
-func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
-}
-
-func histogramVec(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
-	opts := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}
-	return prometheus.NewHistogramVec(opts, labels)
+	// Accounts compares what the client accounts asked for with what they got.
+	Accounts *Accounts
+
+	served            *prometheus.CounterVec
+	goodput           *prometheus.CounterVec
+	refused           *prometheus.CounterVec
+	refusedWithinRate *prometheus.CounterVec
+	retried           *prometheus.CounterVec
+	callersLost       prometheus.Counter
+	firstToken        *prometheus.HistogramVec
+	tokenGap          *prometheus.HistogramVec
+	prefillTokens     *prometheus.CounterVec
+	prefillWasted     *prometheus.CounterVec
+	placeWaits        *prometheus.GaugeVec
+	placeWait         *prometheus.HistogramVec
 }
 
 // NewEntry returns registered collectors.
 func NewEntry() *Entry {
 	m := &Entry{
 		Registry: NewRegistry(),
+		Accounts: NewAccounts(),
 		served:   counterVec("requests_served_total", "Requests that got their whole answer.", "kind", "pool"),
-		refused:  counterVec("requests_refused_total", "Requests refused, by reason and verdict.", "reason", "verdict"),
-		retried:  counterVec("retries_total", "Further attempts of requests.", "kind"),
-		targets:  counterVec("latency_targets_total", "Model requests by whether both latency targets were met.", "model", "met"),
-		callersLost: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "callers_lost_total", Help: "Requests whose caller went away.",
-		}),
+		goodput: counterVec("latency_targets_total",
+			"Whole answers of model requests by whether both latency targets were met; met=\"yes\" is the goodput.", "model", "met"),
+		refused: counterVec("requests_refused_total", "Requests refused, by reason and verdict.", "reason", "verdict"),
+		refusedWithinRate: counterVec("requests_refused_within_rate_total",
+			"Requests refused although within their account's rate and without fault of the caller, by reason and verdict.",
+			"reason", "verdict"),
+		retried:       counterVec("retries_total", "Further attempts of requests, by the reason of the failed attempt.", "kind", "reason"),
+		callersLost:   counter("callers_lost_total", "Requests whose caller went away."),
 		firstToken:    histogramVec("first_token_seconds", "Time to the first token.", firstTokenBuckets, "model"),
 		tokenGap:      histogramVec("token_gap_seconds", "Time between tokens.", tokenGapBuckets, "model"),
-		prefillTokens: counterVec("prefill_tokens_total", "Prompt tokens prefilled.", "model"),
-		prefillWasted: counterVec("prefill_wasted_tokens_total", "Prompt tokens whose prefill was not used.", "model"),
+		prefillTokens: counterVec("prefill_tokens_total", "Prompt tokens given to prefill engines that ran them.", "model"),
+		prefillWasted: counterVec("prefill_wasted_tokens_total",
+			"Prompt tokens whose prefill ran and was not used by a decode engine, by cause.", "model", "cause"),
+		placeWaits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "place_waits", Help: "Requests of this process that wait for a place now.",
+		}, []string{"pool", "role"}),
+		placeWait: histogramVec("place_wait_seconds", "Time that requests waited for a place, by whether they got one.",
+			waitBuckets, "pool", "role", "granted"),
 	}
-	m.Registry.MustRegister(m.served, m.refused, m.retried, m.targets, m.callersLost,
-		m.firstToken, m.tokenGap, m.prefillTokens, m.prefillWasted)
+	m.Registry.MustRegister(m.served, m.goodput, m.refused, m.refusedWithinRate, m.retried, m.callersLost,
+		m.firstToken, m.tokenGap, m.prefillTokens, m.prefillWasted, m.placeWaits, m.placeWait,
+		gaugeFunc("account_least_granted_ratio",
+			"Least share of granted to asked tokens over the client accounts of the last minute; 1 without any.",
+			func() float64 { return m.Accounts.LeastGranted().Ratio }),
+		gaugeFunc("account_least_served_ratio",
+			"Least share of tokens of whole answers to all tokens within rate over the client accounts of the last minute; 1 without any.",
+			func() float64 { return m.Accounts.LeastServed().Ratio }))
 	return m
 }
 
@@ -82,21 +72,42 @@
 func (m *Entry) Served(kind, pool string) { m.served.WithLabelValues(kind, pool).Inc() }
 
 // Refused counts a refusal.
-func (m *Entry) Refused(reason, verdict string) { m.refused.WithLabelValues(reason, verdict).Inc() }
+func (m *Entry) Refused(refusal *verdict.Refusal) {
+	reason, ran := verdict.ReasonName(refusal.Reason), refusal.Verdict.String()
+	m.refused.WithLabelValues(reason, ran).Inc()
+	if WithinRate(refusal.Reason) {
+		m.refusedWithinRate.WithLabelValues(reason, ran).Inc()
+	}
+}
 
-// Retried counts a further attempt.
-func (m *Entry) Retried(kind string) { m.retried.WithLabelValues(kind).Inc() }
+// WithinRate reports whether a refusal is one of a request within its account's rate and without fault of its caller.
+func WithinRate(reason wirev1.Reason) bool {
+	switch reason {
+	case wirev1.Reason_REASON_RATE_EXCEEDED, wirev1.Reason_REASON_REQUEST_TOO_LARGE_FOR_BURST,
+		wirev1.Reason_REASON_KEY_MISSING, wirev1.Reason_REASON_KEY_UNKNOWN, wirev1.Reason_REASON_KEY_WITHDRAWN,
+		wirev1.Reason_REASON_NO_ROUTE, wirev1.Reason_REASON_UNKNOWN_MODEL, wirev1.Reason_REASON_BODY_TOO_LARGE,
+		wirev1.Reason_REASON_MALFORMED:
+		return false
+	default:
+		return true
+	}
+}
+
+// Retried counts a further attempt after one that failed for a reason.
+func (m *Entry) Retried(kind string, reason wirev1.Reason) {
+	m.retried.WithLabelValues(kind, verdict.ReasonName(reason)).Inc()
+}
 
 // CallerLost counts a caller that went away.
 func (m *Entry) CallerLost() { m.callersLost.Inc() }
 
-// Latency counts a model request by whether it met both latency targets.
+// Latency counts a whole answer by whether it met both latency targets.
 func (m *Entry) Latency(model string, met bool) {
 	value := "no"
 	if met {
 		value = "yes"
 	}
-	m.targets.WithLabelValues(model, value).Inc()
+	m.goodput.WithLabelValues(model, value).Inc()
 }
 
 // FirstToken observes the time to the first token.
@@ -109,12 +120,64 @@
 	m.tokenGap.WithLabelValues(model).Observe(d.Seconds())
 }
 
-// Prefilled counts the prompt tokens of a finished prefill.
+// Prefilled counts the prompt tokens of a prefill that ran.
 func (m *Entry) Prefilled(model string, tokens uint32) {
 	m.prefillTokens.WithLabelValues(model).Add(float64(tokens))
 }
 
-// PrefillWasted counts the prompt tokens of a prefill that no decode engine used.
-func (m *Entry) PrefillWasted(model string, tokens uint32) {
-	m.prefillWasted.WithLabelValues(model).Add(float64(tokens))
+// PrefillWasted counts the prompt tokens of a prefill that no decode engine used. The cause is the name of a reason or
+// CauseCallerGone.
+func (m *Entry) PrefillWasted(model, cause string, tokens uint32) {
+	m.prefillWasted.WithLabelValues(model, cause).Add(float64(tokens))
+}
+
+// WaitForPlace counts a request that begins to wait for a place; the result ends the wait.
+func (m *Entry) WaitForPlace(pool, role string) (end func(granted bool)) {
+	begin := time.Now()
+	waiting := m.placeWaits.WithLabelValues(pool, role)
+	waiting.Inc()
+	return func(granted bool) {
+		waiting.Dec()
+		value := "no"
+		if granted {
+			value = "yes"
+		}
+		m.placeWait.WithLabelValues(pool, role, value).Observe(time.Since(begin).Seconds())
+	}
+}
+
+// Shard is what the metrics need of the state of a ledger shard.
+type Shard struct {
+	State string
+	// Owned is set if a process is known that grants the tokens of the shard's accounts.
+	Owned bool
+}
+
+// WatchShards adds the gauges of the ledger shards as this process sees them.
+func (m *Entry) WatchShards(read func() []Shard) {
+	m.Registry.MustRegister(
+		gaugeFunc("ledger_shards_without_owner",
+			"Ledger shards for which this process knows no process that grants tokens; their accounts are refused.",
+			func() float64 {
+				missing := 0
+				for _, s := range read() {
+					if !s.Owned {
+						missing++
+					}
+				}
+				return float64(missing)
+			}),
+		collectorFunc{
+			desc: description("ledger_shards", "Ledger shards by their state as this process sees it.", "state"),
+			kind: prometheus.GaugeValue,
+			collect: func(send func(float64, ...string)) {
+				counts := make(map[string]int)
+				for _, s := range read() {
+					counts[s.State]++
+				}
+				for state, count := range counts {
+					send(float64(count), state)
+				}
+			},
+		})
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -73,7 +74,9 @@
 		cancel()
 	}()
 	id := call.FromWire(req.GetCall())
+	begin := time.Now()
 	reservation, err := s.places.Reserve(ctx, req)
+	s.metrics.Waited(time.Since(begin), err == nil)
 	if err != nil {
 		refusal := verdict.As(err)
 		s.reply(stream, &wirev1.ReserveReply{
@@ -171,6 +174,7 @@
 	}
 	s.events.Record("call_refused", id.String(), s.settings.GetUpstream().GetName(),
 		field("reason", verdict.ReasonName(refusal.Reason)))
+	s.metrics.Ended(refusal.Verdict, refusal.Reason)
 	outcome := &wirev1.Outcome{
 		Verdict: refusal.Verdict.Wire(), Reason: refusal.Reason, Detail: refusal.Detail, Nonce: s.issuer.Issue(),
 	}
@@ -190,6 +194,7 @@
 	s.events.Record("call_ended", c.ID.String(), name,
 		field("verdict", verdict.FromWire(outcome.GetVerdict())), field("reason", verdict.ReasonName(outcome.GetReason())),
 		field("output_tokens", outcome.GetOutputTokens()))
+	s.metrics.Ended(verdict.FromWire(outcome.GetVerdict()), outcome.GetReason())
 	c.Finish(outcome)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/document"
 	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar/role"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -67,6 +69,10 @@
 	conf     *confsync.Node
 	events   *events.Recorder
 	role     wirev1.EngineRole
+	metrics  *metrics.Sidecar
+	traffic  *transport.Traffic
+	// reached is set when the upstream has answered once.
+	reached atomic.Bool
 
 	mu           sync.Mutex // guards the fields below
 	reservations map[call.ID]*places.Reservation
@@ -90,7 +96,6 @@
 	incarnation := transport.NewIncarnation()
 	s := &Sidecar{
 		settings: cfg.Settings,
-		store:    cfg.Store,
 		upstream: cfg.Upstream,
 		logger:   cfg.Logger,
 		hello: &wirev1.Hello{
@@ -104,12 +109,20 @@
 		role:         role.Parse(cfg.Settings.GetUpstream().GetRole()),
 		reservations: make(map[call.ID]*places.Reservation),
 		sessions:     make(map[*transport.Session]struct{}),
+		traffic:      new(transport.Traffic),
 	}
+	s.metrics = metrics.NewSidecar(s.load)
+	s.store = metrics.Store(s.metrics.Registry, cfg.Store)
 	s.calls = call.NewRegistry(s.issuer, cfg.Settings.GetUpstream().GetResumeWindow().AsDuration())
 	s.conf = confsync.New(confsync.Config{
 		Self: process.GetName(), DataCentre: process.GetDataCentre(), Peers: s, Logger: cfg.Logger,
 	})
 	s.conf.Subscribe(s.applySnapshot)
+	metrics.WatchTraffic(s.metrics.Registry, s.traffic)
+	metrics.WatchConfiguration(s.metrics.Registry, metrics.ConfigurationSource{
+		Revision: func() uint64 { return s.conf.Current().Revision }, Age: s.conf.Age,
+		State: func() string { return s.conf.State().String() }, States: confsync.StateNames(),
+	})
 	return s
 }
 
@@ -125,6 +138,7 @@
 		OnHeartbeat:       s.onHeartbeat,
 		OnOpen:            s.addSession,
 		OnClose:           s.removeSession,
+		Traffic:           s.traffic,
 		Clock:             s.events,
 		Handler:           s,
 		Logger:            s.logger,
@@ -136,6 +150,8 @@
 	if err := s.upstream.Start(ctx); err != nil {
 		return err
 	}
+	// A model engine has answered Start; whether a plain service answers is found out by Ready.
+	s.reached.Store(s.role != wirev1.EngineRole_ENGINE_ROLE_SERVICE)
 	go s.conf.Run(ctx)
 	s.supervise(ctx)
 	return nil
@@ -190,6 +206,7 @@
 	name := s.settings.GetUpstream().GetName()
 	s.logger.Warn("upstream makes no progress", zap.String("upstream", name))
 	s.events.Record("stalled", "", name)
+	s.metrics.Stalled()
 	s.places.Stall(true)
 	s.beatAll()
 	for _, c := range s.calls.Running() {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -71,6 +71,8 @@
 	Clock Clock
 	// Handler serves incoming streams. Nil closes them.
 	Handler Handler
+	// Traffic counts control messages; nil counts nothing.
+	Traffic *Traffic
 	// Logger is required.
 	Logger *zap.Logger
 }
@@ -161,6 +163,7 @@
 		_ = mux.Close()
 		return nil, err
 	}
+	control.count = opts.Traffic.kind(trafficHeartbeat)
 	s := &Session{opts: opts, mux: mux, control: control, remote: remote, beatNow: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.heartbeatAt = time.Now()
@@ -223,6 +226,7 @@
 		return nil, errors.Wrap(ErrSessionClosed, err.Error())
 	}
 	stream := newStream(conn)
+	stream.count = s.opts.Traffic.stream(open)
 	if s.opts.Clock != nil {
 		open = &wirev1.StreamOpen{Kind: open.GetKind(), Lamport: s.opts.Clock.Now()}
 	}
@@ -339,6 +343,8 @@
 	if err := stream.Recv(open); err != nil {
 		return
 	}
+	stream.count = s.opts.Traffic.stream(open)
+	stream.count.addReceived(open)
 	if s.opts.Clock != nil {
 		s.opts.Clock.Observe(open.GetLamport())
 	}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -20,6 +20,8 @@
 // Stream carries length-delimited messages. Send and Recv may run at the same time; each is safe for concurrent use.
 type Stream struct {
 	conn net.Conn
+	// count is nil for messages that are not counted. It is set before other goroutines use the stream.
+	count *trafficCount
 
 	sendMu sync.Mutex // guards buf and writes to conn
 	buf    []byte
@@ -46,6 +48,7 @@
 	if _, err = s.conn.Write(s.buf); err != nil {
 		return errors.Wrap(err, "send message")
 	}
+	s.count.addSent(len(s.buf))
 	return nil
 }
 
@@ -53,7 +56,11 @@
 func (s *Stream) Recv(m proto.Message) error {
 	s.recvMu.Lock()
 	defer s.recvMu.Unlock()
-	return protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}.UnmarshalFrom(s.reader, m)
+	if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}).UnmarshalFrom(s.reader, m); err != nil {
+		return err
+	}
+	s.count.addReceived(m)
+	return nil
 }
 
 // SetDeadline limits later Sends and Recvs; the zero time removes the limit.
