--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -5,6 +5,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -20,13 +21,13 @@
 	entry    *Entry
 }
 
-// release frees the exported KV cache if no decode engine imported it, which wasted the prefill. One that was imported
-// has been freed at the first token, or at its eviction if that message was lost.
-func (p *prefilled) release() {
+// release frees the exported KV cache if no decode engine imported it, which wasted the prefill for the cause. One that was
+// imported has been freed at the first token, or at its eviction if that message was lost.
+func (p *prefilled) release(cause string) {
 	if p.used {
 		return
 	}
-	p.entry.metrics.PrefillWasted(p.upstream.pool, p.done.GetHandle().GetPromptTokens())
+	p.entry.metrics.PrefillWasted(p.upstream.pool, cause, p.done.GetHandle().GetPromptTokens())
 	go cancelCall(p.upstream.peer, p.call)
 }
 
@@ -65,6 +66,7 @@
 	}
 	c.noteFailure(p.prefill.name, err)
 	if err != nil {
+		c.noteLostPrefill(p.request, err)
 		return nil, err
 	}
 	if out.done == nil {
@@ -75,6 +77,16 @@
 	return out, nil
 }
 
+// noteLostPrefill counts a prefill that may have run and left nothing that a decode engine could use.
+func (c *completion) noteLostPrefill(request *scheduler.Request, err error) {
+	if verdict.As(err).Verdict == verdict.NotRun {
+		return
+	}
+	tokens := uint32(request.PromptTokens)
+	c.e.metrics.Prefilled(c.model.GetName(), tokens)
+	c.e.metrics.PrefillWasted(c.model.GetName(), c.wasteCause(err), tokens)
+}
+
 func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
 	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
 	return &exchange{
