entry: sessions to a subset of the upstreams, others on demand

Cause: docs/CAPACITY.md puts sessions to all 12,000 upstreams at 629 MB and 1.6 MB/s of heartbeats for an entry, and names subsets as needed before anything else. An entry now keeps links to upstream_subset (default 32) upstreams of each pool and role, chosen by rendezvous hash of its own name, and dials the upstreams that a prompt's first block or an idempotency key prefers among all declared ones; idle ones close after a minute. At the sizes of today's users every upstream is in the subset. A keyed call waits up to 2 s for its upstream instead of going to another one, which would not know an earlier attempt; calls that find no upstream wait without drawing from the retry budget, and a call has at most 5 attempts. Ruled out: affinity within each entry's own subset, because three entries would send one prompt to three pairs of engines.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -83,7 +83,10 @@
 		status.Nodes = append(status.Nodes, nodeStatus(m.label(), "entry", m.peer.Session(), revision))
 	}
 	for _, u := range e.upstreams.all() {
-		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.peer.Session(), revision))
+		if u.link.Load() == nil {
+			continue // another entry process keeps a session to it
+		}
+		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.session(), revision))
 	}
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
@@ -140,7 +143,7 @@
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
 	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return status
 	}
@@ -165,7 +168,7 @@
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
 		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
 	}
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
 	}
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -9,9 +9,8 @@
 
 // decode imports the KV cache and passes the tokens on.
 func (c *completion) decode(pl *plan, place *hold, p *prefilled) (*wirev1.Outcome, error) {
-	place.upstream.calls.Add(1)
-	defer place.upstream.calls.Add(-1)
-	session := place.upstream.peer.Session()
+	defer place.link.begin()()
+	session := place.upstream.session()
 	if session == nil {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "the decode engine was lost during the prefill")
 	}
@@ -54,7 +53,7 @@
 		p.used = true
 		c.e.scheduler.ObserveTransfer(
 			pl.quote.Candidate.DataCentre, place.upstream.dataCentre(), pl.request.PromptTokens, now.Sub(p.at))
-		go cancelCall(p.upstream.peer, p.call)
+		go cancelCall(p.link.peer, p.call)
 	}
 	if c.firstToken.IsZero() {
 		c.firstToken = now
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,7 +97,7 @@
 	}
 	e.spread = metrics.NewSpread(e.metrics.Registry)
 	e.store = metrics.Store(e.metrics.Registry, cfg.Store)
-	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
+	e.upstreams = newUpstreamPool(process.GetName(), int(cfg.Settings.GetCallers().GetUpstreamSubset()), cfg.Connector, e.Options())
 	e.members = newMemberTable(e.hello, cfg.Connector, e.Options(), cfg.Logger)
 	e.conf = confsync.New(confsync.Config{
 		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: e.store,
@@ -153,6 +153,7 @@
 // Run keeps configuration, membership and ledger until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	var running sync.WaitGroup
+	running.Go(func() { e.upstreams.run(ctx) })
 	running.Go(func() { e.conf.Run(ctx) })
 	running.Go(func() { e.ledger.Run(ctx) })
 	running.Go(func() { e.members.run(ctx, e.hosts) })
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -235,7 +235,7 @@
 		}
 	}
 	for _, u := range c.upstreams.all() {
-		if session := u.peer.Session(); session != nil {
+		if session := u.session(); session != nil {
 			peers = append(peers, wirepeer.New(session))
 		}
 	}
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -75,6 +75,9 @@
 // plan quotes a few prefill engines and takes the one that is ready first, or refuses early.
 func (c *completion) plan(prompt string) (*plan, error) {
 	request := c.schedulerRequest(prompt)
+	if len(request.BlockHashes) > 0 {
+		c.e.upstreams.reach(c.ctx, request.Model, wirev1.EngineRole_ENGINE_ROLE_PREFILL, request.BlockHashes[0])
+	}
 	list := c.e.upstreams.find(request.Model, wirev1.EngineRole_ENGINE_ROLE_PREFILL)
 	chosen := c.e.scheduler.Prefill(request, candidates(list))
 	if len(chosen) == 0 {
@@ -105,7 +108,7 @@
 	for i, u := range list {
 		group.Go(func() {
 			quotes[i].Candidate = chosen[i]
-			session := u.peer.Session()
+			session := u.session()
 			if session == nil {
 				return
 			}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -12,6 +12,7 @@
 // prefilled is a finished prefill whose KV cache the prefill engine still holds.
 type prefilled struct {
 	upstream *upstream
+	link     *link
 	call     *wirev1.CallID
 	done     *wirev1.PrefillDone
 	prompt   string
@@ -28,7 +29,7 @@
 		return
 	}
 	p.entry.metrics.PrefillWasted(p.upstream.pool, cause, p.done.GetHandle().GetPromptTokens())
-	go cancelCall(p.upstream.peer, p.call)
+	go cancelCall(p.link.peer, p.call)
 }
 
 // prefill runs the prompt. decode is the place that is held for its result.
@@ -48,9 +49,8 @@
 	if err := c.authorize(c.tokens()); err != nil {
 		return nil, err
 	}
-	out := &prefilled{upstream: p.prefill, call: place.request.GetCall(), prompt: prompt, entry: c.e}
-	p.prefill.calls.Add(1)
-	defer p.prefill.calls.Add(-1)
+	out := &prefilled{upstream: p.prefill, link: place.link, call: place.request.GetCall(), prompt: prompt, entry: c.e}
+	defer place.link.begin()()
 	begin := time.Now()
 	x := c.exchange(place, &wirev1.Work{Kind: &wirev1.Work_Prefill{Prefill: &wirev1.PrefillWork{
 		Model: p.request.Model, Prompt: prompt, Priority: p.request.Priority,
@@ -90,7 +90,7 @@
 func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
 	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
 	return &exchange{
-		peer: place.upstream.peer, logger: c.e.logger, clock: c.e.events, onEvent: c.event(place.upstream.name),
+		peer: place.link.peer, logger: c.e.logger, clock: c.e.events, onEvent: c.event(place.upstream.name),
 		request: &wirev1.ExecuteRequest{
 			Call: place.request.GetCall(), Nonce: place.nonce, Account: c.caller.account, ChargedTokens: c.tokens(), Work: work,
 		},
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -13,6 +13,7 @@
 // hold is a granted reservation; closing it frees the place unless the call has begun.
 type hold struct {
 	upstream *upstream
+	link     *link
 	request  *wirev1.ReserveRequest
 	nonce    *wirev1.Nonce
 	stream   *transport.Stream
@@ -101,8 +102,8 @@
 }
 
 func askPlace(ctx context.Context, u *upstream, request *wirev1.ReserveRequest) reserveResult {
-	session := u.peer.Session()
-	if session == nil {
+	l, session := u.link.Load(), u.session()
+	if l == nil || session == nil {
 		return reserveResult{err: verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to %s", u.name)}
 	}
 	stream, err := session.Open(&wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Reserve{Reserve: request}})
@@ -122,7 +123,7 @@
 		refusal.RetryAfter = time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 		return reserveResult{err: refusal}
 	}
-	h := &hold{upstream: u, request: request, nonce: reply.GetNonce(), stream: stream, lost: make(chan struct{})}
+	h := &hold{upstream: u, link: l, request: request, nonce: reply.GetNonce(), stream: stream, lost: make(chan struct{})}
 	go h.watch()
 	return reserveResult{hold: h}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -24,6 +24,8 @@
 
 	// serviceRetryLimit is the age of a call of a service after which it is not retried any more.
 	serviceRetryLimit = 2 * time.Second
+	// maxServiceAttempts bounds the attempts of one call whatever the retry budget is.
+	maxServiceAttempts = 5
 	// maxHeldBytes is the part of an answer that is held back until the call has ended, so that a call which breaks in a
 	// short answer still ends with a verdict. net/http buffers about as much before it sends anything.
 	maxHeldBytes = 4 << 10
@@ -93,7 +95,7 @@
 
 func (s *serviceRequest) serve() {
 	s.e.budget.Request()
-	for {
+	for attempts := 1; ; attempts++ {
 		err := s.attempt()
 		if err == nil {
 			s.settled()
@@ -103,7 +105,11 @@
 			err = s.endCause(err)
 		}
 		refusal := verdict.As(err)
-		again := s.ctx.Err() == nil && retryable(refusal) &&
+		if refusal.Reason == wirev1.Reason_REASON_NO_UPSTREAM && s.worthWaiting() && pause(s.ctx, replanPause) {
+			attempts--
+			continue // nothing was sent
+		}
+		again := s.ctx.Err() == nil && retryable(refusal) && attempts < maxServiceAttempts &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
 			s.e.metrics.Retried("service", refusal.Reason)
@@ -140,9 +146,12 @@
 	if err != nil {
 		return err
 	}
-	u.calls.Add(1)
-	defer u.calls.Add(-1)
-	session := u.peer.Session()
+	l := u.link.Load()
+	if l == nil {
+		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
+	}
+	defer l.begin()()
+	session := l.peer.Session()
 	if session == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
 	}
@@ -154,7 +163,7 @@
 		return err
 	}
 	x := &exchange{
-		peer: u.peer, logger: s.e.logger, clock: s.e.events, onFrame: s.onFrame, onEvent: s.event(u.name),
+		peer: l.peer, logger: s.e.logger, clock: s.e.events, onFrame: s.onFrame, onEvent: s.event(u.name),
 		request: &wirev1.ExecuteRequest{
 			Call: s.e.nextCallID(), Nonce: nonce, Account: s.caller.account, ChargedTokens: s.route.GetCostTokens(),
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
@@ -176,26 +185,34 @@
 	return nil
 }
 
-// choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host.
+// choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host, and wait for it if it
+// cannot be reached: another upstream would not know an earlier attempt.
 func (s *serviceRequest) choose() (*upstream, error) {
-	list := s.e.upstreams.find(s.route.GetPool(), wirev1.EngineRole_ENGINE_ROLE_SERVICE)
-	want := &scheduler.Request{Account: s.caller.account, Model: s.route.GetPool()}
-	var chosen []scheduler.Candidate
+	pool := s.route.GetPool()
+	want := &scheduler.Request{Account: s.caller.account, Model: pool}
 	if key := s.work.GetIdempotencyKey(); key != "" {
-		hash := xxhash.Sum64String(s.caller.account + "\x00" + key)
-		if one, ok := s.e.scheduler.ServiceByKey(hash, want, candidates(list)); ok {
-			chosen = append(chosen, one)
-		}
-	} else {
-		chosen = s.e.scheduler.Service(want, candidates(list))
+		return s.chooseByKey(want, xxhash.Sum64String(s.caller.account+"\x00"+key))
 	}
+	list := s.e.upstreams.find(pool, wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	chosen := s.e.scheduler.Service(want, candidates(list))
 	if len(chosen) == 0 {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s accepts work now", s.route.GetPool())
+		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s accepts work now", pool)
 	}
 	s.e.scheduler.ObserveChoice(chosen[0].Upstream)
 	return byName(list, chosen[:1])[0], nil
 }
 
+func (s *serviceRequest) chooseByKey(want *scheduler.Request, key uint64) (*upstream, error) {
+	rows := s.e.upstreams.declared(want.Model, wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	chosen, ok := s.e.scheduler.ServiceByKey(key, want, candidates(rows))
+	if !ok {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s is declared", want.Model)
+	}
+	u := byName(rows, []scheduler.Candidate{chosen})[0]
+	s.e.upstreams.demand(s.ctx, u)
+	return u, nil
+}
+
 // onFrame holds the beginning of the answer back and passes on what follows.
 func (s *serviceRequest) onFrame(frame *wirev1.Frame) error {
 	switch body := frame.GetBody().(type) {
--- a/internal/entry/timeline.go
+++ b/internal/entry/timeline.go
@@ -76,7 +76,7 @@
 		}
 	}
 	for _, u := range e.upstreams.all() {
-		if session := u.peer.Session(); session != nil {
+		if session := u.session(); session != nil {
 			list = append(list, session)
 		}
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
@@ -13,11 +16,14 @@
 )
 
 const (
-	retireLimit = 10 * time.Minute
-	retirePoll  = time.Second
+	// idleLimit is the time after which an unused link that was dialled on demand is closed.
+	idleLimit    = time.Minute
+	sweepPause   = 10 * time.Second
+	demandWait   = 200 * time.Millisecond
+	affinityRows = 2
 )
 
-// upstream is one upstream of the configuration with the session to its sidecar.
+// upstream is one upstream of the configuration. Most rows of a large fleet have no link.
 type upstream struct {
 	name    string
 	address string
@@ -26,23 +32,22 @@
 	// roleName is the role as the document names it.
 	roleName string
 	leaving  bool
-	peer     *transport.Peer
-	// calls counts the calls that use the peer.
-	calls *atomic.Int64
+	link     atomic.Pointer[link]
 }
 
-// retire closes the session when no call uses it any more, so that a change of the configuration cuts no call.
-func (u *upstream) retire() {
-	for begin := time.Now(); u.calls.Load() > 0 && time.Since(begin) < retireLimit; {
-		time.Sleep(retirePoll)
+// session returns the live session to the sidecar, or nil.
+func (u *upstream) session() *transport.Session {
+	l := u.link.Load()
+	if l == nil {
+		return nil
 	}
-	u.peer.Close()
+	return l.peer.Session()
 }
 
 // candidate describes the upstream for the scheduler.
 func (u *upstream) candidate() scheduler.Candidate {
 	c := scheduler.Candidate{Upstream: u.name, Address: u.address, Pool: u.pool, Role: u.role}
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return c
 	}
@@ -56,22 +61,27 @@
 
 // dataCentre returns the data centre of the sidecar, empty while there is no session.
 func (u *upstream) dataCentre() string {
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return ""
 	}
 	return session.Remote().GetDataCentre()
 }
 
-// upstreamPool keeps a session to the sidecar of each upstream of the configuration.
+// upstreamPool knows all upstreams of the configuration and keeps links to a subset of each pool and role. The subset is
+// chosen by the name of this process, so that the processes of a fleet spread evenly over the upstreams.
 type upstreamPool struct {
+	self      string
+	subset    int
 	connector transport.Connector
 	opts      *transport.Options
 
 	mu     sync.Mutex // guards the fields below
 	byName map[string]*upstream
-	// serving holds the upstreams that may take new work. The slices are never changed, only replaced.
-	serving map[poolRole][]*upstream
+	// rows holds the upstreams that may take new work, linked those of them with a link. The slices are never changed, only
+	// replaced.
+	rows   map[poolRole][]*upstream
+	linked map[poolRole][]*upstream
 }
 
 // poolRole is what a request looks for.
@@ -80,56 +90,162 @@
 	role wirev1.EngineRole
 }
 
-func newUpstreamPool(connector transport.Connector, opts *transport.Options) *upstreamPool {
-	return &upstreamPool{connector: connector, opts: opts, byName: make(map[string]*upstream)}
+func newUpstreamPool(self string, subset int, connector transport.Connector, opts *transport.Options) *upstreamPool {
+	return &upstreamPool{
+		self: self, subset: subset, connector: connector, opts: opts, byName: make(map[string]*upstream),
+	}
 }
 
-// apply connects new upstreams and drops those that the configuration no longer has.
+// apply takes over the upstreams of a configuration.
 func (p *upstreamPool) apply(declared []*configv1.Document_Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	keep := make(map[string]bool, len(declared))
+	old := p.byName
+	p.byName = make(map[string]*upstream, len(declared))
+	p.rows = make(map[poolRole][]*upstream)
 	for _, d := range declared {
-		keep[d.GetName()] = true
-		p.applyOne(d)
-	}
-	for name, u := range p.byName {
-		if !keep[name] {
-			delete(p.byName, name)
-			go u.retire()
-		}
-	}
-	p.serving = make(map[poolRole][]*upstream)
-	for _, u := range p.byName {
+		u := newRow(d, old[d.GetName()])
+		p.byName[u.name] = u
 		if !u.leaving {
 			key := poolRole{u.pool, u.role}
-			p.serving[key] = append(p.serving[key], u)
+			p.rows[key] = append(p.rows[key], u)
 		}
 	}
+	for name, before := range old {
+		now := p.byName[name]
+		if l := before.link.Load(); l != nil && (now == nil || now.link.Load() != l) {
+			go l.retire()
+		}
+	}
+	p.linkSubsets()
+	p.listLinked()
 }
 
-func (p *upstreamPool) applyOne(d *configv1.Document_Upstream) {
-	old := p.byName[d.GetName()]
-	next := &upstream{
+// newRow returns the row of a declared upstream; a link to the same address is kept.
+func newRow(d *configv1.Document_Upstream, before *upstream) *upstream {
+	u := &upstream{
 		name: d.GetName(), address: d.GetAddress(), pool: d.GetPool(),
 		role: role.Parse(d.GetRole()), roleName: d.GetRole(), leaving: d.GetState() == "leaving",
 	}
-	p.byName[d.GetName()] = next
-	if old != nil && old.address == d.GetAddress() {
-		next.peer, next.calls = old.peer, old.calls
-		return
+	if before != nil && before.address == u.address {
+		u.link.Store(before.link.Load())
 	}
-	if old != nil {
-		go old.retire()
+	return u
+}
+
+// linkSubsets connects to the subset of each pool and role. A link that falls out of the subset becomes one on demand, which
+// ends when it is idle. The caller holds mu.
+func (p *upstreamPool) linkSubsets() {
+	for key, rows := range p.rows {
+		chosen := make(map[*upstream]bool, p.subset)
+		for _, i := range scheduler.Preferred(xxhash.Sum64String(p.self+"\x00"+key.pool), rowNames(rows), p.subset) {
+			chosen[rows[i]] = true
+		}
+		for _, u := range rows {
+			l := u.link.Load()
+			switch {
+			case chosen[u] && l == nil:
+				p.dial(u, false)
+			case l != nil:
+				l.onDemand = !chosen[u]
+			}
+		}
 	}
-	next.peer, next.calls = transport.NewPeer(d.GetAddress(), p.connector, p.opts), new(atomic.Int64)
 }
 
-// find returns the upstreams of a pool and role that may take new work. The caller must not change the slice.
+func rowNames(rows []*upstream) []string {
+	names := make([]string, len(rows))
+	for i, u := range rows {
+		names[i] = u.name
+	}
+	return names
+}
+
+// dial gives a row a link. The caller holds mu.
+func (p *upstreamPool) dial(u *upstream, onDemand bool) {
+	l := &link{peer: transport.NewPeer(u.address, p.connector, p.opts), onDemand: onDemand}
+	l.use()
+	u.link.Store(l)
+}
+
+// listLinked lists the rows with a link. The caller holds mu.
+func (p *upstreamPool) listLinked() {
+	p.linked = make(map[poolRole][]*upstream)
+	for key, rows := range p.rows {
+		for _, u := range rows {
+			if u.link.Load() != nil {
+				p.linked[key] = append(p.linked[key], u)
+			}
+		}
+	}
+}
+
+// find returns the upstreams of a pool and role that may take new work and have a link. The caller must not change the slice.
 func (p *upstreamPool) find(pool string, want wirev1.EngineRole) []*upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.serving[poolRole{pool, want}]
+	return p.linked[poolRole{pool, want}]
+}
+
+// declared returns the upstreams of a pool and role that may take new work, with or without a link.
+func (p *upstreamPool) declared(pool string, want wirev1.EngineRole) []*upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rows[poolRole{pool, want}]
+}
+
+// reach connects to the rows that a key prefers among all of a pool and role, so that every entry process can send the same
+// prompt to the same engine although each keeps links to few of them.
+func (p *upstreamPool) reach(ctx context.Context, pool string, want wirev1.EngineRole, key uint64) {
+	rows := p.declared(pool, want)
+	if len(rows) <= p.subset {
+		return
+	}
+	for _, i := range scheduler.Preferred(key, rowNames(rows), affinityRows) {
+		p.demand(ctx, rows[i])
+	}
+}
+
+// demand makes sure that a row has a link, and waits a little for a new one.
+func (p *upstreamPool) demand(ctx context.Context, u *upstream) {
+	p.mu.Lock()
+	isNew := u.link.Load() == nil && p.byName[u.name] == u
+	if isNew {
+		p.dial(u, true)
+		p.listLinked()
+	}
+	p.mu.Unlock()
+	l := u.link.Load()
+	if l == nil {
+		return
+	}
+	l.use()
+	if isNew {
+		ctx, cancel := context.WithTimeout(ctx, demandWait)
+		defer cancel()
+		_, _ = l.peer.Wait(ctx) // without a session the row is not chosen
+	}
+}
+
+// run closes idle links on demand until ctx ends.
+func (p *upstreamPool) run(ctx context.Context) {
+	for pause(ctx, sweepPause) {
+		p.sweep()
+	}
+}
+
+func (p *upstreamPool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.byName {
+		l := u.link.Load()
+		if l == nil || !l.onDemand || l.calls.Load() > 0 || l.idle() < idleLimit {
+			continue
+		}
+		u.link.Store(nil)
+		go l.retire()
+	}
+	p.listLinked()
 }
 
 // get returns the upstream with a name, or nil.
@@ -152,6 +268,8 @@
 
 func (p *upstreamPool) close() {
 	for _, u := range p.all() {
-		u.peer.Close()
+		if l := u.link.Load(); l != nil {
+			l.peer.Close()
+		}
 	}
 }
--- a/internal/scheduler/picker.go
+++ b/internal/scheduler/picker.go
@@ -32,6 +32,24 @@
 	return chosen
 }
 
+// Preferred returns the positions of the n names with the highest hash of key and name, best first. It ranks as the prefill
+// affinity does, so that a process can connect to the upstreams that a prompt prefers before it chooses among them.
+func Preferred(key uint64, names []string, n int) []int {
+	best := make([]ranked, 0, n+1)
+	for i, name := range names {
+		weight := mix(key, xxhash.Sum64String(name))
+		if len(best) == n && weight <= best[n-1].weight {
+			continue
+		}
+		best = insertRanked(best, ranked{weight, i}, n)
+	}
+	positions := make([]int, len(best))
+	for i, r := range best {
+		positions[i] = r.index
+	}
+	return positions
+}
+
 type ranked struct {
 	weight uint64
 	index  int
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -154,19 +154,25 @@
 	})
 }
 
-// ServiceByKey returns the upstream that every process with the same candidates chooses for an idempotency key. It does
-// not avoid an upstream that this process saw fail, because other processes would not.
+// ServiceByKey returns the upstream that every process with the same configuration chooses for an idempotency key, whether or
+// not it can be reached now: another upstream would not know an earlier attempt.
 func (s *Scheduler) ServiceByKey(key uint64, req *Request, candidates []Candidate) (Candidate, bool) {
 	keyed := Request{Model: req.Model, BlockHashes: []uint64{key}}
-	filter := s.filter(wirev1.EngineRole_ENGINE_ROLE_SERVICE)
-	filter.learnt = nil
-	chosen := s.affinity.Pick(&keyed, candidates, filter, 1)
+	chosen := s.affinity.Pick(&keyed, candidates, poolFilter{wirev1.EngineRole_ENGINE_ROLE_SERVICE}, 1)
 	if len(chosen) == 0 {
 		return Candidate{}, false
 	}
 	return chosen[0], true
 }
 
+// poolFilter keeps all upstreams of the pool and role.
+type poolFilter struct{ role wirev1.EngineRole }
+
+// Keep implements Filter.
+func (f poolFilter) Keep(req *Request, c *Candidate) bool {
+	return c.Role == f.role && c.Pool == req.Model
+}
+
 // choose picks without the upstreams that have just failed, and with them if there are no others.
 func (s *Scheduler) choose(role wirev1.EngineRole, pick func(Filter) []Candidate) []Candidate {
 	filter := s.filter(role)
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -40,11 +40,12 @@
 	pkg + "PlatformSettings.host_list_url": optional(URL()),
 	pkg + "PlatformSettings.call_timeout":  DurationBetween(10*time.Millisecond, time.Minute).Or("1s"),
 
-	pkg + "CallerSettings.listen":         ListenAddress().Need(),
-	pkg + "CallerSettings.max_body_bytes": Between(1, maxBodyBytes).Or("8388608"),
-	pkg + "CallerSettings.max_running":    Between(1, maxRunning).Or("4096"),
-	pkg + "CallerSettings.drain_delay":    DurationBetween(0, maxDrain).Or("3s"),
-	pkg + "CallerSettings.drain_limit":    DurationBetween(0, maxDrain).Or("10m"),
+	pkg + "CallerSettings.listen":          ListenAddress().Need(),
+	pkg + "CallerSettings.max_body_bytes":  Between(1, maxBodyBytes).Or("8388608"),
+	pkg + "CallerSettings.upstream_subset": Between(1, maxRunning).Or("32"),
+	pkg + "CallerSettings.max_running":     Between(1, maxRunning).Or("4096"),
+	pkg + "CallerSettings.drain_delay":     DurationBetween(0, maxDrain).Or("3s"),
+	pkg + "CallerSettings.drain_limit":     DurationBetween(0, maxDrain).Or("10m"),
 	pkg + "CallerSettings.entries": optional(Rule{Check: everyPart(isAddress),
 		Allowed: "comma separated IP addresses with ports"}),
 
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -49,7 +49,9 @@
 	revision uint64
 	// silenceFactor makes sidecars keep silent connections longer than entries do; 0 means the same.
 	silenceFactor int
-	numbers       map[string]int
+	// subset is the setting upstream_subset; 0 means its default.
+	subset  int
+	numbers map[string]int
 }
 
 // addressOf returns the address of a process, the same at each call.
@@ -207,7 +209,7 @@
 		Process:  &configv1.ProcessSettings{Name: name, Host: "host-" + name, DataCentre: "Kariakoo"},
 		Peers:    &configv1.PeerSettings{Listen: w.addressOf(name)},
 		Platform: &configv1.PlatformSettings{StoreUrl: "http://store"},
-		Callers:  &configv1.CallerSettings{Listen: "callers-" + name, Entries: all},
+		Callers:  &configv1.CallerSettings{Listen: "callers-" + name, Entries: all, UpstreamSubset: int32(w.subset)},
 	}
 	settings.DefaultEntry(s)
 	w.gates[name] = newGate(w.store)
