entry: members are handed out as copies

Cause: alive and all returned pointers into the member table, whose names and times a new session changes under the lock while the ledger, the configuration and the timeline read them without it. A torn string can crash the process.

Found by the process tests with programs built with -race: 6 logs of 4 tests showed this race, and no other. After: none, and the whole package passes with -race.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -117,33 +117,33 @@
 	}
 }
 
-// alive returns the members with a live session.
-func (t *memberTable) alive() []*member {
+// alive returns copies of the members with a live session.
+func (t *memberTable) alive() []member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []*member
+	var list []member
 	for _, m := range t.byAddress {
 		if m.name != "" && m.peer.Session() != nil {
 			m.lastSeen = time.Now()
-			list = append(list, m)
+			list = append(list, *m)
 		}
 	}
 	return list
 }
 
-// all returns every known member, alive or not.
-func (t *memberTable) all() []*member {
+// all returns copies of every known member, alive or not.
+func (t *memberTable) all() []member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]*member, 0, len(t.byAddress))
+	list := make([]member, 0, len(t.byAddress))
 	for _, m := range t.byAddress {
-		list = append(list, m)
+		list = append(list, *m)
 	}
 	return list
 }
 
 // label names a member for operators: by its process, or by its address before the first session.
-func (m *member) label() string {
+func (m member) label() string {
 	if session := m.peer.Session(); session != nil {
 		return session.Remote().GetProcess()
 	}
