processtest: panics and data races in logs fail a test

net/http survives a panic of a handler, and a race detector only writes to the log, so both would pass unseen.

--- a/internal/processtest/deployment_test.go
+++ b/internal/processtest/deployment_test.go
@@ -382,7 +382,10 @@
 	postJSON(d.t, "http://"+d.platformAddress+"/faults", faults)
 }
 
-// checkLogs guards H3: no log file holds a caller's key.
+// faultMarks are texts of log lines that no sound program writes.
+var faultMarks = []string{"panic: ", "http: panic serving", "fatal error: ", "WARNING: DATA RACE"}
+
+// checkLogs guards H3, no log file holds a caller's key, and against faults that the program survived.
 func (d *deployment) checkLogs() {
 	files, _ := filepath.Glob(filepath.Join(d.dir, "*.log"))
 	for _, file := range files {
@@ -395,5 +398,10 @@
 				d.t.Errorf("%s holds a caller's key", filepath.Base(file))
 			}
 		}
+		for _, mark := range faultMarks {
+			if bytes.Contains(text, []byte(mark)) {
+				d.t.Errorf("%s: %s", filepath.Base(file), mark)
+			}
+		}
 	}
 }
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -32,6 +32,7 @@
 	os.Exit(runTests(m))
 }
 
+// runTests builds the programs with the extra flags in PROCESSTEST_BUILD, for example -race, and runs the tests.
 func runTests(m *testing.M) int {
 	_ = flag.Set("test.parallel", fmt.Sprint(maxParallel))
 	dir, err := os.MkdirTemp("", "processtest")
@@ -40,7 +41,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...", "../../standin/cmd/...")
+	arguments := append([]string{"build"}, strings.Fields(os.Getenv("PROCESSTEST_BUILD"))...)
+	build := exec.Command("go", append(arguments, "-o", dir+"/", "../../cmd/...", "../../standin/cmd/...")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "build programs:", err)
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -125,7 +126,7 @@
 		var lines []string
 		left := 0 // lines of a stack still to be shown
 		for line := range strings.Lines(string(text)) {
-			if strings.HasPrefix(line, "panic") || strings.HasPrefix(line, "fatal error") {
+			if slices.ContainsFunc(faultMarks, func(mark string) bool { return strings.Contains(line, mark) }) {
 				left = stack
 			}
 			if left > 0 || strings.Contains(line, `"level":"warn"`) || strings.Contains(line, `"level":"error"`) {
