--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -11,6 +11,7 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/openai"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -50,6 +51,12 @@
 			e.writeRefusal(w, req.name, err)
 			return
 		}
+		weight := e.weight(req.caller.account)
+		if err := e.admission.enter(req.ctx, req.caller.account, weight, float64(c.tokens()), c.firstTokenLimit()); err != nil {
+			c.fail(err)
+			return
+		}
+		defer e.admission.leave()
 		go e.watchKey(req.ctx, req.caller, req.cancel)
 		c.serve()
 	}
@@ -122,7 +129,7 @@
 			c.fail(refusal)
 			return
 		}
-		c.e.metrics.Retried("model")
+		c.e.metrics.Retried("model", refusal.Reason)
 		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
 			field("delivered", len(c.delivered)))
 	}
@@ -174,19 +181,33 @@
 	if err != nil {
 		return nil, err
 	}
+	asked := time.Now()
 	place, err := c.reserveDecode(plan)
 	if err != nil {
 		return nil, err
 	}
 	defer place.close()
-	place.upstream.calls.Add(1)
-	defer place.upstream.calls.Add(-1)
-	prefilled, err := c.prefill(plan, prompt)
+	if plan, err = c.refresh(plan, prompt, asked); err != nil {
+		return nil, err
+	}
+	prefilled, err := c.prefill(plan, prompt, place)
 	if err != nil {
 		return nil, err
 	}
-	defer prefilled.release()
-	return c.decode(plan, place, prefilled)
+	outcome, err := c.decodeAnywhere(plan, place, prefilled)
+	prefilled.release(c.wasteCause(err))
+	return outcome, err
+}
+
+// wasteCause names why a prefill was not used after the error of the attempt.
+func (c *completion) wasteCause(err error) string {
+	if c.callerGone() {
+		return metrics.CauseCallerGone
+	}
+	if err == nil {
+		return "no_output"
+	}
+	return verdict.ReasonName(verdict.As(err).Reason)
 }
 
 func (c *completion) tokens() uint64 { return uint64(c.promptTokens + c.maxTokens) }
@@ -204,6 +225,7 @@
 	}
 	c.e.metrics.Served("model", c.model.GetName())
 	c.e.metrics.Latency(c.model.GetName(), c.targetsMet())
+	c.noteEnd(c.tokens(), nil)
 }
 
 // targetsMet reports whether both latency targets were met.
@@ -223,15 +245,10 @@
 		used = uint64(c.promptTokens + len(c.delivered))
 	}
 	c.settle(used, refusal.Verdict)
-	if c.ctx.Err() != nil && errors.Is(context.Cause(c.ctx), context.Canceled) {
-		c.e.metrics.CallerLost()
-		c.e.events.Record("caller_gone", c.name, "")
-		return
-	}
+	c.noteFailed(c.tokens(), &refusal)
 	if !c.writer.Begun() {
-		c.e.writeRefusal(c.w, c.name, &refusal)
+		c.e.sendRefusal(c.w, c.name, &refusal)
 		return
 	}
-	c.e.noteRefusal(c.name, &refusal)
 	_ = c.writer.Fail(errorBody(&refusal, c.name)) // the caller may be gone
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -54,14 +55,18 @@
 	logger    *zap.Logger
 	hello     *wirev1.Hello
 	sequence  atomic.Uint64
+	meanRate  atomic.Uint64 // bits of a float64
 	conf      *confsync.Node
 	ledger    *ledger.Node
 	scheduler *scheduler.Scheduler
 	budget    *retry.Budget
 	events    *events.Recorder
 	metrics   *metrics.Entry
+	spread    *metrics.Spread
+	traffic   *transport.Traffic
 	upstreams *upstreamPool
 	members   *memberTable
+	admission *admission
 
 	mu       sync.Mutex // guards the fields below
 	running  int
@@ -75,7 +80,6 @@
 	incarnation := transport.NewIncarnation()
 	e := &Entry{
 		settings: cfg.Settings,
-		store:    cfg.Store,
 		hosts:    cfg.Hosts,
 		logger:   cfg.Logger,
 		hello: &wirev1.Hello{
@@ -87,18 +91,23 @@
 		budget:    retry.NewBudget(),
 		events:    events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
 		metrics:   metrics.NewEntry(),
+		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
+		admission: newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning())),
 	}
+	e.spread = metrics.NewSpread(e.metrics.Registry)
+	e.store = metrics.Store(e.metrics.Registry, cfg.Store)
 	e.upstreams = newUpstreamPool(cfg.Connector, e.Options())
 	e.members = newMemberTable(e.hello, cfg.Connector, e.Options(), cfg.Logger)
 	e.conf = confsync.New(confsync.Config{
-		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: cfg.Store,
+		Self: process.GetName(), DataCentre: process.GetDataCentre(), Store: e.store,
 		Members: configMembers{e.members}, Peers: configPeers{e.members, e.upstreams}, Logger: cfg.Logger,
 	})
 	e.ledger = ledger.New(ledger.Config{
-		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: cfg.Store,
-		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Logger: cfg.Logger,
+		Self: process.GetName(), Shards: int(cfg.Settings.GetLedger().GetShards()), Store: e.store,
+		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members, Gone: e.members.gone, Logger: cfg.Logger,
 	})
+	e.watchMetrics()
 	// Sessions use everything above, so none is opened before.
 	e.conf.Subscribe(e.applySnapshot)
 	e.members.start(cfg.Settings.GetCallers().GetEntries())
@@ -133,6 +142,8 @@
 		Heartbeat:         e.heartbeat,
 		OnHeartbeat:       e.onHeartbeat,
 		OnOpen:            func(s *transport.Session) { e.members.opened(s) },
+		OnClose:           func(s *transport.Session) { e.spread.Forget(s.Remote().GetProcess()) },
+		Traffic:           e.traffic,
 		Clock:             e.events,
 		Handler:           e,
 		Logger:            e.logger,
@@ -145,14 +156,37 @@
 	running.Go(func() { e.conf.Run(ctx) })
 	running.Go(func() { e.ledger.Run(ctx) })
 	running.Go(func() { e.members.run(ctx, e.hosts) })
+	running.Go(func() { e.logWorstServed(ctx) })
 	running.Wait()
 }
 
 // Events returns the recorder of the process.
 func (e *Entry) Events() *events.Recorder { return e.events }
 
+// weight returns an account's granted rate over the mean granted rate, its share when places are short.
+func (e *Entry) weight(account string) float64 {
+	limits, ok := e.conf.Current().Account(account)
+	mean := math.Float64frombits(e.meanRate.Load())
+	if !ok || mean == 0 {
+		return 1
+	}
+	return float64(limits.GetRate()) / mean
+}
+
+// setMeanRate keeps the mean granted rate of a snapshot, so that it is not summed for each request.
+func (e *Entry) setMeanRate(snapshot *confsync.Snapshot) {
+	accounts := snapshot.Accounts()
+	sum := 0.0
+	for _, account := range accounts {
+		sum += float64(account.GetRate())
+	}
+	e.meanRate.Store(math.Float64bits(sum / float64(max(1, len(accounts)))))
+}
+
 func (e *Entry) applySnapshot(snapshot *confsync.Snapshot) {
+	e.setMeanRate(snapshot)
 	e.upstreams.apply(snapshot.Upstreams())
+	e.spread.Applied(snapshot.Revision)
 	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
 }
@@ -167,6 +201,7 @@
 }
 
 func (e *Entry) onHeartbeat(session *transport.Session, beat *wirev1.Heartbeat) {
+	e.spread.Reported(session.Remote().GetProcess(), beat.GetConfigRevision())
 	if session.Remote().GetRole() == wirev1.Role_ROLE_ENTRY {
 		e.conf.OnHeartbeat(session.Remote().GetProcess(), beat)
 	}
