--- a/cmd/fulmardoorctl/live.go
+++ b/cmd/fulmardoorctl/live.go
@@ -39,8 +39,13 @@
 	}
 }
 
+var errNoName = errors.New("name an upstream; fulmardoorctl upstream list shows them")
+
 func declareState(state string) cli.ActionFunc {
 	return func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.StringArg("name") == "" {
+			return errNoName
+		}
 		return edit(ctx, cmd, func(text []byte) ([]byte, error) {
 			return document.SetUpstreamState(text, cmd.StringArg("name"), state)
 		})
@@ -48,7 +53,11 @@
 }
 
 func sendOrder(ctx context.Context, cmd *cli.Command, kind string) error {
-	reply, err := client(cmd).Order(ctx, cmd.StringArg("name"), kind, &admin.EngineOrder{
+	name := cmd.StringArg("name")
+	if name == "" {
+		return errNoName
+	}
+	reply, err := client(cmd).Order(ctx, name, kind, &admin.EngineOrder{
 		LoadModel: cmd.String("load-model"), Version: cmd.String("version"),
 		LoadAdapter: cmd.String("load-adapter"), ChangeRole: cmd.String("change-role"),
 	})
@@ -56,9 +65,26 @@
 		return err
 	}
 	if !reply.Accepted {
-		return errors.Errorf("refused (%s): %s", reply.Reason, reply.Detail)
+		return errors.Errorf("the process beside %s refused the order: %s", name, reply.Detail)
 	}
 	fmt.Printf("accepted with fencing number %d\n", reply.FencingNumber)
+	if kind == "return" {
+		return explainReturn(ctx, cmd, name)
+	}
+	return nil
+}
+
+// explainReturn tells why an upstream stays out of service although it was returned.
+func explainReturn(ctx context.Context, cmd *cli.Command, name string) error {
+	list, err := client(cmd).Upstreams(ctx)
+	if err != nil {
+		return err
+	}
+	for _, u := range list {
+		if u.Name == name && u.Declared {
+			fmt.Printf("%s takes no work yet: the document declares it leaving; use upstream join\n", name)
+		}
+	}
 	return nil
 }
 
@@ -82,8 +108,10 @@
 		return "not connected"
 	case u.Stalled:
 		return "stalled"
+	case u.Declared:
+		return "leaving (document)"
 	case u.Leaving || !u.Accepting:
-		return "leaving"
+		return "leaving (order, start or stop)"
 	default:
 		return "accepting"
 	}
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 )
 
@@ -88,14 +90,16 @@
 
 // UpstreamStatus is the live state of one upstream.
 type UpstreamStatus struct {
-	Name       string  `json:"name"`
-	Pool       string  `json:"pool"`
-	Role       string  `json:"role"`
-	DataCentre string  `json:"data_centre"`
-	Connected  bool    `json:"connected"`
-	Accepting  bool    `json:"accepting"`
-	Stalled    bool    `json:"stalled"`
-	Leaving    bool    `json:"leaving"`
+	Name       string `json:"name"`
+	Pool       string `json:"pool"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Connected  bool   `json:"connected"`
+	Accepting  bool   `json:"accepting"`
+	Stalled    bool   `json:"stalled"`
+	Leaving    bool   `json:"leaving"`
+	// Declared is set if the document declares the upstream leaving.
+	Declared   bool    `json:"leaving_in_document"`
 	Places     uint32  `json:"places"`
 	Free       uint32  `json:"free"`
 	Waiting    uint32  `json:"waiting"`
@@ -121,6 +125,9 @@
 	ChangeRole string `json:"change_role,omitempty"`
 }
 
+// ErrNoUpstream means that the operator's team has no upstream of the name.
+var ErrNoUpstream = errors.New("your team has no upstream of this name")
+
 // ErrorReply is the body of a failed request.
 type ErrorReply struct {
 	Error string `json:"error"`
@@ -138,7 +145,7 @@
 	Status() Status
 	// Upstreams returns the live state of the upstreams of a team, of all teams for "*".
 	Upstreams(team string) []UpstreamStatus
-	// Order sends an order with a new fencing number to an upstream of a team.
+	// Order sends an order with a new fencing number to an upstream of a team. Errors: ErrNoUpstream and others.
 	Order(ctx context.Context, team, upstream string, order *wirev1.OrderRequest) (OrderReply, error)
 	// CollectEvents asks all connected processes and merges what they have.
 	CollectEvents(ctx context.Context, query *wirev1.EventQuery) []*wirev1.Event
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
@@ -163,6 +164,10 @@
 		return
 	}
 	reply, orderErr := s.backend.Order(r.Context(), operator.Team, mux.Vars(r)["name"], order)
+	if errors.Is(orderErr, ErrNoUpstream) {
+		s.fail(w, http.StatusNotFound, orderErr.Error())
+		return
+	}
 	if orderErr != nil {
 		s.fail(w, http.StatusServiceUnavailable, orderErr.Error())
 		return
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -85,6 +87,9 @@
 	for _, u := range e.upstreams.all() {
 		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.peer.Session(), revision))
 	}
+	slices.SortFunc(status.Nodes, func(a, b admin.NodeStatus) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Process, b.Process))
+	})
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
 			Shard: int(s.Shard), Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: string(s.State),
@@ -123,6 +128,7 @@
 		}
 		list = append(list, upstreamStatus(u))
 	}
+	slices.SortFunc(list, func(a, b admin.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -139,7 +145,7 @@
 }
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
-	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
+	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving, Declared: u.leaving}
 	session := u.peer.Session()
 	if session == nil {
 		return status
@@ -163,7 +169,7 @@
 ) (admin.OrderReply, error) {
 	u := e.upstreams.get(name)
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
-		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
+		return admin.OrderReply{}, errors.Wrap(admin.ErrNoUpstream, name)
 	}
 	session := u.peer.Session()
 	if session == nil {
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -124,7 +124,7 @@
 			return
 		}
 		c.e.metrics.Retried("model", refusal.Reason)
-		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
+		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail),
 			field("delivered", len(c.delivered)))
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -162,6 +162,7 @@
 func (e *Entry) applySnapshot(snapshot *confsync.Snapshot) {
 	e.upstreams.apply(snapshot.Upstreams())
 	e.spread.Applied(snapshot.Revision)
+	e.events.SetConfigRevision(snapshot.Revision)
 	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
 }
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -45,7 +45,7 @@
 	for _, u := range candidates {
 		request := cloneReserve(template)
 		request.Call = e.nextCallID()
-		asking.Go(func() { results <- askPlace(ctx, u, request) })
+		asking.Go(func() { results <- e.askPlace(ctx, u, request) })
 	}
 	winner, err := firstGrant(results, len(candidates))
 	waited(winner != nil)
@@ -82,7 +82,7 @@
 	}
 }
 
-func askPlace(ctx context.Context, u *upstream, request *wirev1.ReserveRequest) reserveResult {
+func (e *Entry) askPlace(ctx context.Context, u *upstream, request *wirev1.ReserveRequest) reserveResult {
 	session := u.peer.Session()
 	if session == nil {
 		return reserveResult{err: verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to %s", u.name)}
@@ -98,6 +98,7 @@
 		_ = stream.Close()
 		return reserveResult{err: verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "no place at %s in time", u.name)}
 	}
+	e.events.Observe(reply.GetLamport())
 	if !reply.GetGranted() {
 		_ = stream.Close()
 		refusal := verdict.Refuse(reply.GetReason(), "no place at %s", u.name)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -101,7 +101,7 @@
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
 			s.e.metrics.Retried("service", refusal.Reason)
-			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)))
+			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail))
 			continue
 		}
 		s.fail(refusal)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -79,6 +79,8 @@
 	s.metrics.Waited(time.Since(begin), err == nil)
 	if err != nil {
 		refusal := verdict.As(err)
+		s.events.Record("place_refused", id.String(), s.settings.GetUpstream().GetName(),
+			field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail))
 		s.reply(stream, &wirev1.ReserveReply{
 			Reason: refusal.Reason, Nonce: s.issuer.Issue(), RetryAfterMs: uint32(refusal.RetryAfter.Milliseconds()),
 		})
@@ -191,13 +193,22 @@
 	if outcome.GetVerdict() == wirev1.Verdict_VERDICT_NOT_RUN {
 		s.calls.Forget(c)
 	}
-	s.events.Record("call_ended", c.ID.String(), name,
-		field("verdict", verdict.FromWire(outcome.GetVerdict())), field("reason", verdict.ReasonName(outcome.GetReason())),
-		field("output_tokens", outcome.GetOutputTokens()))
+	s.recordEnd(c, outcome)
 	s.metrics.Ended(verdict.FromWire(outcome.GetVerdict()), outcome.GetReason())
 	c.Finish(outcome)
 }
 
+func (s *Sidecar) recordEnd(c *call.Call, outcome *wirev1.Outcome) {
+	fields := []*wirev1.Header{field("verdict", verdict.FromWire(outcome.GetVerdict()))}
+	if outcome.GetReason() != wirev1.Reason_REASON_UNSPECIFIED {
+		fields = append(fields, field("reason", verdict.ReasonName(outcome.GetReason())), field("detail", outcome.GetDetail()))
+	}
+	if outcome.GetOutputTokens() > 0 {
+		fields = append(fields, field("output_tokens", outcome.GetOutputTokens()))
+	}
+	s.events.Record("call_ended", c.ID.String(), s.settings.GetUpstream().GetName(), fields...)
+}
+
 func (s *Sidecar) serveResume(ctx context.Context, req *wirev1.ResumeRequest, stream *transport.Stream) {
 	c := s.calls.Get(call.FromWire(req.GetCall()))
 	if c == nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,12 +83,14 @@
 
 // leaving lists who asked the upstream to take no new work.
 type leaving struct {
+	// starting is set until the upstream is cleared of what an earlier process left. The clearing would cut new work.
+	starting bool
 	document bool
 	operator bool
 	stop     bool
 }
 
-func (l leaving) any() bool { return l.document || l.operator || l.stop }
+func (l leaving) any() bool { return l.starting || l.document || l.operator || l.stop }
 
 // New returns a sidecar that takes no work before Run.
 func New(cfg Config) *Sidecar {
@@ -111,6 +113,8 @@
 		sessions:     make(map[*transport.Session]struct{}),
 		traffic:      new(transport.Traffic),
 	}
+	s.leaving.starting = true
+	s.places.Drain()
 	s.metrics = metrics.NewSidecar(s.load)
 	s.store = metrics.Store(s.metrics.Registry, cfg.Store)
 	s.calls = call.NewRegistry(s.issuer, cfg.Settings.GetUpstream().GetResumeWindow().AsDuration())
@@ -150,6 +154,7 @@
 	if err := s.upstream.Start(ctx); err != nil {
 		return err
 	}
+	s.setLeaving(func(l *leaving) { l.starting = false })
 	// A model engine has answered Start; whether a plain service answers is found out by Ready.
 	s.reached.Store(s.role != wirev1.EngineRole_ENGINE_ROLE_SERVICE)
 	go s.conf.Run(ctx)
@@ -161,6 +166,7 @@
 func (s *Sidecar) applySnapshot(snapshot *confsync.Snapshot) {
 	upstream, ok := snapshot.Upstream(s.settings.GetUpstream().GetName())
 	leavingNow := ok && upstream.GetState() == document.StateLeaving
+	s.events.SetConfigRevision(snapshot.Revision)
 	s.events.Record("configuration_applied", "", s.settings.GetUpstream().GetName(),
 		field("revision", snapshot.Revision), field("leaving", leavingNow))
 	s.setLeaving(func(l *leaving) { l.document = leavingNow })
