--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -88,6 +90,9 @@
 		}
 		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.session(), revision))
 	}
+	slices.SortFunc(status.Nodes, func(a, b admin.NodeStatus) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Process, b.Process))
+	})
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
 			Shard: int(s.Shard), Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: string(s.State),
@@ -126,6 +131,7 @@
 		}
 		list = append(list, upstreamStatus(u))
 	}
+	slices.SortFunc(list, func(a, b admin.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -142,7 +148,7 @@
 }
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
-	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
+	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving, Declared: u.leaving}
 	session := u.session()
 	if session == nil {
 		return status
@@ -166,7 +172,7 @@
 ) (admin.OrderReply, error) {
 	u := e.upstreams.get(name)
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
-		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
+		return admin.OrderReply{}, errors.Wrap(admin.ErrNoUpstream, name)
 	}
 	session := u.session()
 	if session == nil {
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, quoteTimeout)
 	defer cancel()
 	open := &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Quote{Quote: &wirev1.QuoteRequest{
-		PromptTokens: uint32(request.PromptTokens), BlockHashes: request.BlockHashes,
+		PromptTokens: uint32(request.PromptTokens), BlockHashes: request.BlockHashes, Account: request.Account,
 	}}}
 	quotes := make([]scheduler.Quote, len(chosen))
 	var group sync.WaitGroup
