kv/memory: more faults; kv/kvtest: cut one process off

internal/ledger and internal/confsync each have a store fake because kv/memory lacks some of the faults that their tests switch on: calls that hang, random lost answers, writes that take effect after the loss of their answer, lists of an old state, and watches without progress notices. They are now faults of memory, each with a test. Put, Remove and Contents bypass the faults, so that tests can arrange contents during an outage.

kvtest.Gate cuts one process off. It has the two ways that the three present gates have: watches that close, and watches that stay open and lose updates.

--- /dev/null
+++ b/internal/kv/kvtest/gate.go
@@ -0,0 +1,135 @@
+// Package kvtest helps tests to cut one process off from the key-value service while the others still reach it.
+package kvtest
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+)
+
+// Path is the state of a process's way to the store.
+type Path int
+
+const (
+	// Open passes everything.
+	Open Path = iota
+	// Refused fails calls with kv.ErrUnavailable and closes watches.
+	Refused
+	// Silent fails calls with kv.ErrUnavailable and keeps watches open; updates that arrive meanwhile are dropped.
+	Silent
+)
+
+// Gate is one process's way to a store. Calls for leases and deletes are not gated.
+type Gate struct {
+	kv.Store
+	// Hold, if not nil, is called when a call leaves the process and when its answer arrives. It may block, as a process
+	// that is paused does.
+	Hold func()
+
+	mu      sync.Mutex // guards the fields below
+	path    Path
+	refused chan struct{} // closed while path is Refused
+}
+
+// NewGate returns an open gate.
+func NewGate(store kv.Store) *Gate { return &Gate{Store: store, refused: make(chan struct{})} }
+
+// Set changes the state of the way to the store.
+func (g *Gate) Set(path Path) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if path == Refused && g.path != Refused {
+		close(g.refused)
+	}
+	if path != Refused && g.path == Refused {
+		g.refused = make(chan struct{})
+	}
+	g.path = path
+}
+
+func (g *Gate) state() (path Path, refused <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.path, g.refused
+}
+
+func (g *Gate) hold() {
+	if g.Hold != nil {
+		g.Hold()
+	}
+}
+
+// pass runs call if the gate is open.
+func pass[T any](g *Gate, call func() (T, error)) (T, error) {
+	g.hold()
+	defer g.hold()
+	if path, _ := g.state(); path != Open {
+		var zero T
+		return zero, kv.ErrUnavailable
+	}
+	return call()
+}
+
+// Get implements kv.Store.
+func (g *Gate) Get(ctx context.Context, key string) (kv.Pair, error) {
+	return pass(g, func() (kv.Pair, error) { return g.Store.Get(ctx, key) })
+}
+
+// List implements kv.Store.
+func (g *Gate) List(ctx context.Context, prefix string) (pairs []kv.Pair, revision int64, err error) {
+	pairs, err = pass(g, func() ([]kv.Pair, error) {
+		pairs, revision, err = g.Store.List(ctx, prefix)
+		return pairs, err
+	})
+	return pairs, revision, err
+}
+
+// CompareAndSwap implements kv.Store.
+func (g *Gate) CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error) {
+	return pass(g, func() (int64, error) { return g.Store.CompareAndSwap(ctx, key, value, revision, lease) })
+}
+
+// Watch implements kv.Store.
+func (g *Gate) Watch(ctx context.Context, prefix string, revision int64) (<-chan kv.WatchUpdate, error) {
+	return pass(g, func() (<-chan kv.WatchUpdate, error) {
+		_, refused := g.state()
+		ctx, cancel := context.WithCancel(ctx)
+		source, err := g.Store.Watch(ctx, prefix, revision)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		updates := make(chan kv.WatchUpdate)
+		go func() {
+			defer cancel()
+			defer close(updates)
+			g.forward(ctx, source, updates, refused)
+		}()
+		return updates, nil
+	})
+}
+
+// forward passes updates on until the watch ends or the gate refuses.
+func (g *Gate) forward(ctx context.Context, source <-chan kv.WatchUpdate, to chan<- kv.WatchUpdate, refused <-chan struct{}) {
+	for {
+		select {
+		case <-refused:
+			return
+		case update, ok := <-source:
+			if !ok {
+				return
+			}
+			if path, _ := g.state(); path == Silent {
+				continue
+			}
+			select {
+			case to <- update:
+			case <-refused:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/kv/kvtest/gate_test.go
@@ -0,0 +1,65 @@
+package kvtest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+)
+
+// Guards against a gate that cuts nothing, or also cuts the other processes.
+func TestGate(t *testing.T) {
+	for _, test := range []struct {
+		path   Path
+		err    error
+		ends   bool
+		events int
+	}{
+		{Open, nil, false, 2}, {Refused, kv.ErrUnavailable, true, 0}, {Silent, kv.ErrUnavailable, false, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memory.New(memory.Options{})
+			gate, holds := NewGate(store), 0
+			gate.Hold = func() { holds++ }
+			updates, err := gate.Watch(t.Context(), "", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			events, ended := 0, false
+			go func() {
+				for u := range updates {
+					events += len(u.Events)
+				}
+				ended = t.Context().Err() == nil
+			}()
+			gate.Set(test.path)
+			_, _, listErr := gate.List(t.Context(), "")
+			_, getErr := gate.Get(t.Context(), "key")
+			_, swapErr := gate.CompareAndSwap(t.Context(), "key", nil, 0, 0)
+			_, watchErr := gate.Watch(t.Context(), "", 0)
+			for _, err := range []error{listErr, swapErr, watchErr} {
+				if !errors.Is(err, test.err) {
+					t.Errorf("path %v: error %v", test.path, err)
+				}
+			}
+			if errors.Is(getErr, kv.ErrUnavailable) != (test.err != nil) || holds != 10 {
+				t.Errorf("path %v: get %v, %d holds", test.path, getErr, holds)
+			}
+			if _, err := store.Get(t.Context(), "other"); !errors.Is(err, kv.ErrNotFound) {
+				t.Errorf("another process: %v", err)
+			}
+			time.Sleep(time.Second)
+			gate.Set(Open)
+			store.Put("later", nil)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if events != test.events || ended != test.ends {
+				t.Errorf("path %v: %d events, ended %v", test.path, events, ended)
+			}
+		})
+	}
+}
--- a/internal/kv/memory/faults.go
+++ b/internal/kv/memory/faults.go
@@ -17,8 +17,21 @@
 	// Delay is the time that each call takes. A call takes effect after half of it, even if its caller gave up before.
 	// It also delays each update of a watch.
 	Delay time.Duration
+	// Jitter is the upper limit of a random time that is added to the Delay of each call.
+	Jitter time.Duration
+	// Hanging holds every call that starts until its context ends; the call has no effect. Watches deliver nothing.
+	Hanging bool
 	// LoseAnswers is the number of writes whose answers are lost after they took effect.
 	LoseAnswers int
+	// LoseRate is the part of the other writes, from 0 to 1, whose answers are lost.
+	LoseRate float64
+	// LateBy is the time after the loss of its answer at which a write takes effect. Such a write counts as lost even if
+	// it then conflicts.
+	LateBy time.Duration
+	// OldLists makes List answer with the pairs and the revision that the store had when this fault began.
+	OldLists bool
+	// NoProgress turns off the progress notices of watches.
+	NoProgress bool
 	// WritesPerSecond and ReadsPerSecond limit the calls, with one second's worth as burst; 0 means no limit.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
@@ -43,12 +56,22 @@
 
 // SetFaults replaces all faults.
 func (s *Store) SetFaults(faults Faults) {
+	s.ChangeFaults(func(f *Faults) { *f = faults })
+}
+
+// ChangeFaults changes some faults and keeps the others.
+func (s *Store) ChangeFaults(change func(*Faults)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	faults := s.faults
+	change(&faults)
 	if faults.Down && !s.faults.Down {
 		s.outages++
 		s.wakeLocked()
 	}
+	if faults.OldLists && !s.faults.OldLists {
+		s.old = listing{s.listLocked(""), s.revision}
+	}
 	s.faults = faults
 	s.writeLimit = newLimiter(faults.WritesPerSecond)
 	s.readLimit = newLimiter(faults.ReadsPerSecond)
@@ -107,6 +130,10 @@
 	if err != nil {
 		return zero, err
 	}
+	if delay == hangs {
+		<-ctx.Done()
+		return zero, errors.Wrap(kind.lost(), ctx.Err().Error())
+	}
 	if delay <= 0 {
 		return apply(s, kind, effect)
 	}
@@ -142,6 +169,9 @@
 	return a.value, a.err
 }
 
+// hangs is the delay of a call that is never answered.
+const hangs time.Duration = -1
+
 // admit counts a call and refuses it during an outage or over the rate limit.
 func (s *Store) admit(kind callKind) (delay time.Duration, outages uint64, err error) {
 	s.mu.Lock()
@@ -161,7 +191,14 @@
 		s.calls.Refused++
 		return 0, 0, ErrRateLimited
 	}
-	return s.faults.Delay, s.outages, nil
+	if s.faults.Hanging {
+		return hangs, s.outages, nil
+	}
+	delay = s.faults.Delay
+	if s.faults.Jitter > 0 {
+		delay += time.Duration(s.random.Int64N(int64(s.faults.Jitter)))
+	}
+	return delay, s.outages, nil
 }
 
 // apply runs effect under the lock and loses its answer if that fault is on.
@@ -172,14 +209,30 @@
 	if s.faults.Down {
 		return zero, kv.ErrUnavailable
 	}
+	if late := s.faults.LateBy; late > 0 && kind == callWrite && s.losesAnswerLocked() {
+		time.AfterFunc(late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = effect()
+		})
+		return zero, kv.ErrOutcomeUnknown
+	}
 	value, err := effect()
-	if err == nil && kind == callWrite && s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
+	if err == nil && kind == callWrite && s.faults.LateBy <= 0 && s.losesAnswerLocked() {
 		return zero, kv.ErrOutcomeUnknown
 	}
 	return value, err
 }
 
+// losesAnswerLocked decides whether the answer to a write is lost.
+func (s *Store) losesAnswerLocked() bool {
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return true
+	}
+	return s.faults.LoseRate > 0 && s.random.Float64() < s.faults.LoseRate
+}
+
 func (s *Store) outageSince(outages uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/kv/memory/memory_test.go
+++ b/internal/kv/memory/memory_test.go
@@ -182,3 +182,89 @@
 	}, gen.SliceOf(gen.IntRange(0, 1<<16))))
 	properties.TestingRun(t)
 }
+
+// Guards against a fault that fails calls in another way than its comment says, which would leave the tests that rely on
+// it without effect.
+func TestFaultsOfWritesAndReads(t *testing.T) {
+	tests := []struct {
+		name     string
+		faults   Faults
+		swapErr  error
+		took     time.Duration
+		soon     bool  // the write is in the store when the call has ended
+		later    bool  // the write is in the store after a minute
+		listedAt int64 // revision of a list after a minute; 0 for an error
+	}{
+		{"none", Faults{}, nil, 0, true, true, 3},
+		{"hanging", Faults{Hanging: true}, kv.ErrOutcomeUnknown, time.Second, false, false, 0},
+		{"answers lost", Faults{LoseRate: 1}, kv.ErrOutcomeUnknown, 0, true, true, 3},
+		{"late", Faults{LoseRate: 1, LateBy: 5 * time.Second}, kv.ErrOutcomeUnknown, 0, false, true, 3},
+		{"one late", Faults{LoseAnswers: 1, LateBy: 5 * time.Second}, kv.ErrOutcomeUnknown, 0, false, true, 3},
+		{"only late if lost", Faults{LateBy: 5 * time.Second}, nil, 0, true, true, 3},
+		{"old lists", Faults{OldLists: true}, nil, 0, true, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Options{})
+				first := s.Put("key", nil)
+				s.SetFaults(test.faults)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				begun := time.Now()
+				_, err := s.CompareAndSwap(ctx, "key", []byte("new"), first, 0)
+				written := func() bool { return len(s.Contents("key")[0].Value) > 0 }
+				if !errors.Is(err, test.swapErr) || time.Since(begun) != test.took || written() != test.soon {
+					t.Errorf("%v after %v, written %v", err, time.Since(begun), written())
+				}
+				time.Sleep(time.Minute)
+				ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				if _, revision, _ := s.List(ctx, ""); written() != test.later || revision != test.listedAt {
+					t.Errorf("after a minute: written %v, listed revision %d", written(), revision)
+				}
+			})
+		})
+	}
+}
+
+// Guards against watches that go on delivering under the faults that silence them, or lose what they held back.
+func TestSilentWatches(t *testing.T) {
+	for _, test := range []struct {
+		faults          Faults
+		events, notices int // in 10 s, with one change
+	}{
+		{Faults{}, 1, 20}, {Faults{NoProgress: true}, 1, 0}, {Faults{Hanging: true}, 0, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := New(Options{})
+			updates, err := s.Watch(t.Context(), "", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.SetFaults(test.faults)
+			events, notices := 0, 0
+			go func() {
+				for u := range updates {
+					events += len(u.Events)
+					if len(u.Events) == 0 {
+						notices++
+					}
+				}
+			}()
+			time.Sleep(250 * time.Millisecond)
+			s.Put("key", nil)
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			if events != test.events || notices != test.notices {
+				t.Errorf("%+v: %d events, %d notices", test.faults, events, notices)
+			}
+			s.SetFaults(Faults{})
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if events != 1 {
+				t.Errorf("%+v: %d events after the fault", test.faults, events)
+			}
+		})
+	}
+}
--- a/internal/kv/memory/store.go
+++ b/internal/kv/memory/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,8 @@
 	History int
 	// Faults are the faults at the start.
 	Faults Faults
+	// Seed is the seed of the random faults.
+	Seed uint64
 }
 
 // Store implements kv.Store. Create it with New.
@@ -66,6 +69,9 @@
 	watches map[*watch]struct{}
 
 	faults Faults
+	random *rand.Rand
+	// old is what List answers with while Faults.OldLists is on.
+	old listing
 	// outages counts the outages, so that calls and watches notice one that is already over.
 	outages     uint64
 	readLimit   *rate.Limiter
@@ -86,6 +92,7 @@
 		leases:           make(map[int64]*lease),
 		changed:          make(chan struct{}),
 		watches:          make(map[*watch]struct{}),
+		random:           rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 	if s.progressInterval <= 0 {
 		s.progressInterval = DefaultProgressInterval
@@ -115,13 +122,18 @@
 	})
 }
 
+// listing is the answer to a List.
+type listing struct {
+	pairs    []kv.Pair
+	revision int64
+}
+
 // List implements kv.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
-	type listing struct {
-		pairs    []kv.Pair
-		revision int64
-	}
 	l, err := call(ctx, s, callRead, func() (listing, error) {
+		if s.faults.OldLists {
+			return listing{s.oldLocked(prefix), s.old.revision}, nil
+		}
 		return listing{s.listLocked(prefix), s.revision}, nil
 	})
 	return l.pairs, l.revision, err
@@ -138,6 +150,16 @@
 	return pairs
 }
 
+func (s *Store) oldLocked(prefix string) []kv.Pair {
+	var pairs []kv.Pair
+	for _, pair := range s.old.pairs {
+		if strings.HasPrefix(pair.Key, prefix) {
+			pairs = append(pairs, clonePair(pair))
+		}
+	}
+	return pairs
+}
+
 // CompareAndSwap implements kv.Store. A conflict is reported before a missing lease, as in etcd.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error) {
 	if len(value) > MaxValueBytes {
@@ -152,18 +174,23 @@
 		if lease != 0 && !s.leaseAliveLocked(lease) {
 			return 0, kv.ErrLeaseNotFound
 		}
-		s.detachLocked(old)
-		s.revision++
-		pair := kv.Pair{Key: key, Value: value, ModRevision: s.revision, LeaseID: lease}
-		s.pairs[key] = pair
-		if lease != 0 {
-			s.leases[lease].keys[key] = struct{}{}
-		}
-		s.recordLocked(kv.Event{Pair: pair})
-		return s.revision, nil
+		return s.putLocked(key, value, lease), nil
 	})
 }
 
+// putLocked writes a pair and returns the new revision.
+func (s *Store) putLocked(key string, value []byte, lease int64) int64 {
+	s.detachLocked(s.pairs[key])
+	s.revision++
+	pair := kv.Pair{Key: key, Value: value, ModRevision: s.revision, LeaseID: lease}
+	s.pairs[key] = pair
+	if lease != 0 {
+		s.leases[lease].keys[key] = struct{}{}
+	}
+	s.recordLocked(kv.Event{Pair: pair})
+	return s.revision
+}
+
 // Delete implements kv.Store. As in etcd, revision 0 succeeds on a key that does not exist and changes nothing.
 func (s *Store) Delete(ctx context.Context, key string, revision int64) (int64, error) {
 	return call(ctx, s, callWrite, func() (int64, error) {
--- a/internal/kv/memory/watch.go
+++ b/internal/kv/memory/watch.go
@@ -56,9 +56,10 @@
 	defer ticker.Stop()
 	notice := false
 	for {
-		update, changed, delay := w.collect()
+		update, changed, faults := w.collect()
+		notice = notice && !faults.NoProgress && !faults.Hanging
 		if notice || update.Err != nil || len(update.Events) > 0 {
-			if !w.send(ctx, update, delay) || update.Err != nil {
+			if !w.send(ctx, update, faults.Delay) || update.Err != nil {
 				return
 			}
 		}
@@ -73,8 +74,8 @@
 	}
 }
 
-// collect takes all changes that were not delivered yet. changed is closed at the next change.
-func (w *watch) collect() (update kv.WatchUpdate, changed <-chan struct{}, delay time.Duration) {
+// collect takes all changes that were not delivered yet; none while calls hang. changed is closed at the next change.
+func (w *watch) collect() (update kv.WatchUpdate, changed <-chan struct{}, faults Faults) {
 	s := w.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,13 +84,14 @@
 	switch {
 	case w.outages != s.outages:
 		update.Err = kv.ErrUnavailable
+	case s.faults.Hanging:
 	case w.next <= s.compacted:
 		update.Err = kv.ErrCompacted
 	default:
 		update.Events = w.eventsLocked()
 		w.next = max(w.next, s.revision+1)
 	}
-	return update, s.changed, s.faults.Delay
+	return update, s.changed, s.faults
 }
 
 func (w *watch) eventsLocked() []kv.Event {
