ledger, confsync, systemtest: tests use kv/memory and kvtest

The store fakes and the three gates of these packages are replaced. memory is stricter than the fakes in two points: an outage during a call loses the answer, and a watch sends notices at intervals only, not at every change of the store. Removals in the fleet property of confsync now also happen during an outage.

Ruled out: a gate that delivers held updates late in place of dropping them. Dropping is the harder fault, and the old gate of confsync had it.

New case in TestSwapOutcome: an outage while a write is in doubt.

--- a/internal/confsync/apply_test.go
+++ b/internal/confsync/apply_test.go
@@ -6,6 +6,9 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
 // Guards against outcomes that an operator must not be told: a change that is lost without notice, one that is said to
@@ -14,7 +17,7 @@
 	good := []byte(teamText("kilimo", 5))
 	cases := []struct {
 		name     string
-		prepare  func(s *fakeStore)
+		prepare  func(s *teamStore)
 		text     string
 		expected uint64
 		want     OutcomeKind
@@ -22,23 +25,23 @@
 		written  bool
 		failed   bool
 	}{
-		{name: "first version", want: Accepted, revision: 1, written: true},
-		{name: "two operators race", want: LostRace, revision: 1,
-			prepare: func(s *fakeStore) { s.write("kilimo", teamText("kilimo", 6)) }},
+		{name: "first version", want: Accepted, revision: 2, written: true},
+		{name: "two operators race", want: LostRace, revision: 2,
+			prepare: func(s *teamStore) { s.write("kilimo", teamText("kilimo", 6)) }},
 		{name: "document is gone", want: LostRace, expected: 3},
-		{name: "answer lost after the write", want: Accepted, revision: 1, written: true,
-			prepare: func(s *fakeStore) { s.loseAnswers = 1 }},
-		{name: "store down", want: NotWritten, failed: true, prepare: func(s *fakeStore) { s.down = true }},
+		{name: "answer lost after the write", want: Accepted, revision: 2, written: true,
+			prepare: func(s *teamStore) { s.SetFaults(memory.Faults{LoseAnswers: 1}) }},
+		{name: "store down", want: NotWritten, failed: true, prepare: func(s *teamStore) { s.setDown(true) }},
 		{name: "mistaken document", want: Rejected, text: "[document]\nteam = kilimo\n[acount \"a\"]\n"},
 		{name: "document of another team", want: Rejected, text: teamText("hakata", 5)},
 		{name: "account of another team", want: Rejected,
 			text:    "[document]\nteam = kilimo\n[account \"hakata-app\"]\nrate = 1\nburst = 4\n",
-			prepare: func(s *fakeStore) { s.write("hakata", teamText("hakata", 6)) }},
+			prepare: func(s *teamStore) { s.write("hakata", teamText("hakata", 6)) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newFakeStore()
+				store := newStore()
 				if c.prepare != nil {
 					c.prepare(store)
 				}
@@ -56,7 +59,7 @@
 				if (outcome.Kind == Rejected) != (outcome.Faults != nil) {
 					t.Errorf("faults %v", outcome.Faults)
 				}
-				if written := strings.Contains(string(store.pairs[Prefix+"kilimo"].Value), "rate = 5"); written != c.written {
+				if written := strings.Contains(string(store.document("kilimo").Value), "rate = 5"); written != c.written {
 					t.Errorf("written: %v", written)
 				}
 			})
@@ -67,15 +70,16 @@
 // Guards against a guess where the outcome cannot be known: the store stays down after the answer was lost, or another
 // operator's version stands where this one may have been.
 func TestApplyUnknown(t *testing.T) {
-	cases := map[string]func(s *fakeStore){
-		"down":     func(s *fakeStore) { s.down = true },
-		"replaced": func(s *fakeStore) { s.put(Prefix+"kilimo", []byte(teamText("kilimo", 6))) },
+	cases := map[string]func(s *teamStore){
+		"down":     func(s *teamStore) { s.setDown(true) },
+		"replaced": func(s *teamStore) { s.write("kilimo", teamText("kilimo", 6)) },
 	}
 	for name, afterSwap := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newFakeStore()
-				store.loseAnswers, store.afterLost = 1, afterSwap
+				store := newStore()
+				store.SetFaults(memory.Faults{LoseAnswers: 1})
+				time.AfterFunc(resolveDelay/2, func() { afterSwap(store) })
 				outcome, err := Apply(context.Background(), store, "kilimo", []byte(teamText("kilimo", 5)), 0)
 				if outcome.Kind != Unknown || err != nil {
 					t.Errorf("%v, error %v", outcome.Kind, err)
@@ -88,7 +92,7 @@
 // Guards against operators who have to try again for each fault of a document.
 func TestApplyNamesEveryFault(t *testing.T) {
 	text := "[document]\nteam = kilimo\n[account \"a\"]\nrate = 10\nburst = 39\n[key \"k\"]\naccount = b\nsha256 = 0\n"
-	outcome, err := Apply(context.Background(), newFakeStore(), "kilimo", []byte(text), 0)
+	outcome, err := Apply(context.Background(), newStore(), "kilimo", []byte(text), 0)
 	if err != nil || outcome.Kind != Rejected {
 		t.Fatalf("%v, error %v", outcome.Kind, err)
 	}
@@ -103,8 +107,8 @@
 func TestTwoOperatorsRace(t *testing.T) {
 	for lost := range 3 {
 		synctest.Test(t, func(t *testing.T) {
-			store := newFakeStore()
-			store.loseAnswers = lost
+			store := newStore()
+			store.SetFaults(memory.Faults{LoseAnswers: lost})
 			first := store.write("kilimo", teamText("kilimo", 1))
 			var outcomes [2]Outcome
 			var work sync.WaitGroup
@@ -119,7 +123,7 @@
 			if accepted.Kind != Accepted {
 				accepted, other = other, accepted
 			}
-			stored := store.pairs[Prefix+"kilimo"]
+			stored := store.document("kilimo")
 			if accepted.Kind != Accepted || other.Kind != LostRace || applyID(stored.Value) != accepted.ApplyID {
 				t.Errorf("%d answers lost: %v and %v", lost, accepted.Kind, other.Kind)
 			}
--- a/internal/confsync/fake_test.go
+++ b/internal/confsync/fake_test.go
@@ -17,209 +17,53 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
-// fakeStore is a key-value service with the faults that the tests need. Methods that confsync does not call are missing.
-type fakeStore struct {
-	kv.Store
-
-	mu       sync.Mutex
-	revision int64
-	pairs    map[string]kv.Pair
-	events   []kv.Event
-	changed  chan struct{}
-	down     bool
-	// old is an earlier state that List answers with.
-	old map[string]kv.Pair
-	// oldRevision is the revision of old.
-	oldRevision int64
-	// loseAnswers is the number of writes that take effect without an answer.
-	loseAnswers int
-	// afterLost is called after each of these writes.
-	afterLost func(*fakeStore)
-	// silent turns off progress notices.
-	silent bool
-	lists  int
+// teamStore is a key-value service that counts the lists of documents.
+type teamStore struct {
+	*memory.Store
+	lists atomic.Int64
 }
 
-func newFakeStore() *fakeStore {
-	return &fakeStore{pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
-}
+func newStore() *teamStore { return &teamStore{Store: memory.New(memory.Options{})} }
 
-func (s *fakeStore) Get(_ context.Context, key string) (kv.Pair, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	pair, ok := s.pairs[key]
-	switch {
-	case s.down:
-		return kv.Pair{}, kv.ErrUnavailable
-	case !ok:
-		return kv.Pair{}, kv.ErrNotFound
-	}
-	return pair, nil
-}
-
-func (s *fakeStore) List(_ context.Context, prefix string) ([]kv.Pair, int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return nil, 0, kv.ErrUnavailable
-	}
-	if prefix == Prefix {
-		s.lists++
-	}
-	from, revision := s.pairs, s.revision
-	if s.old != nil {
-		from, revision = s.old, s.oldRevision
-	}
-	var found []kv.Pair
-	for key, pair := range from {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, pair)
-		}
-	}
-	return found, revision, nil
-}
+// storeDown returns a store that cannot be reached.
+func storeDown() kv.Store { return memory.New(memory.Options{Faults: memory.Faults{Down: true}}) }
 
-func (s *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, revision, _ int64) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return 0, kv.ErrUnavailable
+// List implements kv.Store.
+func (s *teamStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	pairs, revision, err := s.Store.List(ctx, prefix)
+	if err == nil && prefix == Prefix {
+		s.lists.Add(1)
 	}
-	if s.pairs[key].ModRevision != revision {
-		return 0, kv.ErrConflict
-	}
-	s.put(key, value)
-	if s.loseAnswers > 0 {
-		s.loseAnswers--
-		if s.afterLost != nil {
-			s.afterLost(s)
-		}
-		return 0, kv.ErrOutcomeUnknown
-	}
-	return s.revision, nil
-}
-
-// put writes a pair. s.mu must be held.
-func (s *fakeStore) put(key string, value []byte) {
-	s.revision++
-	pair := kv.Pair{Key: key, Value: value, ModRevision: s.revision}
-	s.pairs[key] = pair
-	s.events = append(s.events, kv.Event{Pair: pair})
-	s.wake()
-}
-
-func (s *fakeStore) remove(key string) {
-	s.set(func(s *fakeStore) {
-		s.revision++
-		delete(s.pairs, key)
-		s.events = append(s.events, kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
-	})
-}
-
-func (s *fakeStore) write(team, text string) (revision uint64) {
-	s.set(func(s *fakeStore) {
-		s.put(Prefix+team, []byte(text))
-		revision = uint64(s.revision)
-	})
-	return revision
+	return pairs, revision, err
 }
 
-// wake ends the wait of all watches. s.mu must be held.
-func (s *fakeStore) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// write changes a team's document, also during an outage.
+func (s *teamStore) write(team, text string) (revision uint64) {
+	return uint64(s.Put(Prefix+team, []byte(text)))
 }
 
-func (s *fakeStore) set(f func(*fakeStore)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f(s)
-	s.wake()
-}
-
-func (s *fakeStore) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.WatchUpdate, error) {
-	updates := make(chan kv.WatchUpdate)
-	go func() {
-		defer close(updates)
-		for {
-			s.mu.Lock()
-			changed, update, silent := s.changed, s.updateSince(prefix, from), s.silent
-			s.mu.Unlock()
-			if update.Err != nil || len(update.Events) > 0 || !silent {
-				select {
-				case <-ctx.Done():
-					return
-				case updates <- update:
-				}
-			}
-			if update.Err != nil {
-				return
-			}
-			from = update.Revision + 1
-			select {
-			case <-ctx.Done():
-				return
-			case <-changed:
-			case <-time.After(400 * time.Millisecond):
-			}
-		}
-	}()
-	return updates, nil
-}
-
-func (s *fakeStore) updateSince(prefix string, from int64) kv.WatchUpdate {
-	if s.down {
-		return kv.WatchUpdate{Err: kv.ErrUnavailable}
-	}
-	update := kv.WatchUpdate{Revision: s.revision}
-	for _, event := range s.events {
-		if event.Pair.ModRevision >= from && strings.HasPrefix(event.Pair.Key, prefix) {
-			update.Events = append(update.Events, event)
+// document returns a team's document as it is stored.
+func (s *teamStore) document(team string) kv.Pair {
+	for _, pair := range s.Contents(Prefix + team) {
+		if pair.Key == Prefix+team {
+			return pair
 		}
 	}
-	return update
+	return kv.Pair{}
 }
 
-// gate is one process's way to the store, which can be cut.
-type gate struct {
-	*fakeStore
-	cut atomic.Bool
-}
-
-func (g *gate) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
-	if g.cut.Load() {
-		return nil, 0, kv.ErrUnavailable
-	}
-	return g.fakeStore.List(ctx, prefix)
-}
-
-func (g *gate) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.WatchUpdate, error) {
-	if g.cut.Load() {
-		return nil, kv.ErrUnavailable
-	}
-	updates, err := g.fakeStore.Watch(ctx, prefix, from)
-	passed := make(chan kv.WatchUpdate)
-	go func() {
-		defer close(passed)
-		for update := range updates {
-			if g.cut.Load() {
-				continue // The connection is silent until ctx ends.
-			}
-			select {
-			case <-ctx.Done():
-			case passed <- update:
-			}
-		}
-	}()
-	return passed, err
+func (s *teamStore) setDown(down bool) {
+	s.ChangeFaults(func(f *memory.Faults) { f.Down = down })
 }
 
 // fleet connects nodes by a network that loses messages and can be cut.
 type fleet struct {
 	t     testing.TB
-	store *fakeStore
+	store *teamStore
 	loss  float64
 	delay time.Duration
 
@@ -227,7 +71,7 @@
 	nodes   map[string]*Node
 	members []Member
 	stops   map[string]func()
-	gates   map[string]*gate
+	gates   map[string]*kvtest.Gate
 	random  map[string]*rand.Rand
 	sides   map[string]int
 	// connected holds the sessions of each process.
@@ -238,10 +82,10 @@
 	noPull bool
 }
 
-func newFleet(t testing.TB, store *fakeStore) *fleet {
+func newFleet(t testing.TB, store *teamStore) *fleet {
 	return &fleet{
 		t: t, store: store, delay: time.Millisecond,
-		gates: map[string]*gate{},
+		gates: map[string]*kvtest.Gate{},
 		nodes: map[string]*Node{}, stops: map[string]func(){}, random: map[string]*rand.Rand{},
 		sides: map[string]int{}, bytes: map[string]int{},
 	}
@@ -265,7 +109,7 @@
 }
 
 func (f *fleet) startEntry(name, dataCentre string) *Node {
-	f.gates[name] = &gate{fakeStore: f.store}
+	f.gates[name] = kvtest.NewGate(f.store)
 	return f.start(name, dataCentre, f.gates[name])
 }
 
--- a/internal/confsync/measure_test.go
+++ b/internal/confsync/measure_test.go
@@ -67,7 +67,7 @@
 func measure(t *testing.T, nodes int, loss float64, naive bool) figures {
 	var result figures
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newFakeStore())
+		f := newFleet(t, newStore())
 		for i := range measuredTeams {
 			team := fmt.Sprintf("team-%02d", i)
 			f.store.write(team, bigText(team, 1, measuredAccounts))
@@ -173,7 +173,7 @@
 	for i := range peerCount {
 		peers = append(peers, &countingPeer{name: fmt.Sprintf("peer-%d", i), sent: &sent})
 	}
-	n := New(Config{Self: "entry", Store: newFakeStore(), Peers: peers})
+	n := New(Config{Self: "entry", Store: newStore(), Peers: peers})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.running = ctx
 	first := batch{whole: true, to: documents}
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -11,6 +11,8 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -18,7 +20,7 @@
 func inFleet(t *testing.T, entries int, test func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newFakeStore())
+		f := newFleet(t, newStore())
 		f.store.write("kilimo", teamText("kilimo", 100))
 		f.addEntries(entries, 2)
 		time.Sleep(3 * time.Second)
@@ -63,13 +65,13 @@
 		if watching != 2*Watchers {
 			t.Errorf("%d watchers", watching)
 		}
-		lists := f.store.lists
+		lists := f.store.lists.Load()
 		revision := f.store.write("hakata", teamText("hakata", 50))
 		f.wantRevision("hakata", revision, 100*time.Millisecond)
 		if account, ok := sidecar.Current().Account("hakata-app"); !ok || account.Rate != 50 {
 			t.Errorf("account %v", account)
 		}
-		f.store.remove(Prefix + "hakata")
+		f.store.Remove(Prefix + "hakata")
 		time.Sleep(100 * time.Millisecond)
 		for name, n := range f.all() {
 			if _, ok := n.Current().Team("hakata"); ok {
@@ -77,8 +79,8 @@
 			}
 		}
 		time.Sleep(10 * time.Second)
-		if f.store.lists != lists {
-			t.Errorf("%d more lists", f.store.lists-lists)
+		if more := f.store.lists.Load() - lists; more != 0 {
+			t.Errorf("%d more lists", more)
 		}
 		f.wantState(Fresh, "sidecar-1", "entry-000", "entry-007")
 	})
@@ -87,9 +89,9 @@
 // Guards against a freshness that depends on progress notices, which a store need not send.
 func TestFreshWithoutProgressNotices(t *testing.T) {
 	inFleet(t, 3, func(f *fleet) {
-		f.store.set(func(s *fakeStore) { s.silent = true })
+		f.store.SetFaults(memory.Faults{NoProgress: true})
 		for range 20 {
-			f.store.set(func(s *fakeStore) { s.revision++ }) // Other keys of the store change.
+			f.store.Put("/other/key", nil)
 			time.Sleep(500 * time.Millisecond)
 			f.wantState(Fresh, "entry-000", "entry-001", "entry-002")
 		}
@@ -101,7 +103,7 @@
 	inFleet(t, 5, func(f *fleet) {
 		lonely := f.all()["entry-003"]
 		f.cut(1, "entry-003")
-		f.gates["entry-003"].cut.Store(true)
+		f.gates["entry-003"].Set(kvtest.Silent)
 		time.Sleep(FreshnessLimit)
 		var refusal *verdict.Refusal
 		err := lonely.Admit()
@@ -111,7 +113,7 @@
 		f.wantState(Fresh, "entry-000", "entry-001", "entry-002", "entry-004")
 		revision := f.store.write("kilimo", teamText("kilimo", 1))
 		f.cut(0, "entry-003")
-		f.gates["entry-003"].cut.Store(false)
+		f.gates["entry-003"].Set(kvtest.Open)
 		f.wantRevision("kilimo", revision, time.Second)
 		f.wantState(Fresh, "entry-003")
 	})
@@ -121,7 +123,7 @@
 // its peers.
 func TestOutageDoesNotStop(t *testing.T) {
 	inFleet(t, 5, func(f *fleet) {
-		f.store.set(func(s *fakeStore) { s.down = true })
+		f.store.setDown(true)
 		names := []string{"entry-000", "entry-001", "entry-002", "entry-003", "entry-004"}
 		for range 300 {
 			time.Sleep(100 * time.Millisecond)
@@ -139,7 +141,7 @@
 		}
 		time.Sleep(time.Second)
 		f.wantState(Outage, "entry-002")
-		f.store.set(func(s *fakeStore) { s.down = false })
+		f.store.setDown(false)
 		for range 200 {
 			time.Sleep(10 * time.Millisecond)
 			for _, name := range names {
@@ -157,7 +159,7 @@
 // Guards against a minority without the store that takes its isolation for an outage.
 func TestMinorityIsIsolated(t *testing.T) {
 	inFleet(t, 5, func(f *fleet) {
-		f.store.set(func(s *fakeStore) { s.down = true })
+		f.store.setDown(true)
 		f.cut(1, "entry-000", "entry-001")
 		time.Sleep(FreshnessLimit + time.Second)
 		f.wantState(Isolated, "entry-000", "entry-001")
@@ -168,9 +170,9 @@
 // Guards against heartbeats that waited in a socket while the process was paused and make it look fresh.
 func TestPauseIsNotFresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newFakeStore())
+		f := newFleet(t, newStore())
 		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
-		n := f.start("entry-000", "dc-0", &fakeStore{down: true})
+		n := f.start("entry-000", "dc-0", storeDown())
 		time.Sleep(time.Second)
 		beat := &wirev1.Heartbeat{ConfigAgeMs: 100}
 		n.OnHeartbeat("entry-001", beat)
@@ -194,7 +196,7 @@
 // answer to a read that was sent lately confirms anything.
 func TestWatchUpdateConfirmsNothingByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := New(Config{Self: "entry-000", Store: newFakeStore()})
+		n := New(Config{Self: "entry-000", Store: newStore()})
 		w := &watcher{node: n, delivered: 5}
 		w.update(kv.WatchUpdate{Revision: 6})
 		if _, known := n.Age(); known {
@@ -220,9 +222,9 @@
 // its pulls for an outage although its peers reach the store.
 func TestUnheldRevisionIsNotFresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newFakeStore())
+		f := newFleet(t, newStore())
 		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
-		n := f.start("entry-000", "dc-0", &fakeStore{down: true})
+		n := f.start("entry-000", "dc-0", storeDown())
 		n.HandlePush("entry-001", &wirev1.ConfigPush{Document: &wirev1.Document{
 			Team: "kilimo", Revision: 1, Text: []byte(teamText("kilimo", 1))}})
 		beat := func() {
@@ -245,7 +247,7 @@
 // Guards against old answers of the store that confirm a newer configuration.
 func TestOldAnswersConfirmNothing(t *testing.T) {
 	inFleet(t, 3, func(f *fleet) {
-		f.store.set((*fakeStore).toggleOld)
+		f.store.SetFaults(memory.Faults{OldLists: true})
 		revision := f.store.write("kilimo", teamText("kilimo", 2))
 		f.wantRevision("kilimo", revision, FreshnessLimit+time.Second)
 		f.wantState(Isolated, "entry-000", "entry-001", "entry-002")
@@ -259,7 +261,7 @@
 		f.wantRevision("kilimo", revision, time.Second)
 		for name, n := range f.all() {
 			d, _ := n.Current().Team("kilimo")
-			if d.Faults == nil || !strings.Contains(d.Faults.Error(), "kilimo:4:") || d.GoodRevision != 1 {
+			if d.Faults == nil || !strings.Contains(d.Faults.Error(), "kilimo:4:") || d.GoodRevision != 2 {
 				t.Errorf("%s: %+v", name, d)
 			}
 			if _, ok := n.Current().Account("kilimo-app"); !ok {
--- a/internal/confsync/property_test.go
+++ b/internal/confsync/property_test.go
@@ -1,7 +1,6 @@
 package confsync
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -13,7 +12,8 @@
 	"github.com/leanovate/gopter/prop"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
 const propertySeed = 20261204
@@ -141,7 +141,7 @@
 func runFleet(t *testing.T, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 2))
-		f := newFleet(t, newFakeStore())
+		f := newFleet(t, newStore())
 		f.loss = 0.2
 		f.store.write("team-0", teamText("team-0", 1))
 		f.addEntries(5, 2)
@@ -158,12 +158,13 @@
 			}
 		}
 		settle(f)
-		for team := range f.store.pairs {
-			f.wantRevision(team[len(Prefix):], uint64(f.store.pairs[team].ModRevision), 0)
+		stored := f.store.Contents(Prefix)
+		for _, pair := range stored {
+			f.wantRevision(pair.Key[len(Prefix):], uint64(pair.ModRevision), 0)
 		}
 		for name, n := range f.all() {
-			if got := len(n.Current().Teams()); got != len(f.store.pairs) {
-				t.Errorf("seed %d: %s has %d documents, the store has %d", seed, name, got, len(f.store.pairs))
+			if got := len(n.Current().Teams()); got != len(stored) {
+				t.Errorf("seed %d: %s has %d documents, the store has %d", seed, name, got, len(stored))
 			}
 		}
 		f.wantState(Fresh, "entry-000", "entry-001", "entry-002", "entry-003", "entry-004")
@@ -180,42 +181,28 @@
 	case 0, 1, 2:
 		f.store.write(team, teamText(team, 1+random.IntN(1000)))
 	case 3:
-		if _, err := f.store.Get(context.Background(), Prefix+team); err == nil {
-			f.store.remove(Prefix + team)
-		}
+		f.store.Remove(Prefix + team)
 	case 4:
 		f.stop(entry.Process)
 		delete(seen, entry.Process)
 		f.startEntry(entry.Process, entry.DataCentre)
 	case 5:
-		f.store.set(func(s *fakeStore) { s.down = !s.down })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.Down = !s.Down })
 	case 6:
-		f.store.set(func(s *fakeStore) { s.toggleOld() })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.OldLists = !s.OldLists })
 	case 7:
 		f.cut(random.IntN(2), entry.Process)
 	case 8:
-		f.gates[entry.Process].cut.Store(random.IntN(2) == 0)
-	}
-}
-
-// toggleOld makes List answer with the present state from now on, or with the true state again.
-func (s *fakeStore) toggleOld() {
-	if s.old != nil {
-		s.old = nil
-		return
-	}
-	s.old, s.oldRevision = map[string]kv.Pair{}, s.revision
-	for key, pair := range s.pairs {
-		s.old[key] = pair
+		f.gates[entry.Process].Set([]kvtest.Path{kvtest.Silent, kvtest.Open}[random.IntN(2)])
 	}
 }
 
 // settle ends all faults and waits.
 func settle(f *fleet) {
-	f.store.set(func(s *fakeStore) { s.down, s.old = false, nil })
+	f.store.SetFaults(memory.Faults{})
 	for _, m := range f.members {
 		f.cut(0, m.Process)
-		f.gates[m.Process].cut.Store(false)
+		f.gates[m.Process].Set(kvtest.Open)
 	}
 	f.set(func() { f.loss = 0 })
 	time.Sleep(8 * time.Second)
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,154 +14,12 @@
 	"google.golang.org/protobuf/proto"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
 var errCut = errors.New("connection lost")
 
-// fakeStore is an in-memory key-value store with faults.
-type fakeStore struct {
-	kv.Store // calls that the ledger does not use panic
-
-	mu       sync.Mutex // guards the fields below
-	random   *rand.Rand
-	pairs    map[string]kv.Pair
-	revision int64
-	down     bool
-	hanging  bool    // calls are not answered
-	loseRate float64 // part of the writes whose answer is lost
-	late     time.Duration
-	writes   int
-	reads    int
-}
-
-func newFakeStore(seed int64) *fakeStore {
-	return &fakeStore{random: rand.New(rand.NewSource(seed)), pairs: make(map[string]kv.Pair)}
-}
-
-func (f *fakeStore) set(change func(f *fakeStore)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	change(f)
-}
-
-// reach simulates the way to the store.
-func (f *fakeStore) reach(ctx context.Context) error {
-	f.mu.Lock()
-	hanging, down := f.hanging, f.down
-	delay := time.Duration(f.random.Intn(3)+1) * time.Millisecond
-	f.mu.Unlock()
-	if hanging {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	pause(ctx, delay)
-	if down {
-		return kv.ErrUnavailable
-	}
-	return ctx.Err()
-}
-
-func (f *fakeStore) Get(ctx context.Context, key string) (kv.Pair, error) {
-	if f.reach(ctx) != nil {
-		return kv.Pair{}, kv.ErrUnavailable
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reads++
-	pair, ok := f.pairs[key]
-	if !ok {
-		return kv.Pair{}, kv.ErrNotFound
-	}
-	return pair, nil
-}
-
-func (f *fakeStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
-	if f.reach(ctx) != nil {
-		return nil, 0, kv.ErrUnavailable
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reads++
-	var list []kv.Pair
-	for key, pair := range f.pairs {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, pair)
-		}
-	}
-	slices.SortFunc(list, func(a, b kv.Pair) int { return strings.Compare(a.Key, b.Key) })
-	return list, f.revision, nil
-}
-
-func (f *fakeStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision, _ int64) (int64, error) {
-	if err := f.reach(ctx); errors.Is(err, kv.ErrUnavailable) {
-		return 0, err
-	} else if err != nil {
-		return 0, kv.ErrOutcomeUnknown
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.late > 0 && f.random.Float64() < f.loseRate {
-		// The write takes effect after the caller has given up.
-		time.AfterFunc(f.late, func() { f.set(func(f *fakeStore) { _, _ = f.swap(key, value, revision) }) })
-		return 0, kv.ErrOutcomeUnknown
-	}
-	next, err := f.swap(key, value, revision)
-	if err == nil && f.random.Float64() < f.loseRate {
-		return 0, kv.ErrOutcomeUnknown
-	}
-	return next, err
-}
-
-func (f *fakeStore) swap(key string, value []byte, revision int64) (int64, error) {
-	f.writes++
-	if f.pairs[key].ModRevision != revision {
-		return 0, kv.ErrConflict
-	}
-	f.revision++
-	f.pairs[key] = kv.Pair{Key: key, Value: value, ModRevision: f.revision}
-	return f.revision, nil
-}
-
-// gatedStore is the store as one process reaches it.
-type gatedStore struct {
-	*fakeStore
-	net  *fakeNet
-	name string
-}
-
-func (g *gatedStore) pass() error {
-	g.net.gate(g.name)
-	if g.net.isCut(g.name, "store") {
-		return kv.ErrUnavailable
-	}
-	return nil
-}
-
-func (g *gatedStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
-	if err := g.pass(); err != nil {
-		return nil, 0, err
-	}
-	defer g.net.gate(g.name)
-	return g.fakeStore.List(ctx, prefix)
-}
-
-func (g *gatedStore) Get(ctx context.Context, key string) (kv.Pair, error) {
-	if err := g.pass(); err != nil {
-		return kv.Pair{}, err
-	}
-	defer g.net.gate(g.name)
-	return g.fakeStore.Get(ctx, key)
-}
-
-func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (int64, error) {
-	if err := g.pass(); err != nil {
-		return 0, err
-	}
-	defer g.net.gate(g.name)
-	return g.fakeStore.CompareAndSwap(ctx, key, value, revision, lease)
-}
-
 // fakeNet carries messages between nodes with delay, loss, cuts and frozen nodes.
 type fakeNet struct {
 	mu       sync.Mutex // guards the fields below
@@ -181,8 +38,8 @@
 	}
 }
 
-// gate holds the caller while the process is frozen.
-func (f *fakeNet) gate(name string) {
+// hold blocks the caller while the process is frozen.
+func (f *fakeNet) hold(name string) {
 	for {
 		f.mu.Lock()
 		wake := f.frozen[name]
@@ -218,12 +75,6 @@
 	f.cuts[[2]string{b, a}] = cut
 }
 
-func (f *fakeNet) isCut(a, b string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cuts[[2]string{a, b}]
-}
-
 // hop carries one message; a lost or cut one is noticed only by the end of ctx.
 func (f *fakeNet) hop(ctx context.Context, from, to string) (*Node, error) {
 	f.mu.Lock()
@@ -235,7 +86,7 @@
 		return nil, errCut
 	}
 	time.Sleep(delay)
-	f.gate(to)
+	f.hold(to)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	node := f.nodes[to]
@@ -252,7 +103,7 @@
 }
 
 func (p port) Call(ctx context.Context, process string, open *wirev1.StreamOpen, reply proto.Message) error {
-	p.net.gate(p.name)
+	p.net.hold(p.name)
 	type answer struct {
 		message proto.Message
 		err     error
@@ -266,10 +117,10 @@
 	}()
 	select {
 	case <-ctx.Done():
-		p.net.gate(p.name)
+		p.net.hold(p.name)
 		return ctx.Err()
 	case a := <-answers:
-		p.net.gate(p.name)
+		p.net.hold(p.name)
 		if a.err == nil {
 			proto.Merge(reply, a.message)
 		}
@@ -296,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.net.gate(process)
+	p.net.hold(process)
 	if _, err := p.net.hop(ctx, process, p.name); err != nil {
 		return nil, err
 	}
@@ -328,12 +179,23 @@
 	m.names = names
 }
 
+// newStore returns a store whose calls take 1 to 3 ms, so that racing calls come in any order.
+func newStore(seed uint64) *memory.Store {
+	return memory.New(memory.Options{Seed: seed, Faults: memory.Faults{Delay: time.Millisecond, Jitter: 2 * time.Millisecond}})
+}
+
+// withoutFaults ends all faults of a store that fleets switch on.
+func withoutFaults(f *memory.Faults) {
+	f.Down, f.Hanging, f.LoseRate, f.LateBy = false, false, 0, 0
+}
+
 // fleet runs nodes in one process.
 type fleet struct {
 	t       *testing.T
 	ctx     context.Context
 	net     *fakeNet
-	store   *fakeStore
+	store   *memory.Store
+	gates   map[string]*kvtest.Gate // guarded by net.mu
 	members *memberList
 	limits  limitTable
 	shards  int
@@ -344,17 +206,28 @@
 
 func newFleet(t *testing.T, seed int64, shards int, limits limitTable, names ...string) *fleet {
 	f := &fleet{
-		t: t, ctx: t.Context(), net: newFakeNet(seed), store: newFakeStore(seed + 1), members: &memberList{},
-		limits: limits, shards: shards, stops: make(map[string]func()), adjust: func(*Node) {},
+		t: t, ctx: t.Context(), net: newFakeNet(seed), store: newStore(uint64(seed) + 1), members: &memberList{},
+		gates: make(map[string]*kvtest.Gate), limits: limits, shards: shards, stops: make(map[string]func()), adjust: func(*Node) {},
 	}
 	f.members.set(names...)
 	return f
 }
 
+// gate returns the way of a process to the store. It outlives the process.
+func (f *fleet) gate(name string) *kvtest.Gate {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	if f.gates[name] == nil {
+		f.gates[name] = kvtest.NewGate(f.store)
+		f.gates[name].Hold = func() { f.net.hold(name) }
+	}
+	return f.gates[name]
+}
+
 func (f *fleet) start(names ...string) {
 	for _, name := range names {
 		n := New(Config{
-			Self: name, Shards: f.shards, Store: &gatedStore{fakeStore: f.store, net: f.net, name: name}, Limits: f.limits,
+			Self: name, Shards: f.shards, Store: f.gate(name), Limits: f.limits,
 			Members: f.members, Network: port{net: f.net, name: name}, Logger: zap.NewNop(),
 		})
 		f.adjust(n)
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -35,7 +37,7 @@
 				for f.node(successor).Status()[0].Epoch == 1 && !f.node(successor).nearTakeover(0) {
 					time.Sleep(10 * time.Millisecond)
 				}
-				f.net.cut(owner, "store", true)
+				f.gate(owner).Set(kvtest.Refused)
 				r := newReceiver()
 				// All work that the old owner grants within the age of a nonce starts at the same moment.
 				begun := time.Now()
@@ -86,13 +88,13 @@
 			f.start("a", "b", "c")
 			defer f.stop()
 			time.Sleep(5 * time.Second)
-			f.store.set(func(s *fakeStore) { s.down, s.hanging = !hanging, hanging })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.Down, s.Hanging = !hanging, hanging })
 			r := newReceiver()
 			// Three clients of 100 tokens on average every 400 ms use three quarters of the rate.
 			stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
 			time.Sleep(30 * time.Minute)
 			stop()
-			f.store.set(func(s *fakeStore) { s.down, s.hanging = false, false })
+			f.store.ChangeFaults(withoutFaults)
 			if len(r.refused) > 0 || r.stale > 0 {
 				t.Errorf("hanging %v: refused %v, stale %d", hanging, r.refused, r.stale)
 			}
@@ -111,7 +113,7 @@
 		f.start("a", "b")
 		defer f.stop()
 		time.Sleep(5 * time.Second)
-		f.store.set(func(s *fakeStore) { s.down = true })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
 		f.members.set("a", "b", "c")
 		f.start("c")
 		for account := range limits {
@@ -143,7 +145,7 @@
 		{"successor dies, then the store", func(f *fleet, _, successor string) {
 			f.crash(successor)
 			time.Sleep(5 * time.Second)
-			f.store.set(func(s *fakeStore) { s.down = true })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
 		}, 0},
 		{"owner and successor hear only the store", func(f *fleet, owner, successor string) {
 			f.net.cut(owner, successor, true)
@@ -155,14 +157,14 @@
 			f.crash(owner)
 		}, 500 * time.Millisecond},
 		{"handoff with lost answers of the store", func(f *fleet, owner, _ string) {
-			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate = 1 })
 			if err := f.handOff(owner); err != nil {
 				f.t.Error(err)
 			}
 			f.crash(owner)
 		}, 500 * time.Millisecond},
 		{"crash with lost answers of the store", func(f *fleet, owner, _ string) {
-			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate = 1 })
 			f.crash(owner)
 		}, 10 * time.Second},
 	}
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	err := node.Charge(ctx, id, c.account, tokens, nil)
-	c.fleet.net.gate(c.entry)
+	c.fleet.net.hold(c.entry)
 	if err != nil {
 		c.receiver.refuse(verdict.As(err).Reason)
 		return
@@ -125,7 +125,7 @@
 		return
 	}
 	time.Sleep(work)
-	c.fleet.net.gate(c.entry)
+	c.fleet.net.hold(c.entry)
 	c.receiver.settle(c.account, index, used)
 	node.Settle(id, c.account, used)
 }
--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -57,28 +58,35 @@
 func TestSwapOutcome(t *testing.T) {
 	tests := []struct {
 		name    string
-		fault   func(f *fakeStore)
+		fault   func(s *memory.Store)
 		written bool
 		least   time.Duration
 	}{
-		{"no fault", func(*fakeStore) {}, true, 0},
-		{"unavailable", func(f *fakeStore) { f.down = true }, false, 0},
-		{"answer lost", func(f *fakeStore) { f.loseRate = 1 }, true, 0},
-		{"write takes effect late", func(f *fakeStore) { f.loseRate, f.late = 1, 3*time.Second }, true, 3 * time.Second},
-		{"other write first", func(f *fakeStore) { _, _ = f.swap("key", []byte("{}"), 1) }, false, 0},
-		{"other write while in doubt", func(f *fakeStore) {
-			f.loseRate, f.late = 1, time.Hour
-			time.AfterFunc(2*time.Second, func() { f.set(func(f *fakeStore) { _, _ = f.swap("key", []byte("{}"), 1) }) })
+		{"no fault", func(*memory.Store) {}, true, 0},
+		{"unavailable", func(s *memory.Store) { s.SetFaults(memory.Faults{Down: true}) }, false, 0},
+		{"answer lost", func(s *memory.Store) { s.SetFaults(memory.Faults{LoseRate: 1}) }, true, 0},
+		{"write takes effect late", func(s *memory.Store) {
+			s.SetFaults(memory.Faults{LoseRate: 1, LateBy: 3 * time.Second})
+		}, true, 3 * time.Second},
+		{"outage while in doubt", func(s *memory.Store) {
+			s.SetFaults(memory.Faults{LoseRate: 1, LateBy: 3 * time.Second})
+			time.AfterFunc(10*time.Millisecond, func() { s.ChangeFaults(func(f *memory.Faults) { f.Down = true }) })
+			time.AfterFunc(2*time.Second, func() { s.ChangeFaults(func(f *memory.Faults) { f.Down = false }) })
+		}, true, 3 * time.Second},
+		{"other write first", func(s *memory.Store) { s.Put("key", []byte("{}")) }, false, 0},
+		{"other write while in doubt", func(s *memory.Store) {
+			s.SetFaults(memory.Faults{LoseRate: 1, LateBy: time.Hour})
+			time.AfterFunc(2*time.Second, func() { s.Put("key", []byte("{}")) })
 		}, false, 2 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newFakeStore(1)
-				store.set(func(f *fakeStore) { _, _ = f.swap("key", []byte("first"), 0) })
-				store.set(test.fault)
+				store := newStore(1)
+				first := store.Put("key", []byte("first"))
+				test.fault(store)
 				begun := time.Now()
-				result, ok := swap(t.Context(), store, "key", record{Owner: "a", Epoch: 2}, 1)
+				result, ok := swap(t.Context(), store, "key", record{Owner: "a", Epoch: 2}, first)
 				if !ok || result.written != test.written || time.Since(begun) < test.least {
 					t.Errorf("written %v after %v, certain %v", result.written, time.Since(begun), ok)
 				}
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
 var (
@@ -36,21 +39,21 @@
 			isolateOwner(f, time.Duration(code>>14%1000)*time.Millisecond)
 		}
 	case 6:
-		f.net.cut(name, "store", true)
+		f.gate(name).Set(kvtest.Refused)
 	case 7:
 		f.net.cut(name, other, false)
-		f.net.cut(name, "store", false)
+		f.gate(name).Set(kvtest.Open)
 		f.members.set(fleetNames...)
 	case 8:
-		f.store.set(func(s *fakeStore) { s.down = true })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
 	case 9:
-		f.store.set(func(s *fakeStore) { s.hanging = true })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.Hanging = true })
 	case 10, 11:
-		f.store.set(func(s *fakeStore) { s.down, s.hanging, s.loseRate = false, false, 0 })
+		f.store.ChangeFaults(withoutFaults)
 	case 12:
-		f.store.set(func(s *fakeStore) { s.loseRate, s.late = 0.5, 0 })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate, s.LateBy = 0.5, 0 })
 	case 13:
-		f.store.set(func(s *fakeStore) { s.loseRate, s.late = 0.5, 6*time.Second })
+		f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate, s.LateBy = 0.5, 6*time.Second })
 	case 14:
 		f.net.set(0.3, 50*time.Millisecond)
 	case 15:
@@ -77,7 +80,7 @@
 	f.members.set(min(owner, successor), max(owner, successor))
 	f.net.cut(owner, successor, true)
 	time.Sleep(PromiseTerm + extra)
-	f.net.cut(owner, "store", true)
+	f.gate(owner).Set(kvtest.Refused)
 	time.Sleep(PromiseTerm)
 }
 
@@ -85,12 +88,13 @@
 func repair(f *fleet) {
 	for _, name := range fleetNames {
 		f.net.wake(name)
-		for _, other := range append([]string{"store"}, fleetNames...) {
+		f.gate(name).Set(kvtest.Open)
+		for _, other := range fleetNames {
 			f.net.cut(name, other, false)
 		}
 		f.restart(name)
 	}
-	f.store.set(func(s *fakeStore) { s.down, s.hanging, s.loseRate = false, false, 0 })
+	f.store.ChangeFaults(withoutFaults)
 	f.net.set(0, 2*time.Millisecond)
 	f.members.set(fleetNames...)
 }
@@ -112,7 +116,7 @@
 	excess  float64
 	grants  int
 	refused int
-	epoch   uint64 //
+	epoch   uint64 // of the record
 	healed  bool   // each account was granted again after the repair
 }
 
--- a/internal/systemtest/invariants_test.go
+++ b/internal/systemtest/invariants_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/internal/document"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
 	"github.com/fulmardoor/fulmardoor/standin/service"
 )
 
+// auditSpan is the time that one record of the engine's audit covers.
+const auditSpan = 100 * time.Millisecond
+
 // longAnswer is the length of answers that would go on for 50 s if nobody ended them.
 const longAnswer = 2000
 
@@ -91,7 +96,7 @@
 			w.network.Cut(w.addressOf(name), w.addressOf(other))
 		}
 	}
-	w.gates[name].setDown(true)
+	w.gates[name].Set(kvtest.Refused)
 }
 
 // Guards against new work at a leaving upstream, also from an entry process that is cut off from the store and the others.
@@ -294,7 +299,7 @@
 	if total == 0 {
 		w.t.Fatal("the account got nothing")
 	}
-	sortCharges(charges)
+	slices.SortFunc(charges, func(a, b charge) int { return a.at.Compare(b.at) })
 	for i := range charges {
 		sum := 0
 		for j := i; j < len(charges); j++ {
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/entry"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar"
@@ -45,7 +46,7 @@
 	services map[string]*service.Service
 	cars     map[string]*car
 	entries  map[string]*door
-	gates    map[string]*gate
+	gates    map[string]*kvtest.Gate
 	revision uint64
 	// silenceFactor makes sidecars keep silent connections longer than entries do; 0 means the same.
 	silenceFactor int
@@ -79,7 +80,7 @@
 	w := &world{
 		t: t, network: memnet.NewNetwork(networkDelay), store: memory.New(memory.Options{}), kvcaches: engine.NewNetwork(),
 		engines: make(map[string]*engine.Core), services: make(map[string]*service.Service),
-		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int), gates: make(map[string]*gate),
+		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int), gates: make(map[string]*kvtest.Gate),
 	}
 	return w
 }
@@ -210,7 +211,7 @@
 		Callers:  &configv1.CallerSettings{Listen: "callers-" + name, Entries: all},
 	}
 	settings.DefaultEntry(s)
-	w.gates[name] = newGate(w.store)
+	w.gates[name] = kvtest.NewGate(w.store)
 	d := &door{name: name, address: w.addressOf(name)}
 	d.entry = entry.New(entry.Config{
 		Settings: s, Store: w.gates[name], Connector: connector{w.network, d.address}, Seed: 1, Logger: zap.NewNop(),
@@ -286,3 +287,8 @@
 		return recorder.Result(), nil
 	}
 }
+
+// storeDown takes the store away from every process, or gives it back.
+func (w *world) storeDown(down bool) {
+	w.store.SetFaults(memory.Faults{Down: down})
+}
