ledger, confsync, systemtest: share the set-up of tests

inFleet, withoutPeers and inSmallWorld start what most tests of these packages start by hand. TestOwnerFailures now runs with the fleet's common seed 1 in place of 3. The files of the fleets are named after what they hold.

--- a/internal/confsync/fake_test.go
+++ b/internal/confsync/fleet_test.go
@@ -136,10 +136,12 @@
 	stop()
 }
 
+// stopAll stops all nodes and waits for the messages that are still under way.
 func (f *fleet) stopAll() {
 	for name := range f.all() {
 		f.stop(name)
 	}
+	time.Sleep(2 * time.Second)
 }
 
 func (f *fleet) set(change func()) {
--- a/internal/confsync/measure_test.go
+++ b/internal/confsync/measure_test.go
@@ -95,7 +95,6 @@
 		cancel()
 		work.Wait()
 		f.stopAll()
-		time.Sleep(2 * time.Second)
 	})
 	return result
 }
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -26,7 +26,17 @@
 		time.Sleep(3 * time.Second)
 		test(f)
 		f.stopAll()
-		time.Sleep(2 * time.Second) // Ends the messages that are still under way.
+	})
+}
+
+// withoutPeers runs a test in virtual time with one of three entries, which reaches neither the others nor the store.
+func withoutPeers(t *testing.T, test func(f *fleet, n *Node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, newStore())
+		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
+		test(f, f.start("entry-000", "dc-0", storeDown()))
+		f.stopAll()
 	})
 }
 
@@ -167,12 +177,31 @@
 	})
 }
 
+// Guards against an entry that stops at once when the first peer reaches the store again after an outage, and against one
+// that goes on for good although no confirmation comes.
+func TestGraceAfterOutageEnds(t *testing.T) {
+	withoutPeers(t, func(f *fleet, n *Node) {
+		n.HandlePush("entry-001", &wirev1.ConfigPush{Document: &wirev1.Document{
+			Team: "kilimo", Revision: 1, Text: []byte(teamText("kilimo", 1))}})
+		beat := func(contact bool, times int) {
+			for range times {
+				n.OnHeartbeat("entry-001", &wirev1.Heartbeat{ConfigRevision: 1, ConfigAgeMs: -1, StoreContact: contact})
+				n.OnHeartbeat("entry-002", &wirev1.Heartbeat{ConfigRevision: 1, ConfigAgeMs: -1})
+				time.Sleep(DefaultHeartbeatInterval)
+			}
+		}
+		beat(false, 20)
+		f.wantState(Outage, "entry-000")
+		beat(true, 1)
+		f.wantState(Outage, "entry-000")
+		beat(true, int(FreshnessLimit/DefaultHeartbeatInterval))
+		f.wantState(Isolated, "entry-000")
+	})
+}
+
 // Guards against heartbeats that waited in a socket while the process was paused and make it look fresh.
 func TestPauseIsNotFresh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newStore())
-		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
-		n := f.start("entry-000", "dc-0", storeDown())
+	withoutPeers(t, func(f *fleet, n *Node) {
 		time.Sleep(time.Second)
 		beat := &wirev1.Heartbeat{ConfigAgeMs: 100}
 		n.OnHeartbeat("entry-001", beat)
@@ -187,8 +216,6 @@
 		time.Sleep(distrustPeriod)
 		n.OnHeartbeat("entry-001", beat)
 		f.wantState(Fresh, "entry-000")
-		f.stopAll()
-		time.Sleep(2 * time.Second)
 	})
 }
 
@@ -221,10 +248,7 @@
 // Guards against an entry that takes a confirmation of a revision that it lacks for its own, or that takes the loss of
 // its pulls for an outage although its peers reach the store.
 func TestUnheldRevisionIsNotFresh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, newStore())
-		f.members = []Member{{Process: "entry-000"}, {Process: "entry-001"}, {Process: "entry-002"}}
-		n := f.start("entry-000", "dc-0", storeDown())
+	withoutPeers(t, func(f *fleet, n *Node) {
 		n.HandlePush("entry-001", &wirev1.ConfigPush{Document: &wirev1.Document{
 			Team: "kilimo", Revision: 1, Text: []byte(teamText("kilimo", 1))}})
 		beat := func() {
@@ -239,8 +263,6 @@
 		n.HandlePush("entry-001", &wirev1.ConfigPush{PreviousRevision: 1, Document: &wirev1.Document{
 			Team: "kilimo", Revision: 2, Text: []byte(teamText("kilimo", 2))}})
 		f.wantState(Fresh, "entry-000")
-		f.stopAll()
-		time.Sleep(2 * time.Second)
 	})
 }
 
--- a/internal/confsync/property_test.go
+++ b/internal/confsync/property_test.go
@@ -169,7 +169,6 @@
 		}
 		f.wantState(Fresh, "entry-000", "entry-001", "entry-002", "entry-003", "entry-004")
 		f.stopAll()
-		time.Sleep(2 * time.Second)
 	})
 }
 
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -26,18 +26,17 @@
 				s.held, s.full, s.revision, s.buckets = true, true, 1, make(map[string]*Bucket)
 				s.readUntil = time.Now().Add(time.Hour)
 			}
-			id := func(i int) *wirev1.CallID { return &wirev1.CallID{Incarnation: 1, Sequence: uint64(i)} }
 			behind := size.accounts * size.outstanding
 			charge := &wirev1.Charge{Tokens: 500}
 			settlement := &wirev1.Settlement{UsedTokens: 300}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				charge.Id, charge.Account = id(i), names[i%len(names)]
+				charge.Id, charge.Account = id(uint64(i)), names[i%len(names)]
 				if result := n.charge(charge); !result.GetGranted() {
 					b.Fatal(result)
 				}
 				if i >= behind {
-					settlement.Id, settlement.Account = id(i-behind), charge.Account
+					settlement.Id, settlement.Account = id(uint64(i-behind)), charge.Account
 					n.settle(settlement)
 				}
 			}
--- a/internal/ledger/bucket_test.go
+++ b/internal/ledger/bucket_test.go
@@ -15,6 +15,8 @@
 
 const tolerance = 1e-6
 
+func id(n uint64) *wirev1.CallID { return &wirev1.CallID{Incarnation: 1, Sequence: n} }
+
 // grant is tokens granted at one moment, net of what was returned.
 type grant struct {
 	at     time.Time
@@ -222,7 +224,6 @@
 	limits := Limits{Rate: 10, Burst: 120} // capacity 100
 	run := func(b anyBucket) float64 {
 		now := time.Unix(0, 0)
-		id := func(n uint64) *wirev1.CallID { return &wirev1.CallID{Incarnation: 1, Sequence: n} }
 		b.Charge(now, id(1), 50, nil)
 		b.Charge(now, id(2), 10, nil)
 		now = now.Add(time.Second)
@@ -299,7 +300,6 @@
 func TestBucketMessages(t *testing.T) {
 	limits := Limits{Rate: 10, Burst: 1020} // capacity 1000
 	start := time.Unix(0, 0)
-	id := func(n uint64) *wirev1.CallID { return &wirev1.CallID{Incarnation: 1, Sequence: n} }
 	tests := []struct {
 		name string
 		run  func(b *Bucket) time.Time
@@ -377,9 +377,8 @@
 	b.Charge(now, &wirev1.CallID{Sequence: 1 << 40}, 1, nil) // never settled
 	for i := range uint64(100_000) {
 		now = now.Add(10 * time.Millisecond)
-		id := &wirev1.CallID{Incarnation: 1, Sequence: i}
-		b.Charge(now, id, 8, nil)
-		b.Settle(now, id, 4)
+		b.Charge(now, id(i), 8, nil)
+		b.Settle(now, id(i), 4)
 	}
 	if len(b.charges) > 6100 || len(b.settled) > 6100 || len(b.outstanding) > 2*compactAfter {
 		t.Errorf("kept %d charges, %d settled, %d outstanding", len(b.charges), len(b.settled), len(b.outstanding))
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 				f.start("a", "b")
 				defer f.stop()
 				owner := awaitOwner(t, f, 0, 5*time.Second)
-				successor := map[string]string{"a": "b", "b": "a"}[owner]
+				successor := otherOf(owner)
 				time.Sleep(10 * time.Second)
 				f.net.cut(owner, successor, true)
 				for f.node(successor).Status()[0].Epoch == 1 && !f.node(successor).nearTakeover(0) {
@@ -82,16 +83,11 @@
 // Guards against refusals within the rate while the store is down and the nodes hear each other.
 func TestThirtyMinuteOutage(t *testing.T) {
 	for _, hanging := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
-			f := newFleet(t, 1, 16, limits, "a", "b", "c")
-			f.start("a", "b", "c")
-			defer f.stop()
+		inFleet(t, 16, twoAccounts, fleetNames, func(t *testing.T, f *fleet) {
 			time.Sleep(5 * time.Second)
 			f.store.ChangeFaults(func(s *memory.Faults) { s.Down, s.Hanging = !hanging, hanging })
 			r := newReceiver()
-			// Three clients of 100 tokens on average every 400 ms use three quarters of the rate.
-			stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+			stop := load(f, r, 1, steadyClient, fleetNames...)
 			time.Sleep(30 * time.Minute)
 			stop()
 			f.store.ChangeFaults(withoutFaults)
@@ -107,16 +103,12 @@
 
 // Guards against a node that starts during an outage of the store and finds no owner.
 func TestStartDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 4, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 4, twoAccounts, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(5 * time.Second)
 		f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
-		f.members.set("a", "b", "c")
+		f.members.set(fleetNames...)
 		f.start("c")
-		for account := range limits {
+		for account := range f.limits {
 			id := f.id()
 			if err := chargeWithin(f.node("c"), 2*time.Second, id, account, 100); err != nil {
 				t.Errorf("charge for %s: %v", account, err)
@@ -170,11 +162,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-				f := newFleet(t, 3, 1, limits, "a", "b", "c")
-				f.start("a", "b", "c")
-				defer f.stop()
+			inFleet(t, 1, oneAccount, fleetNames, func(t *testing.T, f *fleet) {
 				owner := awaitOwner(t, f, 0, 5*time.Second)
 				time.Sleep(5 * time.Second)
 				status := f.node(owner).Status()[0]
@@ -212,13 +200,9 @@
 
 // Guards against tokens that are lost or created when a shard is handed off at a planned stop.
 func TestHandoffIsExact(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}
-		f := newFleet(t, 1, 1, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 1, limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}, fleetNames[:2], func(t *testing.T, f *fleet) {
 		owner := awaitOwner(t, f, 0, 5*time.Second)
-		next := map[string]string{"a": "b", "b": "a"}[owner]
+		next := otherOf(owner)
 		time.Sleep(2 * time.Second)
 		open := f.id()
 		for _, id := range []*wirev1.CallID{open, f.id()} {
@@ -251,15 +235,11 @@
 
 // Guards against a refusal at once while the owner changes, and against a charge that stays spent after the client gave up.
 func TestChargeDuringTakeover(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 1, limits, "a", "b", "c")
-		f.start("a", "b", "c")
-		defer f.stop()
+	inFleet(t, 1, oneAccount, fleetNames, func(t *testing.T, f *fleet) {
 		owner := awaitOwner(t, f, 0, 5*time.Second)
 		time.Sleep(5 * time.Second)
 		f.crash(owner)
-		other := map[string]string{"a": "b", "b": "c", "c": "a"}[owner]
+		other := fleetNames[(slices.Index(fleetNames, owner)+1)%3]
 		begun := time.Now()
 		err := chargeWithin(f.node(other), 2*time.Second, f.id(), "kilimo", 100)
 		if r := verdict.As(err); r.Reason != wirev1.Reason_REASON_LEDGER_UNAVAILABLE || r.Verdict != verdict.NotRun {
@@ -287,19 +267,15 @@
 
 // Guards against shards that all move at once to a node that joins, or never.
 func TestJoiningNodeReceivesShardsSlowly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 24, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 24, oneAccount, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(15 * time.Second)
-		f.members.set("a", "b", "c")
+		f.members.set(fleetNames...)
 		f.start("c")
 		r := newReceiver()
-		stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+		stop := load(f, r, 1, steadyClient, fleetNames...)
 		best := 0
 		for shard := range uint32(24) {
-			if ranked([]string{"a", "b", "c"}, shard)[0] == "c" {
+			if ranked(fleetNames, shard)[0] == "c" {
 				best++
 			}
 		}
@@ -331,10 +307,9 @@
 func TestOwnerAndSuccessorGone(t *testing.T) {
 	for _, gone := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-			f := newFleet(t, 1, 1, limits, "a", "b", "c")
+			f := newFleet(t, 1, 1, oneAccount, fleetNames...)
 			f.adjust = func(n *Node) { n.cfg.Gone = func(name string) bool { return gone && f.node(name) == nil } }
-			f.start("a", "b", "c")
+			f.start(fleetNames...)
 			defer f.stop()
 			owner := awaitOwner(t, f, 0, 5*time.Second)
 			time.Sleep(5 * time.Second)
@@ -356,13 +331,9 @@
 
 // Guards against an exchange that charges twice or leaves the old charge refundable.
 func TestExchangeThroughNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}}
-		f := newFleet(t, 1, 1, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 1, limitTable{"kilimo": {Rate: 0, Burst: 1000}}, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(3 * time.Second)
-		for _, name := range []string{"a", "b"} {
+		for _, name := range fleetNames[:2] {
 			old, fresh := f.id(), f.id()
 			n := f.node(name)
 			if err := chargeWithin(n, time.Second, old, "kilimo", 400); err != nil {
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fleet_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -213,6 +214,31 @@
 	return f
 }
 
+var (
+	fleetNames  = []string{"a", "b", "c"}
+	oneAccount  = limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
+	twoAccounts = limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
+)
+
+// otherOf returns the other node of a fleet of a and b.
+func otherOf(name string) string {
+	if name == "a" {
+		return "b"
+	}
+	return "a"
+}
+
+// inFleet runs a test in virtual time with nodes that have just started.
+func inFleet(t *testing.T, shards int, limits limitTable, names []string, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, shards, limits, names...)
+		f.start(names...)
+		defer f.stop()
+		test(t, f)
+	})
+}
+
 // gate returns the way of a process to the store. It outlives the process.
 func (f *fleet) gate(name string) *kvtest.Gate {
 	f.net.mu.Lock()
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -80,6 +80,9 @@
 	settles   bool
 }
 
+// steadyClient sends 100 tokens on average every 400 ms: at three nodes it uses three quarters of a rate of 1000.
+var steadyClient = client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}
+
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	var wait sync.WaitGroup
--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -26,14 +26,10 @@
 
 // Guards against wrong refusals of charges from any node to any owner.
 func TestChargeFromEveryNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 100, Burst: 1000}, "msasani": {Rate: 100, Burst: 1000}}
-		f := newFleet(t, 1, 4, limits, "a", "b", "c")
-		f.start("a", "b", "c")
-		defer f.stop()
+	inFleet(t, 4, limitTable{"kilimo": {Rate: 100, Burst: 1000}, "msasani": {Rate: 100, Burst: 1000}}, fleetNames, func(t *testing.T, f *fleet) {
 		time.Sleep(2 * time.Second)
-		for _, name := range []string{"a", "b", "c"} {
-			for account := range limits {
+		for _, name := range fleetNames {
+			for account := range f.limits {
 				if err := chargeWithin(f.node(name), time.Second, f.id(), account, 250); err != nil {
 					t.Errorf("charge by %s for %s: %v", name, account, err)
 				}
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -20,8 +20,6 @@
 	randomSeed = flag.Int64("random-seed", 21, "seed of the random event sequences")
 )
 
-var fleetNames = []string{"a", "b", "c"}
-
 // disturb applies one random event to a fleet of three nodes.
 func disturb(f *fleet, code uint32) {
 	name := fleetNames[code>>8%3]
--- a/internal/systemtest/basic_test.go
+++ b/internal/systemtest/basic_test.go
@@ -25,13 +25,21 @@
 	return w
 }
 
+// inSmallWorld runs a test in virtual time with the processes of small.
+func inSmallWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := small(t)
+		defer w.close()
+		test(t, w)
+	})
+}
+
 func prompt(tokens int) string { return strings.Repeat("abc ", tokens) }
 
 // Guards against a broken path from caller to engine and service.
 func TestWholePath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		wantWhole(t, w.complete(context.Background(), "entry-0", testKey, prompt(3000), 30), prompt(3000), 30)
 		if a := w.book(context.Background(), "entry-1", "b1", nil); !a.whole || a.status != 200 {
 			t.Errorf("booking: %+v", a)
--- a/internal/systemtest/faults_test.go
+++ b/internal/systemtest/faults_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/leanovate/gopter"
@@ -118,10 +117,8 @@
 }
 
 func bookingsRun(t *testing.T, seed uint64) (violation string) {
-	synctest.Test(t, func(t *testing.T) {
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		w := small(t)
-		defer w.close()
 		const count = 40
 		answers := make([]answer, count)
 		done := make(chan struct{}, count)
@@ -170,10 +167,8 @@
 }
 
 func completionsRun(t *testing.T, seed uint64) (violation string) {
-	synctest.Test(t, func(t *testing.T) {
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		random := rand.New(rand.NewPCG(seed, 2))
-		w := small(t)
-		defer w.close()
 		const count = 30
 		answers := make([]answer, count)
 		prompts := make([]string, count)
--- a/internal/systemtest/invariants_test.go
+++ b/internal/systemtest/invariants_test.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/internal/document"
@@ -23,9 +22,7 @@
 // Guards against engine memory that stays held after an entry process died, whatever its requests were doing.
 func TestEntryDiesInEachState(t *testing.T) {
 	for at := 50 * time.Millisecond; at < 2*time.Second; at += 130 * time.Millisecond {
-		synctest.Test(t, func(t *testing.T) {
-			w := small(t)
-			defer w.close()
+		inSmallWorld(t, func(t *testing.T, w *world) {
 			for i := range 6 {
 				go w.complete(context.Background(), "entry-0", testKey, prompt(8000+i), longAnswer)
 			}
@@ -42,9 +39,7 @@
 // Guards against engine memory that stays held after the caller went away in any state of its request.
 func TestCallerCancelsInEachState(t *testing.T) {
 	for at := 20 * time.Millisecond; at < 2*time.Second; at += 90 * time.Millisecond {
-		synctest.Test(t, func(t *testing.T) {
-			w := small(t)
-			defer w.close()
+		inSmallWorld(t, func(t *testing.T, w *world) {
 			ctx, cancel := context.WithCancel(context.Background())
 			for i := range 6 {
 				go w.complete(ctx, "entry-0", testKey, prompt(8000+i), longAnswer)
@@ -62,9 +57,7 @@
 // Guards against a withdrawn key that goes on working: on new requests, on a stream that is open, and at an entry process
 // that is cut off from the store and from the others.
 func TestWithdrawnKeyStopsWorking(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		text := w.document(nil)
 		running := make(chan answer, 1)
 		go func() { running <- w.complete(context.Background(), "entry-0", testKey, prompt(100), longAnswer) }()
@@ -101,9 +94,7 @@
 
 // Guards against new work at a leaving upstream, also from an entry process that is cut off from the store and the others.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		w.isolate("entry-2")
 		leaving, err := document.SetUpstreamState([]byte(w.document(nil)), "decode-0", document.StateLeaving)
 		if err != nil {
@@ -123,9 +114,7 @@
 // Guards against an island of one entry process and one sidecar, cut off from the store and all others, that goes on sending
 // work to an upstream which left meanwhile.
 func TestLeavingUpstreamOnAnIsland(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		w.isolate("entry-2")
 		w.network.Cut(w.addressOf("ledger-0"), w.addressOf("entry-0"))
 		w.network.Cut(w.addressOf("ledger-0"), w.addressOf("entry-1"))
@@ -146,9 +135,7 @@
 
 // Guards against a booking that is cut by the planned stop of the sidecar that runs it.
 func TestPlannedStopOfSidecarCutsNoBooking(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		const count = 40
 		answers := make(chan answer, count)
 		for _, s := range w.services {
@@ -173,9 +160,7 @@
 
 // Guards against requests that are cut by a planned stop of an entry process or of a sidecar.
 func TestPlannedStopsCutNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		const count = 60
 		answers := make(chan answer, count)
 		for i := range count {
@@ -205,9 +190,7 @@
 
 // Guards against an outage of the key-value service that stops requests: nothing could be changed meanwhile.
 func TestOutageOfStoreStopsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		w.storeDown(true)
 		refused := 0
 		for i := range 180 {
@@ -225,9 +208,7 @@
 
 // Guards against an upstream that gets the caller's key.
 func TestKeyStopsAtEntry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		for i := range 6 {
 			w.book(context.Background(), "entry-0", fmt.Sprint(i), nil)
 		}
@@ -243,9 +224,7 @@
 // runs, while entry processes die and the store is down.
 func TestRateOverTheFleet(t *testing.T) {
 	for _, faulty := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			w := small(t)
-			defer w.close()
+		inSmallWorld(t, func(t *testing.T, w *world) {
 			begin := time.Now()
 			stop := make(chan struct{})
 			for i := range 12 {
