--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -353,3 +353,45 @@
 		}
 	})
 }
+
+// Guards against an owner that grants while its handoff is on its way or not answered: the successor may be the owner by
+// then.
+func TestUnansweredHandoffStopsOwner(t *testing.T) {
+	inFleet(t, 1, oneAccount, fleetNames[:2], func(t *testing.T, f *fleet) {
+		owner := awaitOwner(t, f, 0, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		f.net.loseReplies(otherOf(owner), owner)
+		go func() { _ = f.handOff(owner) }()
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if f.node(owner).charge(&wirev1.Charge{Id: f.id(), Account: "kilimo", Tokens: 1}).GetGranted() {
+				t.Fatal("granted after the handoff was sent")
+			}
+		}
+		if got := f.owner(0); got != otherOf(owner) {
+			t.Errorf("owner %q after the handoff", got)
+		}
+	})
+}
+
+// Guards against full buckets after a handoff by an owner that itself began with empty ones.
+func TestHandoffAfterTakeover(t *testing.T) {
+	inFleet(t, 1, limitTable{"kilimo": {Rate: 100, Burst: 1000}}, fleetNames, func(t *testing.T, f *fleet) {
+		first := awaitOwner(t, f, 0, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		f.crash(first)
+		time.Sleep(5 * time.Second)
+		second := awaitOwner(t, f, 0, 10*time.Second)
+		if err := f.handOff(second); err != nil {
+			t.Fatal(err)
+		}
+		n := f.node(awaitOwner(t, f, 0, time.Second))
+		if err := chargeWithin(n, time.Second, f.id(), "kilimo", 700); reasonOf(err) != wirev1.Reason_REASON_RATE_EXCEEDED {
+			t.Errorf("charge of tokens that did not refill: %v", err)
+		}
+		time.Sleep(7 * time.Second)
+		if err := chargeWithin(n, time.Second, f.id(), "kilimo", 700); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -76,6 +76,13 @@
 	f.cuts[[2]string{b, a}] = cut
 }
 
+// loseReplies loses all messages of one direction.
+func (f *fakeNet) loseReplies(from, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{from, to}] = true
+}
+
 // hop carries one message; a lost or cut one is noticed only by the end of ctx.
 func (f *fakeNet) hop(ctx context.Context, from, to string) (*Node, error) {
 	f.mu.Lock()
--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -6,7 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -90,3 +93,27 @@
 		})
 	}
 }
+
+// Guards against a confirmation that counts from the answer of a read, which may have waited while the record changed,
+// and against a promise of a node whose own write of the record is in doubt.
+func TestConfirmations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Config{Self: "b", Shards: 1, Logger: zap.NewNop()})
+		s := n.shards[0]
+		s.record, s.revision = record{Owner: "a", Successor: "b", Epoch: 7}, 3
+		request := &wirev1.PromiseRequest{Shards: []*wirev1.ShardEpoch{{Epoch: 7}}}
+		for _, writing := range []bool{false, true} {
+			s.writing = writing
+			if promised := len(n.HandlePromise(t.Context(), request).GetPromised()) > 0; promised == writing {
+				t.Errorf("promised %v while writing %v", promised, writing)
+			}
+		}
+		sent := time.Now()
+		time.Sleep(time.Second)
+		s.held = true
+		n.apply(s, kv.Pair{ModRevision: 3}, sent)
+		if !s.confirmed(sent.Add(PromiseTerm-1)) || s.confirmed(sent.Add(PromiseTerm)) {
+			t.Errorf("confirmed until %v after the read was sent", s.readUntil.Sub(sent))
+		}
+	})
+}
