ledger, confsync: clearer names and comments

Comments and code disagreed in four places. In each the code stays and the comment now says what it does: the successor also waits for takeoverPatience; StateUnknown also covers an owner that restarted; a settlement is not taken while buckets are being handed off; peers without a heartbeat are forgotten at the next tick, not after a minute.

Renamed: attend, passOn, kick, life, wanted and attended in ledger, passOn and colleagues in confsync. The two longest test functions of ledger are split.

--- a/internal/confsync/elect.go
+++ b/internal/confsync/elect.go
@@ -108,8 +108,8 @@
 	return silent
 }
 
-// colleagues returns the number of entries in this data centre, at least one.
-func (n *Node) colleagues() int {
+// dataCentreEntries returns the number of entries in this data centre, at least one.
+func (n *Node) dataCentreEntries() int {
 	count := 0
 	for _, member := range n.entries() {
 		if member.DataCentre == n.cfg.DataCentre && !member.Gone {
--- a/internal/confsync/freshness.go
+++ b/internal/confsync/freshness.go
@@ -169,7 +169,7 @@
 // inOutageGrace reports whether the store was out of reach for everyone a moment ago. When it comes back, the first process
 // that reaches it ends the outage before the others have a confirmation. Nothing could be accepted up to the last sight of
 // the outage, so going on is as safe as with a confirmation of that age; the time that a contact may go unheard is taken off.
-// A process that has heard of a change which it lacks has no grace.
+// A process that has heard of a change which it lacks has no grace. n.mu must be held.
 func (n *Node) inOutageGrace(now time.Time) bool {
 	grace := FreshnessLimit - n.heardLimit()
 	if n.fresh.outageSeen.IsZero() || now.Sub(n.fresh.outageSeen) >= grace {
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -62,7 +62,8 @@
 	Self       string
 	DataCentre string
 	// Store is nil for sidecars, which neither watch nor pass on changes.
-	Store   kv.Store
+	Store kv.Store
+	// Members and Peers may be nil: then there are no other entries, or no peers.
 	Members Members
 	Peers   Peers
 	// HeartbeatInterval is the time between heartbeats of a peer. Default DefaultHeartbeatInterval.
@@ -273,7 +274,8 @@
 	n.heard[peer] = known
 }
 
-// forgetSilent removes peers that were not heard for long. n.mu must be held.
+// forgetSilent removes peers whose last heartbeat is older than forgetAfter, and those without a heartbeat since the start
+// or the last pause. Their next heartbeat brings their revision again. n.mu must be held.
 func (n *Node) forgetSilent(now time.Time) {
 	const forgetAfter = time.Minute
 	for peer, last := range n.heard {
@@ -294,7 +296,7 @@
 	if len(changed) > 0 || n.history.revision != before {
 		n.fresh.advance(n.history.revision)
 		n.current.Store(n.history.snapshot(len(changed) > 0, n.Current()))
-		n.passOn(b, changed, source)
+		n.forward(b, changed, source)
 	}
 	n.mu.Unlock()
 	n.report(changed)
--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -28,7 +28,7 @@
 // outbound holds what is on its way to peers.
 type outbound struct {
 	queues map[string][]*wirev1.ConfigPush
-	// pulls holds the start of each pull in progress by peer.
+	// pulls holds the start of each pull in progress, by peer.
 	pulls map[string]time.Time
 }
 
@@ -36,9 +36,9 @@
 	return outbound{queues: map[string][]*wirev1.ConfigPush{}, pulls: map[string]time.Time{}}
 }
 
-// passOn pushes what was new to some peers and tells the others. Of several changes only the newest is pushed, and a
+// forward pushes what was new to some peers and tells the others. Of several changes only the newest is pushed, and a
 // receiver pulls the others. n.mu must be held.
-func (n *Node) passOn(b batch, changed []*record, source string) {
+func (n *Node) forward(b batch, changed []*record, source string) {
 	if n.cfg.Store == nil || len(changed) == 0 || n.cfg.Peers == nil {
 		return
 	}
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -84,7 +84,7 @@
 		return
 	}
 	n.watch.lastTrial = now
-	if rand.IntN(n.colleagues()) < trialRate && now.After(n.watch.promotedUntil) {
+	if rand.IntN(n.dataCentreEntries()) < trialRate && now.After(n.watch.promotedUntil) {
 		n.watch.promotedUntil = now.Add(trialTerm)
 	}
 }
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -177,7 +177,7 @@
 }
 
 func (n *Node) callCharge(process string, request *wirev1.ChargeRequest) ([]*wirev1.ChargeResult, error) {
-	ctx, cancel := context.WithTimeout(n.life, callTimeout)
+	ctx, cancel := context.WithTimeout(n.lifetime, callTimeout)
 	defer cancel()
 	reply := new(wirev1.ChargeReply)
 	open := &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Charge{Charge: request}}
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -39,28 +39,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				f.gate(owner).Set(kvtest.Refused)
-				r := newReceiver()
-				// All work that the old owner grants within the age of a nonce starts at the same moment.
-				begun := time.Now()
-				granted := 0
-				for time.Since(begun) < 1900*time.Millisecond {
-					if chargeWithin(f.node(owner), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
-						granted++
-					}
-					time.Sleep(5 * time.Millisecond)
-				}
-				for range granted {
-					r.start("kilimo", begun, 50)
-				}
-				for time.Since(begun) < 10*time.Second {
-					issued := time.Now()
-					if chargeWithin(f.node(successor), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
-						r.start("kilimo", issued, 50)
-						continue
-					}
-					time.Sleep(5 * time.Millisecond)
-				}
-				got := r.check(limits)
+				got := spendAtBoth(f, owner, successor).check(limits)
 				if (got > tolerance) != test.wantViolation {
 					t.Errorf("excess %v, want violation: %v", got, test.wantViolation)
 				}
@@ -72,6 +51,32 @@
 	}
 }
 
+// spendAtBoth charges as much as an owner and then its successor grant. All work that the owner grants within the age of
+// a nonce starts at the same moment.
+func spendAtBoth(f *fleet, owner, successor string) *receiver {
+	r := newReceiver()
+	begun := time.Now()
+	granted := 0
+	for time.Since(begun) < 1900*time.Millisecond {
+		if chargeWithin(f.node(owner), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+			granted++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for range granted {
+		r.start("kilimo", begun, 50)
+	}
+	for time.Since(begun) < 10*time.Second {
+		issued := time.Now()
+		if chargeWithin(f.node(successor), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+			r.start("kilimo", issued, 50)
+			continue
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return r
+}
+
 // nearTakeover reports whether the node will take over a shard within 50 ms.
 func (n *Node) nearTakeover(shard int) bool {
 	s := n.shards[shard]
@@ -175,22 +180,25 @@
 					}
 					return
 				}
-				for {
-					next := f.owner(0)
-					if epoch := f.epoch(next); next != "" && epoch > status.Epoch {
-						t.Logf("%s grants %v after the failure of %s", next, time.Since(failed), owner)
-						return
-					}
-					if time.Since(failed) > test.limit {
-						t.Fatalf("no other owner after %v", test.limit)
-					}
-					time.Sleep(10 * time.Millisecond)
-				}
+				next := f.awaitNewOwner(t, status.Epoch, test.limit-time.Since(failed))
+				t.Logf("%s grants %v after the failure of %s", next, time.Since(failed), owner)
 			})
 		})
 	}
 }
 
+// awaitNewOwner waits until a node grants for shard 0 at a later epoch.
+func (f *fleet) awaitNewOwner(t *testing.T, epoch uint64, limit time.Duration) string {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) <= limit; time.Sleep(10 * time.Millisecond) {
+		if next := f.owner(0); next != "" && f.epoch(next) > epoch {
+			return next
+		}
+	}
+	t.Fatalf("no other owner after %v", limit)
+	return ""
+}
+
 func (f *fleet) epoch(name string) uint64 {
 	if n := f.node(name); n != nil {
 		return n.Status()[0].Epoch
@@ -200,7 +208,8 @@
 
 // Guards against tokens that are lost or created when a shard is handed off at a planned stop.
 func TestHandoffIsExact(t *testing.T) {
-	inFleet(t, 1, limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}, fleetNames[:2], func(t *testing.T, f *fleet) {
+	limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}
+	inFleet(t, 1, limits, fleetNames[:2], func(t *testing.T, f *fleet) {
 		owner := awaitOwner(t, f, 0, 5*time.Second)
 		next := otherOf(owner)
 		time.Sleep(2 * time.Second)
--- a/internal/ledger/handoff.go
+++ b/internal/ledger/handoff.go
@@ -29,7 +29,7 @@
 		left := 0
 		for _, s := range n.shards {
 			n.ensureSuccessor(ctx, s, refused[s])
-			if !n.passOn(ctx, s) {
+			if !n.tryHandoff(ctx, s) {
 				left++
 				refused[s] = s.successor()
 			}
@@ -68,8 +68,8 @@
 	return s.record.Successor
 }
 
-// passOn tries once to hand off a shard and reports whether this node no longer has it.
-func (n *Node) passOn(ctx context.Context, s *shard) bool {
+// tryHandoff tries once to hand off a shard and reports whether this node no longer has it.
+func (n *Node) tryHandoff(ctx context.Context, s *shard) bool {
 	request, successor := n.prepareHandoff(s)
 	if request == nil {
 		s.mu.Lock()
@@ -157,7 +157,7 @@
 	s.mu.Unlock()
 	successor := n.chooseSuccessor(s.number, n.cfg.Members.Entries(), owner)
 	// The write is not bound to the request: its outcome must become certain even if the old owner has stopped waiting.
-	accepted := n.write(n.life, s, successor, func() { n.takeState(s, request, arrived) })
+	accepted := n.write(n.lifetime, s, successor, func() { n.takeState(s, request, arrived) })
 	if accepted {
 		n.renewNow()
 	}
@@ -217,7 +217,7 @@
 	tryCtx, cancel := context.WithTimeout(ctx, handoffTry)
 	defer cancel()
 	for tryCtx.Err() == nil {
-		if n.passOn(tryCtx, s) {
+		if n.tryHandoff(tryCtx, s) {
 			return
 		}
 		pause(tryCtx, retryDelay)
--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -4,7 +4,8 @@
 // An owner grants tokens only while one of two witnesses confirms it: a promise of the successor not to take over, or a
 // read of the shard's record in the key-value service. Both count from when they were asked for, on the owner's
 // monotonic clock, and are checked after a charge was computed and before it is answered. The successor takes over by
-// compare-and-swap when its last promise has lapsed, and grants tokens only TakeoverWait later.
+// compare-and-swap a second (takeoverPatience) after its last promise has lapsed, and grants tokens only TakeoverWait
+// later.
 package ledger
 
 import (
@@ -93,9 +94,10 @@
 	writer       string
 	takeoverWait time.Duration
 	shards       []*shard
-	kick         chan struct{} // asks for renewal of promises
-	life         context.Context
-	end          context.CancelFunc
+	renewSoon    chan struct{} // wakes renewLoop before its interval is over
+	// lifetime is the context of work that is not bound to one request. It ends after Run.
+	lifetime    context.Context
+	endLifetime context.CancelFunc
 
 	refreshing chan struct{} // holds a value while records are read
 
@@ -103,7 +105,7 @@
 	refreshAt  time.Time  // start of the newest read of the records
 	refreshErr error      // its outcome
 	readAt     time.Time  // start of the newest successful read; zero before the first
-	wanted     bool       // a charge asked for a read of the records
+	readWanted bool       // a read of the records was asked for and has not begun
 	writes     uint64
 	leaving    bool
 	rebalanced time.Time
@@ -140,7 +142,7 @@
 	promisedUntil time.Time
 
 	// Others.
-	attended     time.Time // when the duties of this node were last decided
+	dutiesAt     time.Time // when the duties of this node were last decided
 	ownerMissing time.Time // since when a shard without successor has had no live owner; zero while it has one
 }
 
@@ -151,7 +153,7 @@
 		writer:       strconv.FormatUint(transport.NewIncarnation(), 16),
 		takeoverWait: TakeoverWait,
 		shards:       make([]*shard, cfg.Shards),
-		kick:         make(chan struct{}, 1),
+		renewSoon:    make(chan struct{}, 1),
 		refreshing:   make(chan struct{}, 1),
 		rebalanced:   time.Now(),
 		batchers:     make(map[string]*batcher),
@@ -159,7 +161,7 @@
 	for i := range n.shards {
 		n.shards[i] = &shard{number: uint32(i)}
 	}
-	n.life, n.end = context.WithCancel(context.Background())
+	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
 	n.settler.init()
 	return n
 }
@@ -170,7 +172,7 @@
 	wait.Go(func() { n.renewLoop(ctx) })
 	wait.Go(func() { n.settleLoop(ctx) })
 	n.maintainLoop(ctx)
-	n.end()
+	n.endLifetime()
 	wait.Wait()
 }
 
@@ -184,7 +186,8 @@
 
 // States of a shard.
 const (
-	// StateUnknown means that no record is known.
+	// StateUnknown means that no record is known, or that the record names this node although it does not hold the
+	// buckets, as after a restart.
 	StateUnknown State = "unknown"
 	// StateRemote means that another process is the owner.
 	StateRemote State = "remote"
--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
@@ -94,11 +95,22 @@
 	}
 }
 
-// Guards against a confirmation that counts from the answer of a read, which may have waited while the record changed,
-// and against a promise of a node whose own write of the record is in doubt.
+// slowPromises is a network on which every promise is given at once and its reply takes 900 ms.
+type slowPromises struct{}
+
+func (slowPromises) Call(_ context.Context, _ string, open *wirev1.StreamOpen, reply proto.Message) error {
+	time.Sleep(900 * time.Millisecond)
+	proto.Merge(reply, &wirev1.PromiseReply{
+		TermMs: uint32(PromiseTerm.Milliseconds()), Promised: open.GetPromise().GetShards(),
+	})
+	return nil
+}
+
+// Guards against a confirmation that counts from the answer of a read or a promise, which may have waited while another
+// node became the owner, and against a promise of a node whose own write of the record is in doubt.
 func TestConfirmations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := New(Config{Self: "b", Shards: 1, Logger: zap.NewNop()})
+		n := New(Config{Self: "b", Shards: 1, Logger: zap.NewNop(), Network: slowPromises{}})
 		s := n.shards[0]
 		s.record, s.revision = record{Owner: "a", Successor: "b", Epoch: 7}, 3
 		request := &wirev1.PromiseRequest{Shards: []*wirev1.ShardEpoch{{Epoch: 7}}}
@@ -115,5 +127,10 @@
 		if !s.confirmed(sent.Add(PromiseTerm-1)) || s.confirmed(sent.Add(PromiseTerm)) {
 			t.Errorf("confirmed until %v after the read was sent", s.readUntil.Sub(sent))
 		}
+		sent = time.Now()
+		n.askPromise(t.Context(), "b", request)
+		if !s.confirmed(sent.Add(PromiseTerm-1)) || s.confirmed(sent.Add(PromiseTerm)) {
+			t.Errorf("confirmed until %v after the promise was asked for", s.promiseUntil.Sub(sent))
+		}
 	})
 }
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -36,7 +36,7 @@
 	}
 	members := n.cfg.Members.Entries()
 	for _, s := range n.shards {
-		n.attend(ctx, s, members)
+		n.decideDuties(ctx, s, members)
 	}
 	n.rebalance(ctx, members)
 }
@@ -69,7 +69,7 @@
 	case s.revision == 0 || s.record.Owner == self:
 		return true
 	case s.record.Successor == "":
-		return now.Sub(s.attended) >= renewInterval
+		return now.Sub(s.dutiesAt) >= renewInterval
 	default:
 		return s.lapsed(self, now)
 	}
@@ -86,8 +86,8 @@
 	return s.record.Successor == self && s.record.Owner != self && now.After(s.promisedUntil.Add(takeoverPatience))
 }
 
-// attend does what the state of a shard asks of this node.
-func (n *Node) attend(ctx context.Context, s *shard, members []string) {
+// decideDuties begins what the state of a shard asks of this node.
+func (n *Node) decideDuties(ctx context.Context, s *shard, members []string) {
 	if n.isLeaving() {
 		return
 	}
@@ -98,7 +98,7 @@
 	}
 	self := n.cfg.Self
 	now := time.Now()
-	s.attended = now
+	s.dutiesAt = now
 	abandoned := n.abandoned(s, members, now)
 	switch {
 	case s.held && !s.stopped:
@@ -198,7 +198,7 @@
 // renewNow asks for promises without waiting for the interval.
 func (n *Node) renewNow() {
 	select {
-	case n.kick <- struct{}{}:
+	case n.renewSoon <- struct{}{}:
 	default:
 	}
 }
@@ -213,7 +213,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-n.kick:
+		case <-n.renewSoon:
 		}
 	}
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -25,7 +25,7 @@
 		return n.refreshErr
 	}
 	n.refreshAt = time.Now()
-	n.wanted = false
+	n.readWanted = false
 	n.stateMu.Unlock()
 	err := n.readRecords(ctx)
 	n.stateMu.Lock()
@@ -64,12 +64,12 @@
 func (n *Node) refreshLater() {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
-	if n.wanted || time.Since(n.refreshAt) < clientRefresh {
+	if n.readWanted || time.Since(n.refreshAt) < clientRefresh {
 		return
 	}
-	n.wanted = true
+	n.readWanted = true
 	go func() {
-		if err := n.refresh(n.life); err != nil {
+		if err := n.refresh(n.lifetime); err != nil {
 			n.cfg.Logger.Debug("ledger records not read", zap.Error(err))
 		}
 	}()
--- a/internal/ledger/server.go
+++ b/internal/ledger/server.go
@@ -94,7 +94,8 @@
 	return &wirev1.SettleReply{}, nil
 }
 
-// settle reports whether this node owns the shard.
+// settle reports whether this node took the settlement: it owns the shard and has not sent its buckets to a successor.
+// A settlement of an account without limits is taken and has no effect.
 func (n *Node) settle(settlement *wirev1.Settlement) bool {
 	limits, known := n.cfg.Limits.Limits(settlement.GetAccount())
 	s := n.shardOf(settlement.GetAccount())
