--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -10,6 +10,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/admin"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/orders"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -76,11 +77,16 @@
 		Process: e.hello.GetProcess(), Host: e.hello.GetHost(), DataCentre: e.hello.GetDataCentre(),
 		Revision: revision, State: e.conf.State().String(),
 	}
+	status.WorstServed = accountShare(e.metrics.Accounts.LeastServed())
+	status.LeastGranted = accountShare(e.metrics.Accounts.LeastGranted())
 	for _, m := range e.members.all() {
 		status.Nodes = append(status.Nodes, nodeStatus(m.label(), "entry", m.peer.Session(), revision))
 	}
 	for _, u := range e.upstreams.all() {
-		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.peer.Session(), revision))
+		if u.link.Load() == nil {
+			continue // another entry process keeps a session to it
+		}
+		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.session(), revision))
 	}
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
@@ -90,6 +96,14 @@
 	return status
 }
 
+// accountShare returns nil if no account got less than it asked for.
+func accountShare(share metrics.AccountShare) *admin.AccountShare {
+	if share.Account == "" {
+		return nil
+	}
+	return &admin.AccountShare{Account: share.Account, Ratio: share.Ratio}
+}
+
 func nodeStatus(name, role string, session *transport.Session, revision uint64) admin.NodeStatus {
 	node := admin.NodeStatus{Process: name, Role: role}
 	if session == nil {
@@ -129,7 +143,7 @@
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
 	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return status
 	}
@@ -154,7 +168,7 @@
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
 		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
 	}
-	session := u.peer.Session()
+	session := u.session()
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
 	}
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -13,9 +13,28 @@
 // hold is a granted reservation; closing it frees the place unless the call has begun.
 type hold struct {
 	upstream *upstream
+	link     *link
 	request  *wirev1.ReserveRequest
 	nonce    *wirev1.Nonce
 	stream   *transport.Stream
+	// lost is closed when the stream ended: the sidecar closes it when it gives up the place.
+	lost chan struct{}
+}
+
+// isLost reports whether the sidecar is known to have given up the place.
+func (h *hold) isLost() bool {
+	select {
+	case <-h.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+// watch waits for the end of the stream.
+func (h *hold) watch() {
+	_ = h.stream.Recv(new(wirev1.ReserveReply))
+	close(h.lost)
 }
 
 func (h *hold) close() {
@@ -38,6 +57,7 @@
 	if len(candidates) == 0 {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream accepts work now")
 	}
+	waited := e.metrics.WaitForPlace(candidates[0].pool, candidates[0].roleName)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(template.GetWaitMs())*time.Millisecond+reserveGrace)
 	results := make(chan reserveResult, len(candidates))
 	var asking sync.WaitGroup
@@ -47,6 +67,7 @@
 		asking.Go(func() { results <- askPlace(ctx, u, request) })
 	}
 	winner, err := firstGrant(results, len(candidates))
+	waited(winner != nil)
 	cancel() // withdraws the requests that have not been answered
 	go dropRest(&asking, results)
 	return winner, err
@@ -81,8 +102,8 @@
 }
 
 func askPlace(ctx context.Context, u *upstream, request *wirev1.ReserveRequest) reserveResult {
-	session := u.peer.Session()
-	if session == nil {
+	l, session := u.link.Load(), u.session()
+	if l == nil || session == nil {
 		return reserveResult{err: verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to %s", u.name)}
 	}
 	stream, err := session.Open(&wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Reserve{Reserve: request}})
@@ -102,5 +123,7 @@
 		refusal.RetryAfter = time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 		return reserveResult{err: refusal}
 	}
-	return reserveResult{hold: &hold{upstream: u, request: request, nonce: reply.GetNonce(), stream: stream}}
+	h := &hold{upstream: u, link: l, request: request, nonce: reply.GetNonce(), stream: stream, lost: make(chan struct{})}
+	go h.watch()
+	return reserveResult{hold: h}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -24,6 +24,8 @@
 
 	// serviceRetryLimit is the age of a call of a service after which it is not retried any more.
 	serviceRetryLimit = 2 * time.Second
+	// maxServiceAttempts bounds the attempts of one call whatever the retry budget is.
+	maxServiceAttempts = 5
 	// maxHeldBytes is the part of an answer that is held back until the call has ended, so that a call which breaks in a
 	// short answer still ends with a verdict. net/http buffers about as much before it sends anything.
 	maxHeldBytes = 4 << 10
@@ -68,6 +70,12 @@
 	}
 	req.caller = c
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
+	weight := e.weight(c.account)
+	if err := e.admission.enter(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
+		s.fail(verdict.As(err))
+		return
+	}
+	defer e.admission.leave()
 	s.serve()
 }
 
@@ -87,20 +95,24 @@
 
 func (s *serviceRequest) serve() {
 	s.e.budget.Request()
-	for {
+	for attempts := 1; ; attempts++ {
 		err := s.attempt()
 		if err == nil {
-			s.e.metrics.Served("service", s.route.GetPool())
+			s.settled()
 			return
 		}
 		if s.ctx.Err() != nil {
 			err = s.endCause(err)
 		}
 		refusal := verdict.As(err)
-		again := s.ctx.Err() == nil && retryable(refusal) &&
+		if refusal.Reason == wirev1.Reason_REASON_NO_UPSTREAM && s.worthWaiting() && pause(s.ctx, replanPause) {
+			attempts--
+			continue // nothing was sent
+		}
+		again := s.ctx.Err() == nil && retryable(refusal) && attempts < maxServiceAttempts &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
-			s.e.metrics.Retried("service")
+			s.e.metrics.Retried("service", refusal.Reason)
 			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)))
 			continue
 		}
@@ -109,17 +121,23 @@
 	}
 }
 
+// settled counts a whole answer.
+func (s *serviceRequest) settled() {
+	s.e.metrics.Served("service", s.route.GetPool())
+	s.noteEnd(s.route.GetCostTokens(), nil)
+}
+
 // worthWaiting reports whether the caller of a service, who expects a prompt answer, should still wait for a retry.
 func (s *serviceRequest) worthWaiting() bool { return time.Since(s.request.begin) < serviceRetryLimit }
 
 // fail ends the request. After the first byte only a broken connection tells the caller that the answer is not whole.
 func (s *serviceRequest) fail(refusal *verdict.Refusal) {
 	s.settle(0, refusal.Verdict)
+	s.noteFailed(s.route.GetCostTokens(), refusal)
 	if !s.begun {
-		s.e.writeRefusal(s.w, s.name, refusal)
+		s.e.sendRefusal(s.w, s.name, refusal)
 		return
 	}
-	s.e.noteRefusal(s.name, refusal)
 	panic(http.ErrAbortHandler)
 }
 
@@ -128,9 +146,12 @@
 	if err != nil {
 		return err
 	}
-	u.calls.Add(1)
-	defer u.calls.Add(-1)
-	session := u.peer.Session()
+	l := u.link.Load()
+	if l == nil {
+		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
+	}
+	defer l.begin()()
+	session := l.peer.Session()
 	if session == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
 	}
@@ -142,7 +163,7 @@
 		return err
 	}
 	x := &exchange{
-		peer: u.peer, logger: s.e.logger, clock: s.e.events, onFrame: s.onFrame, onEvent: s.event(u.name),
+		peer: l.peer, logger: s.e.logger, clock: s.e.events, onFrame: s.onFrame, onEvent: s.event(u.name),
 		request: &wirev1.ExecuteRequest{
 			Call: s.e.nextCallID(), Nonce: nonce, Account: s.caller.account, ChargedTokens: s.route.GetCostTokens(),
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
@@ -164,26 +185,34 @@
 	return nil
 }
 
-// choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host.
+// choose picks an upstream. Calls with an idempotency key go to the same upstream from every entry host, and wait for it if it
+// cannot be reached: another upstream would not know an earlier attempt.
 func (s *serviceRequest) choose() (*upstream, error) {
-	list := s.e.upstreams.find(s.route.GetPool(), wirev1.EngineRole_ENGINE_ROLE_SERVICE)
-	want := &scheduler.Request{Account: s.caller.account, Model: s.route.GetPool()}
-	var chosen []scheduler.Candidate
+	pool := s.route.GetPool()
+	want := &scheduler.Request{Account: s.caller.account, Model: pool}
 	if key := s.work.GetIdempotencyKey(); key != "" {
-		hash := xxhash.Sum64String(s.caller.account + "\x00" + key)
-		if one, ok := s.e.scheduler.ServiceByKey(hash, want, candidates(list)); ok {
-			chosen = append(chosen, one)
-		}
-	} else {
-		chosen = s.e.scheduler.Service(want, candidates(list))
+		return s.chooseByKey(want, xxhash.Sum64String(s.caller.account+"\x00"+key))
 	}
+	list := s.e.upstreams.find(pool, wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	chosen := s.e.scheduler.Service(want, candidates(list))
 	if len(chosen) == 0 {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s accepts work now", s.route.GetPool())
+		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s accepts work now", pool)
 	}
 	s.e.scheduler.ObserveChoice(chosen[0].Upstream)
 	return byName(list, chosen[:1])[0], nil
 }
 
+func (s *serviceRequest) chooseByKey(want *scheduler.Request, key uint64) (*upstream, error) {
+	rows := s.e.upstreams.declared(want.Model, wirev1.EngineRole_ENGINE_ROLE_SERVICE)
+	chosen, ok := s.e.scheduler.ServiceByKey(key, want, candidates(rows))
+	if !ok {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of %s is declared", want.Model)
+	}
+	u := byName(rows, []scheduler.Candidate{chosen})[0]
+	s.e.upstreams.demand(s.ctx, u)
+	return u, nil
+}
+
 // onFrame holds the beginning of the answer back and passes on what follows.
 func (s *serviceRequest) onFrame(frame *wirev1.Frame) error {
 	switch body := frame.GetBody().(type) {
