--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -29,35 +32,14 @@
 				f.start("a", "b")
 				defer f.stop()
 				owner := awaitOwner(t, f, 0, 5*time.Second)
-				successor := map[string]string{"a": "b", "b": "a"}[owner]
+				successor := otherOf(owner)
 				time.Sleep(10 * time.Second)
 				f.net.cut(owner, successor, true)
 				for f.node(successor).Status()[0].Epoch == 1 && !f.node(successor).nearTakeover(0) {
 					time.Sleep(10 * time.Millisecond)
 				}
-				f.net.cut(owner, "store", true)
-				r := newReceiver()
-				// All work that the old owner grants within the age of a nonce starts at the same moment.
-				begun := time.Now()
-				granted := 0
-				for time.Since(begun) < 1900*time.Millisecond {
-					if chargeWithin(f.node(owner), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
-						granted++
-					}
-					time.Sleep(5 * time.Millisecond)
-				}
-				for range granted {
-					r.start("kilimo", begun, 50)
-				}
-				for time.Since(begun) < 10*time.Second {
-					issued := time.Now()
-					if chargeWithin(f.node(successor), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
-						r.start("kilimo", issued, 50)
-						continue
-					}
-					time.Sleep(5 * time.Millisecond)
-				}
-				got := r.check(limits)
+				f.gate(owner).Set(kvtest.Refused)
+				got := spendAtBoth(f, owner, successor).check(limits)
 				if (got > tolerance) != test.wantViolation {
 					t.Errorf("excess %v, want violation: %v", got, test.wantViolation)
 				}
@@ -69,6 +51,32 @@
 	}
 }
 
+// spendAtBoth charges as much as an owner and then its successor grant. All work that the owner grants within the age of
+// a nonce starts at the same moment.
+func spendAtBoth(f *fleet, owner, successor string) *receiver {
+	r := newReceiver()
+	begun := time.Now()
+	granted := 0
+	for time.Since(begun) < 1900*time.Millisecond {
+		if chargeWithin(f.node(owner), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+			granted++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for range granted {
+		r.start("kilimo", begun, 50)
+	}
+	for time.Since(begun) < 10*time.Second {
+		issued := time.Now()
+		if chargeWithin(f.node(successor), 5*time.Millisecond, f.id(), "kilimo", 50) == nil {
+			r.start("kilimo", issued, 50)
+			continue
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return r
+}
+
 // nearTakeover reports whether the node will take over a shard within 50 ms.
 func (n *Node) nearTakeover(shard int) bool {
 	s := n.shards[shard]
@@ -80,19 +88,14 @@
 // Guards against refusals within the rate while the store is down and the nodes hear each other.
 func TestThirtyMinuteOutage(t *testing.T) {
 	for _, hanging := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
-			f := newFleet(t, 1, 16, limits, "a", "b", "c")
-			f.start("a", "b", "c")
-			defer f.stop()
+		inFleet(t, 16, twoAccounts, fleetNames, func(t *testing.T, f *fleet) {
 			time.Sleep(5 * time.Second)
-			f.store.set(func(s *fakeStore) { s.down, s.hanging = !hanging, hanging })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.Down, s.Hanging = !hanging, hanging })
 			r := newReceiver()
-			// Three clients of 100 tokens on average every 400 ms use three quarters of the rate.
-			stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+			stop := load(f, r, 1, steadyClient, fleetNames...)
 			time.Sleep(30 * time.Minute)
 			stop()
-			f.store.set(func(s *fakeStore) { s.down, s.hanging = false, false })
+			f.store.ChangeFaults(withoutFaults)
 			if len(r.refused) > 0 || r.stale > 0 {
 				t.Errorf("hanging %v: refused %v, stale %d", hanging, r.refused, r.stale)
 			}
@@ -105,16 +108,12 @@
 
 // Guards against a node that starts during an outage of the store and finds no owner.
 func TestStartDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}, "ubungo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 4, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 4, twoAccounts, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(5 * time.Second)
-		f.store.set(func(s *fakeStore) { s.down = true })
-		f.members.set("a", "b", "c")
+		f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
+		f.members.set(fleetNames...)
 		f.start("c")
-		for account := range limits {
+		for account := range f.limits {
 			id := f.id()
 			if err := chargeWithin(f.node("c"), 2*time.Second, id, account, 100); err != nil {
 				t.Errorf("charge for %s: %v", account, err)
@@ -143,7 +142,7 @@
 		{"successor dies, then the store", func(f *fleet, _, successor string) {
 			f.crash(successor)
 			time.Sleep(5 * time.Second)
-			f.store.set(func(s *fakeStore) { s.down = true })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.Down = true })
 		}, 0},
 		{"owner and successor hear only the store", func(f *fleet, owner, successor string) {
 			f.net.cut(owner, successor, true)
@@ -155,24 +154,20 @@
 			f.crash(owner)
 		}, 500 * time.Millisecond},
 		{"handoff with lost answers of the store", func(f *fleet, owner, _ string) {
-			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate = 1 })
 			if err := f.handOff(owner); err != nil {
 				f.t.Error(err)
 			}
 			f.crash(owner)
 		}, 500 * time.Millisecond},
 		{"crash with lost answers of the store", func(f *fleet, owner, _ string) {
-			f.store.set(func(s *fakeStore) { s.loseRate = 1 })
+			f.store.ChangeFaults(func(s *memory.Faults) { s.LoseRate = 1 })
 			f.crash(owner)
 		}, 10 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-				f := newFleet(t, 3, 1, limits, "a", "b", "c")
-				f.start("a", "b", "c")
-				defer f.stop()
+			inFleet(t, 1, oneAccount, fleetNames, func(t *testing.T, f *fleet) {
 				owner := awaitOwner(t, f, 0, 5*time.Second)
 				time.Sleep(5 * time.Second)
 				status := f.node(owner).Status()[0]
@@ -185,22 +180,25 @@
 					}
 					return
 				}
-				for {
-					next := f.owner(0)
-					if epoch := f.epoch(next); next != "" && epoch > status.Epoch {
-						t.Logf("%s grants %v after the failure of %s", next, time.Since(failed), owner)
-						return
-					}
-					if time.Since(failed) > test.limit {
-						t.Fatalf("no other owner after %v", test.limit)
-					}
-					time.Sleep(10 * time.Millisecond)
-				}
+				next := f.awaitNewOwner(t, status.Epoch, test.limit-time.Since(failed))
+				t.Logf("%s grants %v after the failure of %s", next, time.Since(failed), owner)
 			})
 		})
 	}
 }
 
+// awaitNewOwner waits until a node grants for shard 0 at a later epoch.
+func (f *fleet) awaitNewOwner(t *testing.T, epoch uint64, limit time.Duration) string {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) <= limit; time.Sleep(10 * time.Millisecond) {
+		if next := f.owner(0); next != "" && f.epoch(next) > epoch {
+			return next
+		}
+	}
+	t.Fatalf("no other owner after %v", limit)
+	return ""
+}
+
 func (f *fleet) epoch(name string) uint64 {
 	if n := f.node(name); n != nil {
 		return n.Status()[0].Epoch
@@ -210,13 +208,10 @@
 
 // Guards against tokens that are lost or created when a shard is handed off at a planned stop.
 func TestHandoffIsExact(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}
-		f := newFleet(t, 1, 1, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}, "ubungo": {Rate: 0, Burst: 1000}}
+	inFleet(t, 1, limits, fleetNames[:2], func(t *testing.T, f *fleet) {
 		owner := awaitOwner(t, f, 0, 5*time.Second)
-		next := map[string]string{"a": "b", "b": "a"}[owner]
+		next := otherOf(owner)
 		time.Sleep(2 * time.Second)
 		open := f.id()
 		for _, id := range []*wirev1.CallID{open, f.id()} {
@@ -249,15 +244,11 @@
 
 // Guards against a refusal at once while the owner changes, and against a charge that stays spent after the client gave up.
 func TestChargeDuringTakeover(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 1, limits, "a", "b", "c")
-		f.start("a", "b", "c")
-		defer f.stop()
+	inFleet(t, 1, oneAccount, fleetNames, func(t *testing.T, f *fleet) {
 		owner := awaitOwner(t, f, 0, 5*time.Second)
 		time.Sleep(5 * time.Second)
 		f.crash(owner)
-		other := map[string]string{"a": "b", "b": "c", "c": "a"}[owner]
+		other := fleetNames[(slices.Index(fleetNames, owner)+1)%3]
 		begun := time.Now()
 		err := chargeWithin(f.node(other), 2*time.Second, f.id(), "kilimo", 100)
 		if r := verdict.As(err); r.Reason != wirev1.Reason_REASON_LEDGER_UNAVAILABLE || r.Verdict != verdict.NotRun {
@@ -285,19 +276,15 @@
 
 // Guards against shards that all move at once to a node that joins, or never.
 func TestJoiningNodeReceivesShardsSlowly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-		f := newFleet(t, 1, 24, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 24, oneAccount, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(15 * time.Second)
-		f.members.set("a", "b", "c")
+		f.members.set(fleetNames...)
 		f.start("c")
 		r := newReceiver()
-		stop := load(f, r, 1, client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}, "a", "b", "c")
+		stop := load(f, r, 1, steadyClient, fleetNames...)
 		best := 0
 		for shard := range uint32(24) {
-			if ranked([]string{"a", "b", "c"}, shard)[0] == "c" {
+			if ranked(fleetNames, shard)[0] == "c" {
 				best++
 			}
 		}
@@ -329,10 +316,9 @@
 func TestOwnerAndSuccessorGone(t *testing.T) {
 	for _, gone := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			limits := limitTable{"kilimo": {Rate: 1000, Burst: 10000}}
-			f := newFleet(t, 1, 1, limits, "a", "b", "c")
+			f := newFleet(t, 1, 1, oneAccount, fleetNames...)
 			f.adjust = func(n *Node) { n.cfg.Gone = func(name string) bool { return gone && f.node(name) == nil } }
-			f.start("a", "b", "c")
+			f.start(fleetNames...)
 			defer f.stop()
 			owner := awaitOwner(t, f, 0, 5*time.Second)
 			time.Sleep(5 * time.Second)
@@ -354,13 +340,9 @@
 
 // Guards against an exchange that charges twice or leaves the old charge refundable.
 func TestExchangeThroughNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		limits := limitTable{"kilimo": {Rate: 0, Burst: 1000}}
-		f := newFleet(t, 1, 1, limits, "a", "b")
-		f.start("a", "b")
-		defer f.stop()
+	inFleet(t, 1, limitTable{"kilimo": {Rate: 0, Burst: 1000}}, fleetNames[:2], func(t *testing.T, f *fleet) {
 		time.Sleep(3 * time.Second)
-		for _, name := range []string{"a", "b"} {
+		for _, name := range fleetNames[:2] {
 			old, fresh := f.id(), f.id()
 			n := f.node(name)
 			if err := chargeWithin(n, time.Second, old, "kilimo", 400); err != nil {
@@ -380,3 +362,45 @@
 		}
 	})
 }
+
+// Guards against an owner that grants while its handoff is on its way or not answered: the successor may be the owner by
+// then.
+func TestUnansweredHandoffStopsOwner(t *testing.T) {
+	inFleet(t, 1, oneAccount, fleetNames[:2], func(t *testing.T, f *fleet) {
+		owner := awaitOwner(t, f, 0, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		f.net.loseReplies(otherOf(owner), owner)
+		go func() { _ = f.handOff(owner) }()
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if f.node(owner).charge(&wirev1.Charge{Id: f.id(), Account: "kilimo", Tokens: 1}).GetGranted() {
+				t.Fatal("granted after the handoff was sent")
+			}
+		}
+		if got := f.owner(0); got != otherOf(owner) {
+			t.Errorf("owner %q after the handoff", got)
+		}
+	})
+}
+
+// Guards against full buckets after a handoff by an owner that itself began with empty ones.
+func TestHandoffAfterTakeover(t *testing.T) {
+	inFleet(t, 1, limitTable{"kilimo": {Rate: 100, Burst: 1000}}, fleetNames, func(t *testing.T, f *fleet) {
+		first := awaitOwner(t, f, 0, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		f.crash(first)
+		time.Sleep(5 * time.Second)
+		second := awaitOwner(t, f, 0, 10*time.Second)
+		if err := f.handOff(second); err != nil {
+			t.Fatal(err)
+		}
+		n := f.node(awaitOwner(t, f, 0, time.Second))
+		if err := chargeWithin(n, time.Second, f.id(), "kilimo", 700); reasonOf(err) != wirev1.Reason_REASON_RATE_EXCEEDED {
+			t.Errorf("charge of tokens that did not refill: %v", err)
+		}
+		time.Sleep(7 * time.Second)
+		if err := chargeWithin(n, time.Second, f.id(), "kilimo", 700); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -80,6 +80,9 @@
 	settles   bool
 }
 
+// steadyClient sends 100 tokens on average every 400 ms: at three nodes it uses three quarters of a rate of 1000.
+var steadyClient = client{maxTokens: 200, gap: 400 * time.Millisecond, settles: true}
+
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	var wait sync.WaitGroup
@@ -107,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	err := node.Charge(ctx, id, c.account, tokens, nil)
-	c.fleet.net.gate(c.entry)
+	c.fleet.net.hold(c.entry)
 	if err != nil {
 		c.receiver.refuse(verdict.As(err).Reason)
 		return
@@ -125,7 +128,7 @@
 		return
 	}
 	time.Sleep(work)
-	c.fleet.net.gate(c.entry)
+	c.fleet.net.hold(c.entry)
 	c.receiver.settle(c.account, index, used)
 	node.Settle(id, c.account, used)
 }
