--- a/cmd/fulmardoorctl/live.go
+++ b/cmd/fulmardoorctl/live.go
@@ -67,7 +67,11 @@
 	if !reply.Accepted {
 		return errors.Errorf("the process beside %s refused the order: %s", name, reply.Detail)
 	}
-	fmt.Printf("accepted with fencing number %d\n", reply.FencingNumber)
+	if reply.FencingNumber == 0 {
+		fmt.Println("accepted without fencing number: the key-value service does not answer")
+	} else {
+		fmt.Printf("accepted with fencing number %d\n", reply.FencingNumber)
+	}
 	if kind == "return" {
 		return explainReturn(ctx, cmd, name)
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -32,6 +33,7 @@
 // Register adds the API to a router.
 func Register(router *mux.Router, backend Backend, operators []Operator, logger *zap.Logger) {
 	s := &server{backend: backend, operators: operators, logger: logger}
+	router.UseEncodedPath() // names of teams and upstreams may contain slashes
 	router.HandleFunc(PathDocuments, s.wrap(s.listDocuments)).Methods(http.MethodGet)
 	router.HandleFunc(PathDocuments+"/{team}", s.wrap(s.team(s.getDocument))).Methods(http.MethodGet)
 	router.HandleFunc(PathDocuments+"/{team}", s.wrap(s.team(s.putDocument))).Methods(http.MethodPut)
@@ -59,7 +61,7 @@
 // team lets only operators of the document's team through.
 func (s *server) team(next handler) handler {
 	return func(w http.ResponseWriter, r *http.Request, operator Operator) {
-		if !operator.may(mux.Vars(r)["team"]) {
+		if !operator.may(pathValue(r, "team")) {
 			s.fail(w, http.StatusForbidden, "the document belongs to another team")
 			return
 		}
@@ -67,6 +69,15 @@
 	}
 }
 
+// pathValue returns a variable of the path in plain form, empty if it is malformed.
+func pathValue(r *http.Request, name string) string {
+	value, err := url.PathUnescape(mux.Vars(r)[name])
+	if err != nil {
+		return ""
+	}
+	return value
+}
+
 func (s *server) fail(w http.ResponseWriter, status int, message string) {
 	s.write(w, status, ErrorReply{Error: message})
 }
@@ -90,7 +101,7 @@
 }
 
 func (s *server) getDocument(w http.ResponseWriter, r *http.Request, _ Operator) {
-	text, revision, err := s.backend.Document(r.Context(), mux.Vars(r)["team"])
+	text, revision, err := s.backend.Document(r.Context(), pathValue(r, "team"))
 	if err != nil {
 		s.fail(w, http.StatusServiceUnavailable, err.Error())
 		return
@@ -117,7 +128,7 @@
 		s.fail(w, http.StatusRequestEntityTooLarge, "the document is larger than 1 MB")
 		return
 	}
-	team := mux.Vars(r)["team"]
+	team := pathValue(r, "team")
 	reply, err := s.backend.Apply(r.Context(), team, text, revision)
 	if err != nil {
 		s.fail(w, http.StatusServiceUnavailable, err.Error())
@@ -158,12 +169,12 @@
 }
 
 func (s *server) order(w http.ResponseWriter, r *http.Request, operator Operator) {
-	order, err := decodeOrder(w, r, mux.Vars(r)["order"])
+	order, err := decodeOrder(w, r, pathValue(r, "order"))
 	if err != "" {
 		s.fail(w, http.StatusBadRequest, err)
 		return
 	}
-	reply, orderErr := s.backend.Order(r.Context(), operator.Team, mux.Vars(r)["name"], order)
+	reply, orderErr := s.backend.Order(r.Context(), operator.Team, pathValue(r, "name"), order)
 	if errors.Is(orderErr, ErrNoUpstream) {
 		s.fail(w, http.StatusNotFound, orderErr.Error())
 		return
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -5,8 +5,10 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/admin"
@@ -19,6 +21,9 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
+// drainNumberTimeout is the longest wait for the fencing number of a drain or return.
+const drainNumberTimeout = 2 * time.Second
+
 // Document implements admin.Backend.
 func (e *Entry) Document(ctx context.Context, team string) ([]byte, int64, error) {
 	pair, err := e.store.Get(ctx, confsync.Prefix+team)
@@ -163,6 +168,22 @@
 	return status
 }
 
+// fencingNumber issues the number of an order. Drain and return must work while the store is down; they then go without a
+// number, since the worst that an old one can do is shown by the upstream's state and undone by another.
+func (e *Entry) fencingNumber(ctx context.Context, upstream string, order *wirev1.OrderRequest) (uint64, error) {
+	if order.GetEngine() != nil {
+		return orders.Issue(ctx, e.store, upstream)
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainNumberTimeout)
+	defer cancel()
+	number, err := orders.Issue(ctx, e.store, upstream)
+	if err != nil {
+		e.logger.Warn("order without fencing number", zap.String("upstream", upstream), zap.Error(err))
+		return 0, nil
+	}
+	return number, nil
+}
+
 // Order implements admin.Backend.
 func (e *Entry) Order(
 	ctx context.Context, team, name string, order *wirev1.OrderRequest,
@@ -175,7 +196,7 @@
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
 	}
-	number, err := orders.Issue(ctx, e.store, name)
+	number, err := e.fencingNumber(ctx, name, order)
 	if err != nil {
 		return admin.OrderReply{}, errors.Wrap(err, "fencing number")
 	}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -28,7 +28,7 @@
 		return caller{open: true}, nil
 	}
 	if header == "" {
-		return caller{}, verdict.Refuse(wirev1.Reason_REASON_KEY_MISSING, "the request has no key: send Authorization: Bearer KEY")
+		return caller{}, verdict.Refuse(wirev1.Reason_REASON_KEY_MISSING, "the request has no key: send it as bearer token in the Authorization header")
 	}
 	key, ok := strings.CutPrefix(header, bearerPrefix)
 	if !ok {
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,166 @@
+package metrics
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+// Guards against a worst account that is another, that counts what is older than a minute, or that hides behind the others.
+func TestAccounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAccounts()
+		expect := func(when string, got AccountShare, account string, ratio float64) {
+			t.Helper()
+			if got.Account != account || got.Ratio != ratio {
+				t.Errorf("%s: %v, want %s %v", when, got, account, ratio)
+			}
+		}
+		expect("empty", a.LeastGranted(), "", 1)
+		a.Asked("", 100, false)
+		a.Asked("good", 1000, true)
+		a.Ended("good", 1000, true)
+		a.Asked("greedy", 100, true)
+		a.Asked("greedy", 300, false)
+		a.Ended("greedy", 100, true)
+		a.Asked("unlucky", 100, true)
+		a.Ended("unlucky", 50, true)
+		a.Ended("unlucky", 50, false)
+		expect("granted", a.LeastGranted(), "greedy", 0.25)
+		expect("served", a.LeastServed(), "unlucky", 0.5)
+		time.Sleep(AccountWindow / 2)
+		a.Asked("greedy", 400, true)
+		expect("half a window later", a.LeastGranted(), "greedy", 0.625)
+		time.Sleep(AccountWindow / 2)
+		expect("a window later", a.LeastGranted(), "", 1)
+		expect("a window later", a.LeastServed(), "", 1)
+	})
+}
+
+// Guards against refusals of a caller's own making among those within rate, and against new reasons that are left out.
+func TestRefusedWithinRate(t *testing.T) {
+	own := map[wirev1.Reason]bool{}
+	for _, name := range []string{
+		"RATE_EXCEEDED", "REQUEST_TOO_LARGE_FOR_BURST", "KEY_MISSING", "KEY_UNKNOWN", "KEY_WITHDRAWN", "NO_ROUTE",
+		"UNKNOWN_MODEL", "BODY_TOO_LARGE", "MALFORMED",
+	} {
+		own[wirev1.Reason(wirev1.Reason_value["REASON_"+name])] = true
+	}
+	m := NewEntry()
+	for number := range wirev1.Reason_name {
+		m.Refused(&verdict.Refusal{Reason: wirev1.Reason(number), Verdict: verdict.NotRun})
+	}
+	if got := len(values(t, m.Registry, "requests_refused_total")); got != len(wirev1.Reason_name) {
+		t.Errorf("%d refusals", got)
+	}
+	if got, want := len(values(t, m.Registry, "requests_refused_within_rate_total")), len(wirev1.Reason_name)-len(own); got != want {
+		t.Errorf("%d within rate, want %d", got, want)
+	}
+	for reason := range own {
+		if WithinRate(reason) {
+			t.Errorf("%v counts as within rate", reason)
+		}
+	}
+}
+
+// Guards against calls that are counted as another kind or result, and against a wrapper that changes an answer.
+func TestStore(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	s := Store(registry, memory.New(memory.Options{}))
+	ctx := context.Background()
+	if _, err := s.Get(ctx, "a"); !errors.Is(err, kv.ErrNotFound) {
+		t.Error(err)
+	}
+	revision, err := s.CompareAndSwap(ctx, "a", []byte("1"), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(ctx, "a", []byte("2"), 0, 0); !errors.Is(err, kv.ErrConflict) {
+		t.Error(err)
+	}
+	if pair, err := s.Get(ctx, "a"); err != nil || pair.ModRevision != revision || string(pair.Value) != "1" {
+		t.Errorf("%v, %v", pair, err)
+	}
+	want := map[string]float64{
+		"call=compare_and_swap result=conflict": 1, "call=compare_and_swap result=ok": 1,
+		"call=get result=not_found": 1, "call=get result=ok": 1,
+	}
+	if got := values(t, registry, "store_calls_total"); !maps.Equal(got, want) {
+		t.Errorf("calls %v", got)
+	}
+}
+
+// Guards against a delay that is counted twice, for a process that was ahead, or for one whose state was never known.
+func TestSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := prometheus.NewRegistry()
+		s := NewSpread(registry)
+		s.Reported("late", 1)
+		s.Reported("ahead", 5)
+		s.Applied(5)
+		time.Sleep(400 * time.Millisecond)
+		for range 2 {
+			s.Reported("late", 5)
+			s.Reported("ahead", 5)
+			s.Reported("new", 5)
+		}
+		s.Applied(4)
+		s.Reported("late", 5)
+		families, err := registry.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h := families[0].GetMetric()[0].GetHistogram(); h.GetSampleCount() != 1 || h.GetSampleSum() != 0.4 {
+			t.Errorf("%d delays, sum %v", h.GetSampleCount(), h.GetSampleSum())
+		}
+	})
+}
+
+// Guards against a shard that nobody grants for and that is not counted.
+func TestShardsWithoutOwner(t *testing.T) {
+	m := NewEntry()
+	m.WatchShards(func() []Shard {
+		return []Shard{{"granting", true}, {"remote", true}, {"remote", false}, {"waiting", false}}
+	})
+	if got := values(t, m.Registry, "ledger_shards_without_owner"); got[""] != 2 {
+		t.Errorf("without owner: %v", got)
+	}
+	want := map[string]float64{"state=granting": 1, "state=remote": 2, "state=waiting": 1}
+	if got := values(t, m.Registry, "ledger_shards"); !maps.Equal(got, want) {
+		t.Errorf("shards %v", got)
+	}
+}
+
+// values returns the values of a counter or gauge by their labels.
+func values(t *testing.T, registry *prometheus.Registry, name string) map[string]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]float64)
+	for _, family := range families {
+		if family.GetName() != namespace+"_"+name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			var labels []string
+			for _, l := range m.GetLabel() {
+				labels = append(labels, l.GetName()+"="+l.GetValue())
+			}
+			found[strings.Join(labels, " ")] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return found
+}
--- a/internal/process/certificate.go
+++ b/internal/process/certificate.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -22,6 +23,11 @@
 	checked     time.Time
 }
 
+// listener returns a TLS listener that shows the newest certificate.
+func (r *certificateReloader) listener(plain net.Listener) net.Listener {
+	return tls.NewListener(plain, &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: r.server})
+}
+
 func (r *certificateReloader) server(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.load() }
 
 func (r *certificateReloader) client(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -68,7 +68,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	return tls.NewListener(listener, &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: reloader.server}), nil
+	return reloader.listener(listener), nil
 }
 
 // PeerListener opens the listener for other processes. With certificates both sides must show one of the authority.
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -299,12 +299,13 @@
 	return &wirev1.CancelReply{State: wirev1.CallState_CALL_STATE_RUNNING}
 }
 
-// order carries out an operator's order if its fencing number is the highest seen.
+// order carries out an operator's order if its fencing number is the highest seen. Only drain and return may come without a
+// number, from an entry that could not get one.
 func (s *Sidecar) order(ctx context.Context, req *wirev1.OrderRequest) *wirev1.OrderReply {
 	s.mu.Lock()
 	highest := s.highestOrder
-	stale := req.GetFencingNumber() <= highest
-	if !stale {
+	stale := req.GetFencingNumber() <= highest && (req.GetFencingNumber() != 0 || req.GetEngine() != nil)
+	if req.GetFencingNumber() > highest {
 		s.highestOrder = req.GetFencingNumber()
 		highest = s.highestOrder
 	}
