systemtest: use the shared set-up and count of runs in all tests

The set-up of a small world and the count of runs of a booking stood in each test; they are now called from one place.

--- a/internal/systemtest/faults_test.go
+++ b/internal/systemtest/faults_test.go
@@ -136,8 +136,7 @@
 		}
 		time.Sleep(time.Minute)
 		for i, a := range answers {
-			runs := w.services["ledger-0"].Audit().Bookings[fmt.Sprintf("b%d", i)] +
-				w.services["ledger-1"].Audit().Bookings[fmt.Sprintf("b%d", i)]
+			runs := w.runsOf(fmt.Sprintf("b%d", i))
 			switch {
 			case runs > 1:
 				violation = fmt.Sprintf("booking %d ran %d times", i, runs)
--- a/internal/systemtest/late_test.go
+++ b/internal/systemtest/late_test.go
@@ -38,8 +38,7 @@
 	time.Sleep(time.Minute)
 	for i := range 4 {
 		name := fmt.Sprintf("b%d", i)
-		runs := w.services["ledger-0"].Audit().Bookings[name] + w.services["ledger-1"].Audit().Bookings[name]
-		if runs > 1 {
+		if runs := w.runsOf(name); runs > 1 {
 			t.Errorf("phase %v, late %v: booking %s ran %d times", phase, late, name, runs)
 		}
 	}
--- a/internal/systemtest/repeat_test.go
+++ b/internal/systemtest/repeat_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/standin/service"
@@ -22,9 +21,7 @@
 // Guards against a booking that runs again when its caller repeats it with the same idempotency key through another entry
 // host, while the first attempt runs and after it.
 func TestRepeatedBookingRunsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		for _, s := range w.services {
 			s.SetFaults(service.Faults{DelayMS: 500, Count: 1})
 		}
@@ -51,9 +48,7 @@
 
 // Guards against a marked repeat that runs because the sidecar that knew the first attempt has restarted.
 func TestRepeatAfterRestartIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := small(t)
-		defer w.close()
+	inSmallWorld(t, func(t *testing.T, w *world) {
 		header := http.Header{"Idempotency-Key": {"k1"}}
 		if a := w.book(context.Background(), "entry-0", "b", header); !a.whole {
 			t.Fatalf("booking: %+v", a)
