entry, events: no retries without an upstream, a timeline that reads in order

The service's wait took the reason alone, which a call lost with its sidecar shares although it may have run; the verdict is checked now. Orders reached only upstreams of the entry's subset; they now dial the others.

--- a/cmd/fulmardoorctl/live.go
+++ b/cmd/fulmardoorctl/live.go
@@ -108,6 +108,10 @@
 
 func upstreamState(u admin.UpstreamStatus) string {
 	switch {
+	case !u.Linked && u.Declared:
+		return "leaving (document)"
+	case !u.Linked:
+		return "seen by other entries"
 	case !u.Connected:
 		return "not connected"
 	case u.Stalled:
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -98,6 +98,8 @@
 	Accepting  bool   `json:"accepting"`
 	Stalled    bool   `json:"stalled"`
 	Leaving    bool   `json:"leaving"`
+	// Linked is set if the answering process keeps a session to the upstream's sidecar; each process does to some only.
+	Linked bool `json:"linked"`
 	// Declared is set if the document declares the upstream leaving.
 	Declared   bool    `json:"leaving_in_document"`
 	Places     uint32  `json:"places"`
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -20,10 +20,12 @@
 	limit   int
 	running int
 	waiting *fairqueue.Queue[chan struct{}]
+	// waited is called with the time that a request waited.
+	waited func(time.Duration)
 }
 
 func newAdmission(limit int) *admission {
-	return &admission{limit: limit, waiting: fairqueue.New[chan struct{}](maxWaitingPerAccount)}
+	return &admission{limit: limit, waited: func(time.Duration) {}, waiting: fairqueue.New[chan struct{}](maxWaitingPerAccount)}
 }
 
 // enter waits for room until ctx ends or for at most a limit. The caller calls leave after a nil error, which otherwise is a
@@ -35,6 +37,8 @@
 		a.mu.Unlock()
 		return nil
 	}
+	begin := time.Now()
+	defer func() { a.waited(time.Since(begin)) }()
 	turn := make(chan struct{})
 	item, err := a.waiting.Push(account, weight, cost, turn)
 	a.mu.Unlock()
@@ -56,7 +60,7 @@
 		a.leave() // the turn came at the same moment
 	}
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return verdict.Refuse(wirev1.Reason_REASON_CANCELLED, "the request ended while it waited")
 	}
 	return a.refuse("this process runs as many requests as it may")
 }
@@ -67,6 +71,13 @@
 	return refusal
 }
 
+// load returns how many requests run and wait.
+func (a *admission) load() (running, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running, a.waiting.Len()
+}
+
 // leave passes the room on to the next waiting request.
 func (a *admission) leave() {
 	a.mu.Lock()
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -153,7 +153,8 @@
 }
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
-	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving, Declared: u.leaving}
+	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving, Declared: u.leaving,
+		Linked: u.link.Load() != nil}
 	session := u.session()
 	if session == nil {
 		return status
@@ -195,6 +196,7 @@
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
 		return admin.OrderReply{}, errors.Wrap(admin.ErrNoUpstream, name)
 	}
+	e.upstreams.demand(ctx, u)
 	session := u.session()
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -122,8 +122,13 @@
 			return
 		}
 		refusal := verdict.As(err)
-		if c.mayWait(refusal) && pause(c.ctx, replanPause) {
-			continue
+		if c.mayWait(refusal) {
+			c.noteWaiting(refusal)
+			if pause(c.ctx, replanPause) {
+				continue
+			}
+			c.fail(c.endCause(refusal))
+			return
 		}
 		if !c.mayRetry(refusal) {
 			c.fail(refusal)
@@ -138,10 +143,7 @@
 // mayWait reports whether to plan again later because no upstream accepts work now. It costs the upstreams nothing, so it
 // draws nothing from the retry budget.
 func (c *completion) mayWait(refusal *verdict.Refusal) bool {
-	if refusal.Reason != wirev1.Reason_REASON_NO_UPSTREAM || refusal.Verdict != verdict.NotRun {
-		return false
-	}
-	return c.worthWaiting()
+	return noUpstream(refusal) && c.worthWaiting()
 }
 
 // worthWaiting reports whether the first token can still be in time, or the gap in the stream is still short.
@@ -153,7 +155,8 @@
 }
 
 func (c *completion) mayRetry(refusal *verdict.Refusal) bool {
-	if !retryable(refusal) {
+	// Without an upstream the next attempt would end the same way at once. mayWait decides how long that is waited for.
+	if !retryable(refusal) || noUpstream(refusal) {
 		return false
 	}
 	// Running a prompt twice has no lasting effect, so model requests count as idempotent.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,8 +93,9 @@
 		metrics:   metrics.NewEntry(),
 		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
-		admission: newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning())),
 	}
+	e.admission = newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning()))
+	e.admission.waited = e.metrics.WaitedForAdmission
 	e.spread = metrics.NewSpread(e.metrics.Registry)
 	e.store = metrics.Store(e.metrics.Registry, cfg.Store)
 	e.upstreams = newUpstreamPool(process.GetName(), int(cfg.Settings.GetCallers().GetUpstreamSubset()), cfg.Connector, e.Options())
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -22,6 +22,7 @@
 		State: func() string { return e.conf.State().String() }, States: confsync.StateNames(),
 	})
 	metrics.WatchTraffic(e.metrics.Registry, e.traffic)
+	e.metrics.WatchAdmission(e.admission.load)
 	e.metrics.WatchShards(e.shardOwnership)
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -28,6 +28,8 @@
 	chargeID  *wirev1.CallID
 	charged   uint64
 	chargedAt time.Time
+	// waiting is set when a wait for an upstream was recorded.
+	waiting bool
 }
 
 func (e *Entry) newRequest(w http.ResponseWriter, r *http.Request) *request {
@@ -84,6 +86,9 @@
 		return err
 	}
 	r.chargeID, r.charged, r.chargedAt = id, tokens, asked
+	if !first {
+		return nil // an exchange for a fresh charge of the same size
+	}
 	r.e.events.Record("charged", r.name, "", field("account", r.caller.account), field("tokens", tokens))
 	return nil
 }
@@ -118,6 +123,20 @@
 	}
 }
 
+// noUpstream reports whether a request ended because no upstream accepts work now.
+func noUpstream(refusal *verdict.Refusal) bool {
+	return refusal.Reason == wirev1.Reason_REASON_NO_UPSTREAM && refusal.Verdict == verdict.NotRun
+}
+
+// noteWaiting records once that the request waits for an upstream that accepts work.
+func (r *request) noteWaiting(refusal *verdict.Refusal) {
+	if !r.waiting {
+		r.waiting = true
+		r.e.events.Record("waiting", r.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
+			field("detail", refusal.Detail))
+	}
+}
+
 // retryable reports whether another attempt can end better. Refusals that concern the request itself cannot.
 func retryable(refusal *verdict.Refusal) bool {
 	switch refusal.Reason {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -105,7 +105,9 @@
 			err = s.endCause(err)
 		}
 		refusal := verdict.As(err)
-		if refusal.Reason == wirev1.Reason_REASON_NO_UPSTREAM && s.worthWaiting() && pause(s.ctx, replanPause) {
+		// A call that was lost with its sidecar has the same reason but may have run.
+		if noUpstream(refusal) && !s.begun && s.worthWaiting() && pause(s.ctx, replanPause) {
+			s.noteWaiting(refusal)
 			attempts--
 			continue // nothing was sent
 		}
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -211,6 +211,29 @@
 	}
 }
 
+// Guards against a revision that is left out where it changed, and against one on every line.
+func TestTextShowsChangesOfRevision(t *testing.T) {
+	entry, sidecar := New("entry-1", "e1", "d", 10), New("sidecar-1", "s1", "d", 10)
+	for _, step := range []struct {
+		recorder *Recorder
+		revision uint64
+	}{{entry, 4}, {entry, 4}, {sidecar, 4}, {entry, 5}, {entry, 5}, {sidecar, 4}} {
+		step.recorder.SetConfigRevision(step.revision)
+		step.recorder.Record("k", "", "")
+		entry.Observe(sidecar.Now())
+		sidecar.Observe(entry.Now())
+	}
+	var text strings.Builder
+	if err := WriteText(&text, Merge([]*wirev1.EventReply{entry.Query(nil), sidecar.Query(nil)})); err != nil {
+		t.Fatal(err)
+	}
+	for want, count := range map[string]int{"config_revision=4": 2, "config_revision=5": 1} {
+		if got := strings.Count(text.String(), want); got != count {
+			t.Errorf("%s is there %d times, want %d:\n%s", want, got, count, text.String())
+		}
+	}
+}
+
 // Guards against a page that fails without events.
 func TestWriteNothing(t *testing.T) {
 	if err := WriteHTML(io.Discard, Merge(nil)); err != nil {
--- a/internal/events/timeline.go
+++ b/internal/events/timeline.go
@@ -19,6 +19,7 @@
 	timeFormat      = "2006-01-02T15:04:05.000000Z"
 	timeOfDayFormat = "15:04:05.000000"
 	columnGap       = 2
+	revisionDetail  = "config_revision"
 )
 
 // identity tells events apart. Sequence numbers start again when a process restarts.
@@ -29,7 +30,8 @@
 	unixNanos int64
 }
 
-// Merge returns the events of all replies in one causal order: by Lamport clock, then process, then sequence number. An
+// Merge returns the events of all replies in one causal order: by Lamport clock, then by the hosts' clocks, which order
+// events of equal Lamport clocks, always of different processes, mostly as a reader expects. An
 // event that is in several replies appears once.
 func Merge(replies []*wirev1.EventReply) []*wirev1.Event {
 	var merged []*wirev1.Event
@@ -51,16 +53,16 @@
 func compare(a, b *wirev1.Event) int {
 	return cmp.Or(
 		cmp.Compare(a.GetLamport(), b.GetLamport()),
+		cmp.Compare(a.GetUnixNanos(), b.GetUnixNanos()),
 		cmp.Compare(a.GetProcess(), b.GetProcess()),
 		cmp.Compare(a.GetSequence(), b.GetSequence()),
 		// Two processes of one name, or one before and after a restart.
 		cmp.Compare(a.GetHost(), b.GetHost()),
-		cmp.Compare(a.GetUnixNanos(), b.GetUnixNanos()),
 	)
 }
 
 // WriteText writes the processes that the events come from, a line of headings, and one line for each event in the order
-// of events: time of day in UTC by the clock of the event's host, process, kind, and the fields that are set. The order is
+// of events: time of day in UTC by the clock of the event's host, process, kind, and the fields that are set; the revision only where it differs from the line before. The order is
 // causal, so the clocks of two hosts may disagree with it.
 func WriteText(w io.Writer, events []*wirev1.Event) error {
 	buffer := bufio.NewWriter(w)
@@ -71,9 +73,15 @@
 	names := writeProcesses(buffer, events)
 	rows := tabwriter.NewWriter(buffer, 0, 1, columnGap, ' ', 0)
 	fmt.Fprintln(rows, "time\tprocess\tevent\tdetails")
+	shown := make(map[string]uint64) // last revision on a line of the lane
 	for _, event := range events {
-		fmt.Fprintf(rows, "%s\t%s\t%s\t%s\n", formatTimeOfDay(event), names[laneName(event)], quote(event.GetKind()),
-			joinDetails(event))
+		lane := laneName(event)
+		list := details(event)
+		if shown[lane] == event.GetConfigRevision() {
+			list = slices.DeleteFunc(list, func(d detail) bool { return d.Name == revisionDetail })
+		}
+		shown[lane] = event.GetConfigRevision()
+		fmt.Fprintf(rows, "%s\t%s\t%s\t%s\n", formatTimeOfDay(event), names[lane], quote(event.GetKind()), joinDetails(list))
 	}
 	if err := rows.Flush(); err != nil {
 		return err
@@ -108,8 +116,7 @@
 	return names
 }
 
-func joinDetails(event *wirev1.Event) string {
-	list := details(event)
+func joinDetails(list []detail) string {
 	words := make([]string, len(list))
 	for i, d := range list {
 		words[i] = quote(d.Name) + "=" + quote(d.Value)
@@ -132,7 +139,7 @@
 		list = append(list, detail{"request", request})
 	}
 	if revision := event.GetConfigRevision(); revision != 0 {
-		list = append(list, detail{"config_revision", strconv.FormatUint(revision, 10)})
+		list = append(list, detail{revisionDetail, strconv.FormatUint(revision, 10)})
 	}
 	return list
 }
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -30,6 +30,7 @@
 	prefillWasted     *prometheus.CounterVec
 	placeWaits        *prometheus.GaugeVec
 	placeWait         *prometheus.HistogramVec
+	admissionWait     prometheus.Histogram
 }
 
 // NewEntry returns registered collectors.
@@ -56,9 +57,11 @@
 		}, []string{"pool", "role"}),
 		placeWait: histogramVec("place_wait_seconds", "Time that requests waited for a place, by whether they got one.",
 			waitBuckets, "pool", "role", "granted"),
+		admissionWait: histogram("admission_wait_seconds",
+			"Time that requests waited because the process ran as many as it may; others do not wait.", waitBuckets),
 	}
 	m.Registry.MustRegister(m.served, m.goodput, m.refused, m.refusedWithinRate, m.retried, m.callersLost,
-		m.firstToken, m.tokenGap, m.prefillTokens, m.prefillWasted, m.placeWaits, m.placeWait,
+		m.firstToken, m.tokenGap, m.prefillTokens, m.prefillWasted, m.placeWaits, m.placeWait, m.admissionWait,
 		gaugeFunc("account_least_granted_ratio",
 			"Least share of granted to asked tokens over the client accounts of the last minute; 1 without any.",
 			func() float64 { return m.Accounts.LeastGranted().Ratio }),
@@ -146,6 +149,22 @@
 	}
 }
 
+// WaitedForAdmission observes the time that a request waited because the process ran as many as it may.
+func (m *Entry) WaitedForAdmission(d time.Duration) { m.admissionWait.Observe(d.Seconds()) }
+
+// WatchAdmission adds the gauges of the requests that run in the process and wait for that.
+func (m *Entry) WatchAdmission(read func() (running, waiting int)) {
+	m.Registry.MustRegister(
+		gaugeFunc("requests_running", "Requests that run in this process now.", func() float64 {
+			running, _ := read()
+			return float64(running)
+		}),
+		gaugeFunc("requests_waiting", "Requests that wait because this process runs as many as it may.", func() float64 {
+			_, waiting := read()
+			return float64(waiting)
+		}))
+}
+
 // Shard is what the metrics need of the state of a ledger shard.
 type Shard struct {
 	State string
