entry: services without an upstream take no retries either; status names lost members

The test found that a call of a plain service spent attempts of the retry budget once its wait was over. The status page named an entry process by its address while it was lost, which is when its name is needed. Refused applies and reads of the store say whether anything was changed.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -103,7 +103,7 @@
 func (s *server) getDocument(w http.ResponseWriter, r *http.Request, _ Operator) {
 	text, revision, err := s.backend.Document(r.Context(), pathValue(r, "team"))
 	if err != nil {
-		s.fail(w, http.StatusServiceUnavailable, err.Error())
+		s.fail(w, http.StatusServiceUnavailable, "the document could not be read: "+err.Error())
 		return
 	}
 	w.Header().Set(HeaderRevision, strconv.FormatInt(revision, 10))
@@ -131,7 +131,7 @@
 	team := pathValue(r, "team")
 	reply, err := s.backend.Apply(r.Context(), team, text, revision)
 	if err != nil {
-		s.fail(w, http.StatusServiceUnavailable, err.Error())
+		s.fail(w, http.StatusServiceUnavailable, "nothing was changed: "+err.Error())
 		return
 	}
 	s.logger.Info("document applied", zap.String("operator", operator.Name), zap.String("team", team),
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -167,7 +167,7 @@
 		{reply: ApplyReply{Outcome: OutcomeRejected, Faults: []string{"a", "b"}}},
 		{reply: ApplyReply{Outcome: OutcomeLostRace, Revision: 9, OtherText: "other"}},
 		{reply: ApplyReply{Outcome: OutcomeUnknown, Detail: "lost"}},
-		{err: errors.New("store down"), failed: "store down"},
+		{err: errors.New("store down"), failed: "nothing was changed: store down"},
 	} {
 		backend := &fakeBackend{apply: c.reply, err: c.err}
 		got, err := NewClient(serveAPI(t, backend), "one").Apply(t.Context(), "kilimo", []byte("text"), 7)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -162,8 +162,8 @@
 
 // label names a member for operators: by its process, or by its address before the first session.
 func (m member) label() string {
-	if session := m.peer.Session(); session != nil {
-		return session.Remote().GetProcess()
+	if m.name != "" {
+		return m.name
 	}
 	return m.address
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -111,7 +111,7 @@
 			attempts--
 			continue // nothing was sent
 		}
-		again := s.ctx.Err() == nil && retryable(refusal) && attempts < maxServiceAttempts &&
+		again := s.ctx.Err() == nil && retryable(refusal) && !noUpstream(refusal) && attempts < maxServiceAttempts &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
 			s.e.metrics.Retried("service", refusal.Reason)
