--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -153,11 +154,7 @@
 func (f *fleet) all() map[string]*Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := map[string]*Node{}
-	for name, n := range f.nodes {
-		all[name] = n
-	}
-	return all
+	return maps.Clone(f.nodes)
 }
 
 // cut puts processes on a side of their own; messages pass within a side only.
--- a/internal/confsync/node_test.go
+++ b/internal/confsync/node_test.go
@@ -108,6 +108,25 @@
 	})
 }
 
+// Guards against lists of all documents where a read of the revision or the rest of the watch is enough: while nothing
+// changes in a store without progress notices, and after a short outage.
+func TestNoNeedlessLists(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		lists := f.store.lists.Load()
+		f.store.SetFaults(memory.Faults{NoProgress: true})
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(memory.Faults{Down: true})
+		time.Sleep(time.Second)
+		revision := f.store.write("kilimo", teamText("kilimo", 2))
+		f.store.SetFaults(memory.Faults{})
+		f.wantRevision("kilimo", revision, 5*time.Second)
+		f.wantState(Fresh, "entry-000", "entry-001", "entry-002")
+		if more := f.store.lists.Load() - lists; more != 0 {
+			t.Errorf("%d more lists", more)
+		}
+	})
+}
+
 // Guards against a cut-off entry that goes on with old keys, and against one that never comes back.
 func TestIsolatedEntryStops(t *testing.T) {
 	inFleet(t, 5, func(f *fleet) {
--- a/internal/ledger/node_test.go
+++ b/internal/ledger/node_test.go
@@ -134,3 +134,19 @@
 		}
 	})
 }
+
+// Guards against a write that is begun while the store does not answer reads: in doubt, it would keep the node from giving
+// promises until the store is back.
+func TestNoWriteWithoutRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New(memory.Options{Faults: memory.Faults{Hanging: true}})
+		members := &memberList{names: fleetNames}
+		n := New(Config{Self: "a", Shards: 1, Store: store, Members: members, Logger: zap.NewNop()})
+		s := n.shards[0]
+		s.record, s.revision, s.held = record{Owner: "a", Epoch: 1}, 2, true
+		n.maintain(t.Context())
+		if calls := store.Calls(); calls.Reads != 1 || calls.Writes != 0 || s.writing {
+			t.Errorf("%+v, writing %v", calls, s.writing)
+		}
+	})
+}
