--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/admin"
@@ -17,6 +21,9 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
+// drainNumberTimeout is the longest wait for the fencing number of a drain or return.
+const drainNumberTimeout = 2 * time.Second
+
 // Document implements admin.Backend.
 func (e *Entry) Document(ctx context.Context, team string) ([]byte, int64, error) {
 	pair, err := e.store.Get(ctx, confsync.Prefix+team)
@@ -88,6 +95,9 @@
 		}
 		status.Nodes = append(status.Nodes, nodeStatus(u.name, "sidecar", u.session(), revision))
 	}
+	slices.SortFunc(status.Nodes, func(a, b admin.NodeStatus) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Process, b.Process))
+	})
 	for _, s := range e.ledger.Status() {
 		status.Shards = append(status.Shards, admin.Shard{
 			Shard: int(s.Shard), Owner: s.Owner, Successor: s.Successor, Epoch: s.Epoch, State: string(s.State),
@@ -126,6 +136,7 @@
 		}
 		list = append(list, upstreamStatus(u))
 	}
+	slices.SortFunc(list, func(a, b admin.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -142,7 +153,7 @@
 }
 
 func upstreamStatus(u *upstream) admin.UpstreamStatus {
-	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving}
+	status := admin.UpstreamStatus{Name: u.name, Pool: u.pool, Role: u.roleName, Leaving: u.leaving, Declared: u.leaving}
 	session := u.session()
 	if session == nil {
 		return status
@@ -160,19 +171,35 @@
 	return status
 }
 
+// fencingNumber issues the number of an order. Drain and return must work while the store is down; they then go without a
+// number, since the worst that an old one can do is shown by the upstream's state and undone by another.
+func (e *Entry) fencingNumber(ctx context.Context, upstream string, order *wirev1.OrderRequest) (uint64, error) {
+	if order.GetEngine() != nil {
+		return orders.Issue(ctx, e.store, upstream)
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainNumberTimeout)
+	defer cancel()
+	number, err := orders.Issue(ctx, e.store, upstream)
+	if err != nil {
+		e.logger.Warn("order without fencing number", zap.String("upstream", upstream), zap.Error(err))
+		return 0, nil
+	}
+	return number, nil
+}
+
 // Order implements admin.Backend.
 func (e *Entry) Order(
 	ctx context.Context, team, name string, order *wirev1.OrderRequest,
 ) (admin.OrderReply, error) {
 	u := e.upstreams.get(name)
 	if u == nil || (team != admin.AllTeams && e.upstreamTeam(name) != team) {
-		return admin.OrderReply{}, errors.Errorf("your team has no upstream %q", name)
+		return admin.OrderReply{}, errors.Wrap(admin.ErrNoUpstream, name)
 	}
 	session := u.session()
 	if session == nil {
 		return admin.OrderReply{}, errors.Errorf("no connection to the process beside %s", name)
 	}
-	number, err := orders.Issue(ctx, e.store, name)
+	number, err := e.fencingNumber(ctx, name, order)
 	if err != nil {
 		return admin.OrderReply{}, errors.Wrap(err, "fencing number")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,6 +188,7 @@
 	e.setMeanRate(snapshot)
 	e.upstreams.apply(snapshot.Upstreams())
 	e.spread.Applied(snapshot.Revision)
+	e.events.SetConfigRevision(snapshot.Revision)
 	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
 }
