--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -69,27 +69,30 @@
 // of this run's own none of them can occupy the port of a program between two starts.
 var addresses = struct {
 	sync.Mutex
-	host  string
-	given map[string]bool
-}{host: loopbackOf(os.Getpid()), given: make(map[string]bool)}
+	host string
+	next int // ports given out
+}{host: loopbackOf(os.Getpid())}
 
 func loopbackOf(pid int) string { return fmt.Sprintf("127.%d.%d.1", 1+pid%250, pid/250%250) }
 
+// firstPort is below the ports that the system gives to outgoing connections.
+const firstPort = 20000
+
+// freeAddress returns an address that no other call gets. Ports are counted up: one that the system chose and gave back
+// could be chosen again, before its process listens, for a listener that asks the system itself.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	addresses.Lock()
 	defer addresses.Unlock()
 	for range 100 {
-		listener, err := net.Listen("tcp", addresses.host+":0")
+		addresses.next++
+		address := fmt.Sprintf("%s:%d", addresses.host, firstPort+addresses.next)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		address := listener.Addr().String()
 		_ = listener.Close()
-		if !addresses.given[address] {
-			addresses.given[address] = true
-			return address
-		}
+		return address
 	}
 	t.Fatal("no free address")
 	return ""
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -46,7 +46,7 @@
 
 func startRelay(t testing.TB, target string) *relay {
 	t.Helper()
-	listener, err := net.Listen("tcp", addresses.host+":0")
+	listener, err := net.Listen("tcp", freeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
