confsync: an announced revision is remembered until its peer is silent for a minute

Cause: forgetSilent looked at the last heartbeat, so a peer known only from an announcement was dropped at the next tick, and with it the knowledge that something is missing, if the first pull had failed by then. Ruled out: the pull itself, which is tried again as long as the revision is known.

--- a/internal/confsync/freshness.go
+++ b/internal/confsync/freshness.go
@@ -130,7 +130,7 @@
 	n.fresh.pending = nil
 	n.fresh.outageSeen = time.Time{}
 	for peer, last := range n.heard {
-		n.heard[peer] = contact{revision: last.revision}
+		n.heard[peer] = contact{revision: last.revision, told: now}
 	}
 }
 
--- a/internal/confsync/node.go
+++ b/internal/confsync/node.go
@@ -101,6 +101,8 @@
 	// store says that the peer has direct contact with the key-value service.
 	store    bool
 	revision uint64
+	// told is the last time that the peer told its revision, by a push or a heartbeat.
+	told time.Time
 }
 
 // New returns a node without configuration.
@@ -249,7 +251,7 @@
 
 // takeContact notes that a peer is alive and what it confirms. n.mu must be held.
 func (n *Node) takeContact(peer string, heartbeat *wirev1.Heartbeat, now time.Time) {
-	n.heard[peer] = contact{at: now, store: heartbeat.GetStoreContact(), revision: n.heard[peer].revision}
+	n.heard[peer] = contact{at: now, store: heartbeat.GetStoreContact(), revision: n.heard[peer].revision, told: now}
 	if age := heartbeat.GetConfigAgeMs(); age >= 0 {
 		confirmed := now.Add(-time.Duration(age) * time.Millisecond)
 		n.fresh.confirm(n.history.revision, heartbeat.GetConfigRevision(), confirmed)
@@ -271,15 +273,16 @@
 func (n *Node) learnRevision(peer string, revision uint64) {
 	known := n.heard[peer]
 	known.revision = max(known.revision, revision)
+	known.told = time.Now()
 	n.heard[peer] = known
 }
 
-// forgetSilent removes peers whose last heartbeat is older than forgetAfter, and those without a heartbeat since the start
-// or the last pause. Their next heartbeat brings their revision again. n.mu must be held.
+// forgetSilent removes peers that have told nothing for forgetAfter. A revision that was announced is remembered until then, so
+// that it is pulled even if its peer sends nothing more. n.mu must be held.
 func (n *Node) forgetSilent(now time.Time) {
 	const forgetAfter = time.Minute
 	for peer, last := range n.heard {
-		if now.Sub(last.at) > forgetAfter {
+		if now.Sub(last.told) > forgetAfter {
 			delete(n.heard, peer)
 		}
 	}
