--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -161,3 +161,16 @@
 		readFrames(t, again, Observer, 1, 1)
 	})
 }
+
+// Guards against a call that starts after its entry cancelled it while it waited for its place.
+func TestCancelledBeforeStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := transport.NewNonceIssuer(1)
+		r := NewRegistry(issuer, 0)
+		req := execute(issuer, 1)
+		r.Bar(FromWire(req.GetCall()))
+		if _, _, err := r.Start(req); err == nil || verdict.As(err).Reason != wirev1.Reason_REASON_BARRED {
+			t.Errorf("cancelled call started, err %v", err)
+		}
+	})
+}
--- a/internal/call/registry.go
+++ b/internal/call/registry.go
@@ -127,6 +127,16 @@
 	return running
 }
 
+// Bar keeps a call that has not started from starting: its entry cancelled it while it waited for its place.
+func (r *Registry) Bar(id ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep()
+	if _, ok := r.calls[id]; !ok {
+		r.barred[id] = time.Now()
+	}
+}
+
 // Undelivered counts the calls that run or whose answer a stream is still delivering.
 func (r *Registry) Undelivered() int {
 	r.mu.Lock()
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -20,6 +20,8 @@
 const (
 	// replanPause is the time between two looks for an upstream that accepts work.
 	replanPause = 100 * time.Millisecond
+	// finishLength is the finish reason of an answer that max_tokens ended.
+	finishLength = "length"
 	// continueLimit is the longest gap in a stream while another engine is looked for.
 	continueLimit = 10 * time.Second
 )
@@ -117,6 +119,11 @@
 			c.complete(outcome)
 			return
 		}
+		if len(c.delivered) >= c.maxTokens {
+			// Only the end of the answer was lost.
+			c.complete(&wirev1.Outcome{FinishReason: finishLength})
+			return
+		}
 		if c.ctx.Err() != nil {
 			c.fail(c.endCause(err))
 			return
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -155,6 +155,9 @@
 			return nil, err
 		}
 	}
+	// A later place would come after the eviction of the prefill that waits for it; the entry asks other engines before.
+	ctx, cancel := context.WithTimeout(ctx, places.DefaultLateLimit)
+	defer cancel()
 	if err := reservation.Begin(ctx); err != nil {
 		reservation.Release()
 		return nil, err
@@ -293,6 +296,7 @@
 	}
 	c := s.calls.Get(id)
 	if c == nil {
+		s.calls.Bar(id)
 		return &wirev1.CancelReply{State: wirev1.CallState_CALL_STATE_UNKNOWN}
 	}
 	s.upstream.Release(id)
