--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
@@ -19,7 +16,6 @@
 	"github.com/fulmardoor/fulmardoor/internal/hostlist/httpsd"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
 	"github.com/fulmardoor/fulmardoor/internal/process"
-	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 )
 
@@ -30,41 +26,10 @@
 )
 
 func main() {
-	config := &cli.StringFlag{Name: "config", Usage: "settings file in INI", Required: true}
-	root := &cli.Command{
-		Name: "fulmardoor-entry", Usage: "entry process of the fulmardoor router", Version: process.Version,
-		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve until SIGTERM", Flags: []cli.Flag{config}, Action: run},
-			{Name: "check-config", Usage: "check the settings file and exit", Flags: []cli.Flag{config}, Action: check},
-		},
-	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "fulmardoor-entry:", err)
-		os.Exit(1)
-	}
+	process.Main("fulmardoor-entry", "entry process of the fulmardoor router", func() *configv1.EntrySettings { return new(configv1.EntrySettings) }, run)
 }
 
-func load(cmd *cli.Command) (*configv1.EntrySettings, error) {
-	s := new(configv1.EntrySettings)
-	if err := settings.Load(cmd.String("config"), s); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := load(cmd); err != nil {
-		return err
-	}
-	fmt.Println("settings are valid")
-	return nil
-}
-
-func run(_ context.Context, cmd *cli.Command) error {
-	s, err := load(cmd)
-	if err != nil {
-		return err
-	}
+func run(s *configv1.EntrySettings) error {
 	logger, level, err := process.Logger(s.GetProcess())
 	if err != nil {
 		return err
@@ -149,15 +114,8 @@
 	case <-cut:
 	case <-time.After(s.GetCallers().GetDrainDelay().AsDuration()):
 	}
-	wait, cancelWait := context.WithTimeout(context.Background(), s.GetCallers().GetDrainLimit().AsDuration())
+	wait, cancelWait := process.DrainContext(s.GetCallers().GetDrainLimit().AsDuration(), cut)
 	defer cancelWait()
-	go func() {
-		select {
-		case <-cut:
-			cancelWait()
-		case <-wait.Done():
-		}
-	}()
 	// Shutdown closes the listener and waits for running requests.
 	if err := server.Shutdown(wait); err != nil {
 		_ = server.Close()
--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -3,20 +3,16 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	"github.com/fulmardoor/fulmardoor/internal/engine/httpengine"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdhttp"
 	"github.com/fulmardoor/fulmardoor/internal/process"
-	"github.com/fulmardoor/fulmardoor/internal/settings"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 )
@@ -24,34 +20,7 @@
 const readHeaderTimeout = 10 * time.Second
 
 func main() {
-	config := &cli.StringFlag{Name: "config", Usage: "settings file in INI", Required: true}
-	root := &cli.Command{
-		Name: "fulmardoor-sidecar", Usage: "process beside one upstream of the fulmardoor router", Version: process.Version,
-		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve until SIGTERM", Flags: []cli.Flag{config}, Action: run},
-			{Name: "check-config", Usage: "check the settings file and exit", Flags: []cli.Flag{config}, Action: check},
-		},
-	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "fulmardoor-sidecar:", err)
-		os.Exit(1)
-	}
-}
-
-func load(cmd *cli.Command) (*configv1.SidecarSettings, error) {
-	s := new(configv1.SidecarSettings)
-	if err := settings.Load(cmd.String("config"), s); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := load(cmd); err != nil {
-		return err
-	}
-	fmt.Println("settings are valid")
-	return nil
+	process.Main("fulmardoor-sidecar", "process beside one upstream of the fulmardoor router", func() *configv1.SidecarSettings { return new(configv1.SidecarSettings) }, run)
 }
 
 func upstream(s *configv1.UpstreamSettings, logger *zap.Logger) sidecar.Upstream {
@@ -64,11 +33,7 @@
 	})
 }
 
-func run(_ context.Context, cmd *cli.Command) error {
-	s, err := load(cmd)
-	if err != nil {
-		return err
-	}
+func run(s *configv1.SidecarSettings) error {
 	logger, level, err := process.Logger(s.GetProcess())
 	if err != nil {
 		return err
@@ -112,15 +77,8 @@
 		return errors.Wrap(err, "sidecar failed")
 	case <-stop.Done():
 	}
-	wait, cancelWait := context.WithTimeout(context.Background(), s.GetUpstream().GetDrainLimit().AsDuration())
+	wait, cancelWait := process.DrainContext(s.GetUpstream().GetDrainLimit().AsDuration(), cut)
 	defer cancelWait()
-	go func() {
-		select {
-		case <-cut:
-			cancelWait()
-		case <-wait.Done():
-		}
-	}()
 	left := car.Stop(wait)
 	_ = peers.Close()
 	_ = adminServer.Close()
