bench: rate and burst against equal shares and a store call per request

The table of policies had only routing; the ways to hold accounts to their rate were argued, not measured.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 bench:
 	$(GO) test ./internal/bench -run '^TestPolicyTable$$' -v -count=1 -args -full
+	$(GO) test ./internal/bench/rates -run '^TestRateTable$$' -v -count=1
 
 capacity:
 	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms -timeout 10m
