Names of the field in place of private ones; make fuzz

Read as a newcomer: the system tests called their processes car and door, the benchmark an account with excess load a hog, and two command files had overlong lines.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 capacity:
 	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms -timeout 10m
 
+fuzz:
+	$(GO) test ./internal/settings -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s
+	$(GO) test ./internal/document -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s
+
 # Needs protoc on the PATH; the generated code is committed.
 generate:
 	mkdir -p $(BIN)
--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -26,7 +26,8 @@
 )
 
 func main() {
-	process.Main("fulmardoor-entry", "entry process of the fulmardoor router", func() *configv1.EntrySettings { return new(configv1.EntrySettings) }, run)
+	newSettings := func() *configv1.EntrySettings { return new(configv1.EntrySettings) }
+	process.Main("fulmardoor-entry", "entry process of the fulmardoor router", newSettings, run)
 }
 
 func run(s *configv1.EntrySettings) error {
--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -20,7 +20,8 @@
 const readHeaderTimeout = 10 * time.Second
 
 func main() {
-	process.Main("fulmardoor-sidecar", "process beside one upstream of the fulmardoor router", func() *configv1.SidecarSettings { return new(configv1.SidecarSettings) }, run)
+	newSettings := func() *configv1.SidecarSettings { return new(configv1.SidecarSettings) }
+	process.Main("fulmardoor-sidecar", "process beside one upstream of the fulmardoor router", newSettings, run)
 }
 
 func upstream(s *configv1.UpstreamSettings, logger *zap.Logger) sidecar.Upstream {
@@ -40,15 +41,15 @@
 	}
 	defer func() { _ = logger.Sync() }()
 	platform := s.GetPlatform()
-	car := sidecar.New(sidecar.Config{
+	sc := sidecar.New(sidecar.Config{
 		Settings: s, Upstream: upstream(s.GetUpstream(), logger), Logger: logger,
 		Store: etcdhttp.New(platform.GetStoreUrl(), http.DefaultClient, platform.GetCallTimeout().AsDuration()),
 	})
-	return serve(car, s, logger, level)
+	return serve(sc, s, logger, level)
 }
 
 // serve opens the listeners, runs until the first stop signal and then stops gracefully.
-func serve(car *sidecar.Sidecar, s *configv1.SidecarSettings, logger *zap.Logger, level zap.AtomicLevel) error {
+func serve(sc *sidecar.Sidecar, s *configv1.SidecarSettings, logger *zap.Logger, level zap.AtomicLevel) error {
 	peers, err := process.PeerListener(s.GetPeers())
 	if err != nil {
 		return err
@@ -57,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	router := car.OperationsHandler()
+	router := sc.OperationsHandler()
 	router.Handle("/log-level", level)
 	adminServer := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	stop, cut := process.Signals()
@@ -65,11 +66,11 @@
 	defer cancel()
 	failed := make(chan error, 3)
 	go func() {
-		if err := car.Run(ctx); err != nil {
+		if err := sc.Run(ctx); err != nil {
 			failed <- err
 		}
 	}()
-	go func() { failed <- transport.Serve(peers, car.Options()) }()
+	go func() { failed <- transport.Serve(peers, sc.Options()) }()
 	go func() { failed <- adminServer.Serve(admin) }()
 	logger.Info("serving", zap.String("peers", s.GetPeers().GetListen()), zap.String("upstream", s.GetUpstream().GetUrl()))
 	select {
@@ -79,7 +80,7 @@
 	}
 	wait, cancelWait := process.DrainContext(s.GetUpstream().GetDrainLimit().AsDuration(), cut)
 	defer cancelWait()
-	left := car.Stop(wait)
+	left := sc.Stop(wait)
 	_ = peers.Close()
 	_ = adminServer.Close()
 	if left > 0 {
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -33,8 +33,8 @@
 // scenarios returns the loads of the table.
 func scenarios(duration time.Duration) []Scenario {
 	var out []Scenario
-	add := func(name string, factor, rate float64, hog, faults bool) {
-		load := Load{Factor: factor, Hog: hog, Duration: duration, Seed: *seed}
+	add := func(name string, factor, rate float64, excess, faults bool) {
+		load := Load{Factor: factor, Excess: excess, Duration: duration, Seed: *seed}
 		if faults {
 			// A minute, so that the faults do not overlap more than they do in the full version.
 			load.Duration = fullDuration
@@ -45,8 +45,8 @@
 	for _, factor := range []float64{0.5, 0.9, 1, 1.2, 2} {
 		add(fmt.Sprintf("load %.1f", factor), factor, grantedRate, false, false)
 	}
-	add("hog", 0.9, grantedRate, true, false)
-	add("hog, no rate limit", 0.9, unlimitedRate, true, false)
+	add("excess", 0.9, grantedRate, true, false)
+	add("excess, no rate limit", 0.9, unlimitedRate, true, false)
 	add("load 2.0, no rate limit", 2, unlimitedRate, false, false)
 	add("load 1.2, faults", 1.2, grantedRate, false, true)
 	return out
@@ -66,7 +66,7 @@
 	switch r.scenario {
 	case "load 1.0":
 		return r.policy == Chosen.Name || (r.deployment == "Kilimo" && !r.timing())
-	case "load 2.0", "hog, no rate limit", "load 1.2, faults":
+	case "load 2.0", "excess, no rate limit", "load 1.2, faults":
 		return r.policy == Chosen.Name
 	default:
 		return false
@@ -164,7 +164,7 @@
 		if got := result.RefusedShare(); !unlimited && got >= refusedTarget {
 			t.Errorf("%v: refused within rate %.2f%%, target under 0.1%%", r, 100*got)
 		}
-		if got := result.WorstServed(); strings.HasPrefix(r.scenario, "hog") && got < worstTarget {
+		if got := result.WorstServed(); strings.HasPrefix(r.scenario, "excess") && got < worstTarget {
 			t.Errorf("%v: worst-served account %.3f of its fair share, target 0.9", r, got)
 		}
 		capacity := b.results[row{r.deployment, "load 1.0", Chosen.Name}]
--- a/internal/bench/rates/rates.go
+++ b/internal/bench/rates/rates.go
@@ -93,19 +93,19 @@
 
 // run is one policy on one scenario.
 type run struct {
-	policy   Policy
-	scenario Scenario
-	start    time.Time
-	random   *rand.Rand
-	limits   ledger.Limits
-	ideal    []*ledger.Bucket
-	buckets  [][]*ledger.Bucket // by account and entry; one entry for a central bucket
-	ends     settlements
-	calls    uint64
-	writes   float64 // tokens of the store's own limit
-	writesAt time.Time
-	reborn   bool
-	result   Result
+	policy    Policy
+	scenario  Scenario
+	start     time.Time
+	random    *rand.Rand
+	limits    ledger.Limits
+	ideal     []*ledger.Bucket
+	buckets   [][]*ledger.Bucket // by account and entry; one entry for a central bucket
+	ends      settlements
+	calls     uint64
+	writes    float64 // tokens of the store's own limit
+	writesAt  time.Time
+	takenOver bool
+	result    Result
 }
 
 // Run plays a scenario in simulated time; the same seed gives the same result.
@@ -195,10 +195,10 @@
 
 // takeOver gives the new owner empty buckets, once.
 func (r *run) takeOver(now time.Time) {
-	if r.reborn {
+	if r.takenOver {
 		return
 	}
-	r.reborn = true
+	r.takenOver = true
 	for i := range r.buckets {
 		r.buckets[i] = []*ledger.Bucket{ledger.NewBucket(r.limits, now, false)}
 	}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -23,8 +23,8 @@
 // accountShares are the shares of the offered load: a few accounts are large.
 var accountShares = []float64{0.3, 0.25, 0.2, 0.15, 0.1}
 
-// hogAccount is the account that sends five times its share.
-const hogAccount = 2
+// excessAccount is the account that sends five times its share.
+const excessAccount = 2
 
 // Call is one request of a caller.
 type Call struct {
@@ -47,8 +47,8 @@
 type Load struct {
 	// Factor is the offered load as a multiple of capacity.
 	Factor float64
-	// Hog lets one account send five times its share, and the others nine tenths of theirs.
-	Hog bool
+	// Excess lets one account send five times its share, and the others nine tenths of theirs.
+	Excess bool
 	// CancelShare of the calls are cancelled within the first three seconds.
 	CancelShare float64
 	// Duration is the measured time.
@@ -68,7 +68,7 @@
 	for account, share := range accountShares {
 		random := rand.New(rand.NewPCG(load.Seed, uint64(account)))
 		rate := d.Capacity() * share * load.Factor
-		if load.Hog && account == hogAccount {
+		if load.Excess && account == excessAccount {
 			rate = d.Capacity() * share * 5
 		}
 		at := 0.0
--- a/internal/systemtest/faults_test.go
+++ b/internal/systemtest/faults_test.go
@@ -49,7 +49,7 @@
 			w.network.Cut(a, b)
 			time.AfterFunc(mendTime, func() { w.network.Heal(a, b) })
 		}},
-		{"sidecar dies", func(w *world, random *rand.Rand) { w.restartCar(pick(random, names)) }},
+		{"sidecar dies", func(w *world, random *rand.Rand) { w.restartSidecar(pick(random, names)) }},
 	}
 }
 
@@ -124,9 +124,9 @@
 		done := make(chan struct{}, count)
 		for i := range count {
 			at := time.Duration(random.Int64N(int64(8 * time.Second)))
-			door := entryName(random)
+			entry := entryName(random)
 			time.AfterFunc(at, func() {
-				answers[i] = w.book(context.Background(), door, fmt.Sprintf("b%d", i), nil)
+				answers[i] = w.book(context.Background(), entry, fmt.Sprintf("b%d", i), nil)
 				done <- struct{}{}
 			})
 		}
@@ -175,13 +175,13 @@
 		for i := range count {
 			prompts[i] = fmt.Sprintf("stall %d of seed %d ", i, seed) + prompt(500+random.IntN(6000))
 			at := time.Duration(random.Int64N(int64(8 * time.Second)))
-			door := entryName(random)
+			entry := entryName(random)
 			ctx, cancel := context.WithCancel(context.Background())
 			if random.IntN(6) == 0 {
 				time.AfterFunc(at+time.Duration(random.Int64N(int64(2*time.Second))), cancel)
 			}
 			time.AfterFunc(at, func() {
-				answers[i] = w.complete(ctx, door, testKey, prompts[i], 40)
+				answers[i] = w.complete(ctx, entry, testKey, prompts[i], 40)
 				cancel()
 				done <- struct{}{}
 			})
--- a/internal/systemtest/invariants_test.go
+++ b/internal/systemtest/invariants_test.go
@@ -147,7 +147,7 @@
 			})
 		}
 		time.Sleep(time.Second)
-		if cut := w.cars["ledger-0"].sidecar.Stop(context.Background()); cut != 0 {
+		if cut := w.sidecars["ledger-0"].sidecar.Stop(context.Background()); cut != 0 {
 			t.Errorf("%d calls cut", cut)
 		}
 		for range count {
@@ -173,7 +173,7 @@
 			})
 		}
 		time.Sleep(2 * time.Second)
-		go func() { _ = w.cars["decode-1"].sidecar.Stop(context.Background()) }()
+		go func() { _ = w.sidecars["decode-1"].sidecar.Stop(context.Background()) }()
 		w.entries["entry-0"].entry.BeginStop(context.Background())
 		time.Sleep(3 * time.Second)
 		if left := w.entries["entry-0"].entry.WaitIdle(context.Background()); left != 0 {
@@ -228,7 +228,7 @@
 			begin := time.Now()
 			stop := make(chan struct{})
 			for i := range 12 {
-				go w.hammer(stop, fmt.Sprintf("entry-%d", i%3), otherKey)
+				go w.sendContinuously(stop, fmt.Sprintf("entry-%d", i%3), otherKey)
 			}
 			if faulty {
 				time.Sleep(20 * time.Second)
@@ -246,8 +246,8 @@
 	}
 }
 
-// hammer sends requests as fast as they are answered.
-func (w *world) hammer(stop chan struct{}, entry, key string) {
+// sendContinuously sends requests as fast as they are answered.
+func (w *world) sendContinuously(stop chan struct{}, entry, key string) {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
--- a/internal/systemtest/repeat_test.go
+++ b/internal/systemtest/repeat_test.go
@@ -53,8 +53,8 @@
 		if a := w.book(context.Background(), "entry-0", "b", header); !a.whole {
 			t.Fatalf("booking: %+v", a)
 		}
-		w.restartCar("ledger-0")
-		w.restartCar("ledger-1")
+		w.restartSidecar("ledger-0")
+		w.restartSidecar("ledger-1")
 		time.Sleep(settleTime)
 		header.Set("Idempotency-Repeat", "true")
 		a := w.book(context.Background(), "entry-1", "b", header)
--- a/internal/systemtest/world_test.go
+++ b/internal/systemtest/world_test.go
@@ -44,8 +44,8 @@
 	kvcaches *engine.Network
 	engines  map[string]*engine.Core
 	services map[string]*service.Service
-	cars     map[string]*car
-	entries  map[string]*door
+	sidecars map[string]*sidecarProcess
+	entries  map[string]*entryProcess
 	gates    map[string]*kvtest.Gate
 	revision uint64
 	// silenceFactor makes sidecars keep silent connections longer than entries do; 0 means the same.
@@ -63,15 +63,15 @@
 	return fmt.Sprintf("10.0.0.%d:7000", w.numbers[name])
 }
 
-// car is a running sidecar.
-type car struct {
+// sidecarProcess is a running sidecar.
+type sidecarProcess struct {
 	name, address, pool, role string
 	sidecar                   *sidecar.Sidecar
 	cancel                    context.CancelFunc
 }
 
-// door is a running entry process.
-type door struct {
+// entryProcess is a running entry process.
+type entryProcess struct {
 	name, address string
 	entry         *entry.Entry
 	handler       http.Handler
@@ -82,7 +82,7 @@
 	w := &world{
 		t: t, network: memnet.NewNetwork(networkDelay), store: memory.New(memory.Options{}), kvcaches: engine.NewNetwork(),
 		engines: make(map[string]*engine.Core), services: make(map[string]*service.Service),
-		cars: make(map[string]*car), entries: make(map[string]*door), numbers: make(map[string]int), gates: make(map[string]*kvtest.Gate),
+		sidecars: make(map[string]*sidecarProcess), entries: make(map[string]*entryProcess), numbers: make(map[string]int), gates: make(map[string]*kvtest.Gate),
 	}
 	return w
 }
@@ -94,8 +94,8 @@
 		w.network.Kill(d.address)
 		d.entry.Close()
 	}
-	for _, c := range w.cars {
-		w.stopCar(c)
+	for _, c := range w.sidecars {
+		w.stopSidecar(c)
 	}
 	for _, s := range w.services {
 		s.Stop()
@@ -106,7 +106,7 @@
 	time.Sleep(2 * time.Minute)
 }
 
-func (w *world) stopCar(c *car) {
+func (w *world) stopSidecar(c *sidecarProcess) {
 	c.cancel()
 	w.network.Kill(c.address)
 }
@@ -123,18 +123,18 @@
 	if roleName == "prefill" {
 		places = 1
 	}
-	w.startCar(name, "drafter", roleName, places)
+	w.startSidecar(name, "drafter", roleName, places)
 }
 
 // addService starts a plain service with its sidecar.
 func (w *world) addService(name string) {
 	w.services[name] = service.New(5 * time.Millisecond)
-	w.startCar(name, "ledger", "service", 20)
+	w.startSidecar(name, "ledger", "service", 20)
 }
 
-// startCar starts or restarts the sidecar beside an upstream.
-func (w *world) startCar(name, pool, roleName string, places int32) {
-	c := &car{name: name, address: w.addressOf(name), pool: pool, role: roleName}
+// startSidecar starts or restarts the sidecar beside an upstream.
+func (w *world) startSidecar(name, pool, roleName string, places int32) {
+	c := &sidecarProcess{name: name, address: w.addressOf(name), pool: pool, role: roleName}
 	s := &configv1.SidecarSettings{
 		Process: &configv1.ProcessSettings{Name: "sidecar-" + name, Host: "host-" + name, DataCentre: "Kariakoo"},
 		Peers:   &configv1.PeerSettings{Listen: c.address},
@@ -160,18 +160,18 @@
 		opts.SilenceLimit = time.Duration(w.silenceFactor) * transport.SilentIntervals * transport.DefaultHeartbeatInterval
 	}
 	go serve(w.network.Listen(c.address), opts)
-	w.cars[name] = c
+	w.sidecars[name] = c
 }
 
-// restartCar kills the sidecar of an upstream and starts a new one.
-func (w *world) restartCar(name string) {
-	old := w.cars[name]
-	w.stopCar(old)
+// restartSidecar kills the sidecar of an upstream and starts a new one.
+func (w *world) restartSidecar(name string) {
+	old := w.sidecars[name]
+	w.stopSidecar(old)
 	places := int32(20)
 	if old.role == "prefill" {
 		places = 1
 	}
-	w.startCar(name, old.pool, old.role, places)
+	w.startSidecar(name, old.pool, old.role, places)
 }
 
 func serve(listener *memnet.Listener, opts *transport.Options) {
@@ -214,7 +214,7 @@
 	}
 	settings.DefaultEntry(s)
 	w.gates[name] = kvtest.NewGate(w.store)
-	d := &door{name: name, address: w.addressOf(name)}
+	d := &entryProcess{name: name, address: w.addressOf(name)}
 	d.entry = entry.New(entry.Config{
 		Settings: s, Store: w.gates[name], Connector: connector{w.network, d.address}, Seed: 1, Logger: zap.NewNop(),
 	})
@@ -244,7 +244,7 @@
 	b.WriteString("[model \"drafter\"]\npatience = 10\n")
 	b.WriteString("[route \"bookings\"]\npath = /bookings\nmethods = POST\npool = ledger\n")
 	b.WriteString("[route \"stock\"]\npath = /stock\nmethods = GET\npool = ledger\nidempotent = true\nopen = true\n")
-	for name, c := range w.cars {
+	for name, c := range w.sidecars {
 		fmt.Fprintf(&b, "[upstream \"%s\"]\naddress = %s\npool = %s\nrole = %s\n", name, c.address, c.pool, c.role)
 	}
 	if change != nil {
