--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -12,6 +12,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/document"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/settings"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -145,7 +146,7 @@
 	lost := false
 	for attempt := range resolveAttempts {
 		if attempt > 0 {
-			sleep(ctx, resolveDelay)
+			wait.For(ctx, resolveDelay)
 		}
 		revision, err := a.store.CompareAndSwap(ctx, a.key, a.text, a.expected, 0)
 		switch {
@@ -172,7 +173,7 @@
 	var err error
 	for attempt := range resolveAttempts {
 		if attempt > 0 {
-			sleep(ctx, resolveDelay)
+			wait.For(ctx, resolveDelay)
 		}
 		pair, err = a.store.Get(ctx, a.key)
 		if err == nil || errors.Is(err, kv.ErrNotFound) || ctx.Err() != nil {
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // teamStore is a key-value service that counts the lists of documents.
@@ -195,7 +196,7 @@
 				}
 			}()
 		}
-		sleep(ctx, DefaultHeartbeatInterval)
+		wait.For(ctx, DefaultHeartbeatInterval)
 	}
 }
 
--- a/internal/confsync/measure_test.go
+++ b/internal/confsync/measure_test.go
@@ -16,6 +16,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -131,10 +132,10 @@
 	for name, n := range f.all() {
 		random := rand.New(rand.NewPCG(weight("naive", name), 1))
 		work.Go(func() {
-			sleep(ctx, rand.N(wholeInterval))
+			wait.For(ctx, rand.N(wholeInterval))
 			for ctx.Err() == nil {
 				f.sendWhole(name, n, random)
-				sleep(ctx, wholeInterval)
+				wait.For(ctx, wholeInterval)
 			}
 		})
 	}
--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -177,7 +178,7 @@
 	after = n.history.revision
 	n.mu.Unlock()
 	if after > 0 && first {
-		sleep(ctx, repairDelay)
+		wait.For(ctx, repairDelay)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -200,12 +201,3 @@
 	}
 	n.take(b, peer.Name())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -11,6 +11,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -103,7 +104,7 @@
 		if time.Since(started) > maxWatchRetry {
 			delay = minWatchRetry
 		}
-		sleep(ctx, delay/2+rand.N(delay))
+		wait.For(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, maxWatchRetry)
 	}
 }
@@ -265,7 +266,7 @@
 			case <-ctx.Done():
 			case results <- p:
 			}
-			sleep(ctx, probeInterval)
+			wait.For(ctx, probeInterval)
 		}
 	})
 	return results
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -13,6 +13,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/admin"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/orders"
@@ -65,8 +66,8 @@
 		reply.Outcome = admin.OutcomeUnknown
 		reply.Detail = "the key-value service did not confirm the write"
 	}
-	e.events.Record("document_applied", "", "", field("team", team), field("outcome", reply.Outcome),
-		field("revision", reply.Revision))
+	e.events.Record("document_applied", "", "", events.Field("team", team), events.Field("outcome", reply.Outcome),
+		events.Field("revision", reply.Revision))
 	return reply, nil
 }
 
@@ -210,7 +211,7 @@
 	if err := session.Call(ctx, &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Order{Order: order}}, reply); err != nil {
 		return admin.OrderReply{}, errors.Wrap(err, "send order; unknown whether it was carried out")
 	}
-	e.events.Record("order_sent", "", name, field("fencing_number", number), field("accepted", reply.GetAccepted()))
+	e.events.Record("order_sent", "", name, events.Field("fencing_number", number), events.Field("accepted", reply.GetAccepted()))
 	return admin.OrderReply{
 		Accepted: reply.GetAccepted(), FencingNumber: number,
 		Reason: verdict.ReasonName(reply.GetReason()), Detail: reply.GetDetail(),
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -9,6 +9,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const bearerPrefix = "Bearer "
@@ -76,7 +77,7 @@
 // watchKey cancels a running request when its key is withdrawn. Loss of contact to the configuration does not cut a
 // request that has begun.
 func (e *Entry) watchKey(ctx context.Context, c caller, cancel context.CancelCauseFunc) {
-	for c.account != "" && pause(ctx, keyCheckInterval) {
+	for c.account != "" && wait.For(ctx, keyCheckInterval) {
 		if _, err := c.lookup(e.conf.Current()); err != nil {
 			refusal := *verdict.As(err)
 			refusal.Verdict = verdict.MayHaveRun
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -11,10 +11,13 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/openai"
+	"github.com/fulmardoor/fulmardoor/internal/prefix"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -95,7 +98,7 @@
 	}
 	req.caller = who
 	c := &completion{request: req, model: model, in: in, w: w, writer: openai.NewWriter(w, in, "cmpl-"+req.name)}
-	c.promptTokens = openai.CountTokens(in.Prompt)
+	c.promptTokens = prefix.TokenCount(in.Prompt)
 	c.maxTokens = in.MaxTokens
 	if c.maxTokens == 0 {
 		c.maxTokens = int(model.GetDefaultMaxTokens())
@@ -131,7 +134,7 @@
 		refusal := verdict.As(err)
 		if c.mayWait(refusal) {
 			c.noteWaiting(refusal)
-			if pause(c.ctx, replanPause) {
+			if wait.For(c.ctx, replanPause) {
 				continue
 			}
 			c.fail(c.endCause(refusal))
@@ -142,8 +145,8 @@
 			return
 		}
 		c.e.metrics.Retried("model", refusal.Reason)
-		c.e.events.Record("retry", c.name, "", field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail),
-			field("delivered", len(c.delivered)))
+		c.e.events.Record("retry", c.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail),
+			events.Field("delivered", len(c.delivered)))
 	}
 }
 
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -4,6 +4,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -59,7 +60,7 @@
 		c.firstToken = now
 		c.e.scheduler.ObserveFirstToken(pl.estimate, now.Sub(pl.granted))
 		c.e.events.Record("first_token", c.name, place.upstream.name,
-			field("elapsed_ms", now.Sub(c.begin).Milliseconds()))
+			events.Field("elapsed_ms", now.Sub(c.begin).Milliseconds()))
 		c.e.metrics.FirstToken(c.model.GetName(), now.Sub(c.begin))
 	} else {
 		c.gapSum += now.Sub(c.lastToken)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -77,16 +76,11 @@
 // New returns an entry that serves after Run has started.
 func New(cfg Config) *Entry {
 	process := cfg.Settings.GetProcess()
-	incarnation := transport.NewIncarnation()
 	e := &Entry{
-		settings: cfg.Settings,
-		hosts:    cfg.Hosts,
-		logger:   cfg.Logger,
-		hello: &wirev1.Hello{
-			Role: wirev1.Role_ROLE_ENTRY, Incarnation: incarnation, Host: process.GetHost(),
-			DataCentre: process.GetDataCentre(), Process: process.GetName(),
-			Address: cfg.Settings.GetPeers().GetListen(), ProtocolVersion: transport.ProtocolVersion,
-		},
+		settings:  cfg.Settings,
+		hosts:     cfg.Hosts,
+		logger:    cfg.Logger,
+		hello:     transport.NewHello(wirev1.Role_ROLE_ENTRY, process, cfg.Settings.GetPeers().GetListen()),
 		scheduler: scheduler.New(scheduler.Config{DataCentre: process.GetDataCentre(), Random: randomSource(cfg.Seed)}),
 		budget:    retry.NewBudget(),
 		events:    events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
@@ -190,7 +184,7 @@
 	e.upstreams.apply(snapshot.Upstreams())
 	e.spread.Applied(snapshot.Revision)
 	e.events.SetConfigRevision(snapshot.Revision)
-	e.events.Record("configuration_applied", "", "", field("revision", snapshot.Revision))
+	e.events.Record("configuration_applied", "", "", events.Field("revision", snapshot.Revision))
 	e.logger.Info("configuration applied", zap.Int64("revision", int64(snapshot.Revision)))
 }
 
@@ -278,8 +272,4 @@
 	e.members.close()
 }
 
-func field(name string, value any) *wirev1.Header {
-	return &wirev1.Header{Name: name, Value: fmt.Sprint(value)}
-}
-
 func requestName(id *wirev1.CallID) string { return call.FromWire(id).String() }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -154,7 +155,7 @@
 		if done || err != nil {
 			return err
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return mayHaveRun(wirev1.Reason_REASON_NO_UPSTREAM, "the process beside the upstream did not answer")
 		}
 	}
@@ -226,15 +227,3 @@
 		Verdict: verdict.FromWire(outcome.GetVerdict()), Reason: outcome.GetReason(), Detail: outcome.GetDetail(),
 	}
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -16,6 +16,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/hostlist"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -79,7 +80,7 @@
 
 // run follows the platform's host list until ctx ends. The list only adds candidates; a session decides who is alive.
 func (t *memberTable) run(ctx context.Context, source hostlist.Source) {
-	for source != nil && pause(ctx, hostListInterval) {
+	for source != nil && wait.For(ctx, hostListInterval) {
 		hosts, err := source.Hosts(ctx)
 		if err != nil {
 			t.logger.Debug("host list not read", zap.Error(err))
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -10,6 +10,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // worstServedLimit is the target for the worst-served account; below it the account is logged.
@@ -45,7 +46,7 @@
 
 // logWorstServed names the worst-served account while it gets less than the target. No metric names an account.
 func (e *Entry) logWorstServed(ctx context.Context) {
-	for pause(ctx, metrics.AccountWindow) {
+	for wait.For(ctx, metrics.AccountWindow) {
 		if worst := e.metrics.Accounts.LeastServed(); worst.Ratio < worstServedLimit {
 			e.logger.Warn("worst-served account", zap.String("account", worst.Account), zap.Float64("served_ratio", worst.Ratio))
 		}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -85,7 +86,7 @@
 		if err == nil || p.used || c.ctx.Err() != nil || !time.Now().Before(p.until) || !mayImportElsewhere(err) {
 			return outcome, err
 		}
-		c.e.events.Record("import_elsewhere", c.name, place.upstream.name, field("reason", reasonOf(err)))
+		c.e.events.Record("import_elsewhere", c.name, place.upstream.name, events.Field("reason", reasonOf(err)))
 		other, otherErr := c.placeNow(pl, p, place.upstream)
 		if otherErr != nil {
 			return nil, err
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -5,6 +5,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -88,7 +89,7 @@
 }
 
 func (c *completion) exchange(place *hold, work *wirev1.Work) *exchange {
-	c.e.events.Record("dispatched", c.name, place.upstream.name, field("call", call.FromWire(place.request.GetCall())))
+	c.e.events.Record("dispatched", c.name, place.upstream.name, events.Field("call", call.FromWire(place.request.GetCall())))
 	return &exchange{
 		peer: place.link.peer, logger: c.e.logger, clock: c.e.events, onEvent: c.event(place.upstream.name),
 		request: &wirev1.ExecuteRequest{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -8,8 +8,10 @@
 	"github.com/go-faster/errors"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // ledgerDeadline limits the wait for the ledger while the owner of an account's shard changes.
@@ -38,13 +40,13 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	req := &request{e: e, id: id, name: requestName(id), begin: time.Now(), ctx: ctx, cancel: cancel}
 	w.Header().Set(headerRequestID, req.name)
-	e.events.Record("received", req.name, "", field("method", r.Method), field("path", r.URL.Path))
+	e.events.Record("received", req.name, "", events.Field("method", r.Method), events.Field("path", r.URL.Path))
 	return req
 }
 
 func (r *request) close() {
 	r.cancel(nil)
-	r.e.events.Record("ended", r.name, "", field("elapsed_ms", time.Since(r.begin).Milliseconds()))
+	r.e.events.Record("ended", r.name, "", events.Field("elapsed_ms", time.Since(r.begin).Milliseconds()))
 	r.e.end()
 }
 
@@ -89,7 +91,7 @@
 	if !first {
 		return nil // an exchange for a fresh charge of the same size
 	}
-	r.e.events.Record("charged", r.name, "", field("account", r.caller.account), field("tokens", tokens))
+	r.e.events.Record("charged", r.name, "", events.Field("account", r.caller.account), events.Field("tokens", tokens))
 	return nil
 }
 
@@ -109,7 +111,7 @@
 // place of ending them, and the rate of retries stays bounded. It reports whether the request may be tried again.
 func (r *request) awaitBudget(worthWaiting func() bool) bool {
 	for !r.e.budget.Allow() {
-		if !worthWaiting() || !pause(r.ctx, replanPause) {
+		if !worthWaiting() || !wait.For(r.ctx, replanPause) {
 			return false
 		}
 	}
@@ -132,8 +134,8 @@
 func (r *request) noteWaiting(refusal *verdict.Refusal) {
 	if !r.waiting {
 		r.waiting = true
-		r.e.events.Record("waiting", r.name, "", field("reason", verdict.ReasonName(refusal.Reason)),
-			field("detail", refusal.Detail))
+		r.e.events.Record("waiting", r.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)),
+			events.Field("detail", refusal.Detail))
 	}
 }
 
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -51,8 +51,8 @@
 
 func (e *Entry) noteRefusal(requestID string, refusal *verdict.Refusal) {
 	reason := verdict.ReasonName(refusal.Reason)
-	e.events.Record("refused", requestID, "", field("reason", reason), field("verdict", refusal.Verdict),
-		field("detail", refusal.Detail))
+	e.events.Record("refused", requestID, "", events.Field("reason", reason), events.Field("verdict", refusal.Verdict),
+		events.Field("detail", refusal.Detail))
 	e.metrics.Refused(refusal)
 	// The detail can quote what the caller sent, and a caller may have put a key in the wrong place.
 	e.logger.Info("request refused", zap.String("request", requestID), zap.String("reason", reason),
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,10 +12,12 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -106,7 +108,7 @@
 		}
 		refusal := verdict.As(err)
 		// A call that was lost with its sidecar has the same reason but may have run.
-		if noUpstream(refusal) && !s.begun && s.worthWaiting() && pause(s.ctx, replanPause) {
+		if noUpstream(refusal) && !s.begun && s.worthWaiting() && wait.For(s.ctx, replanPause) {
 			s.noteWaiting(refusal)
 			attempts--
 			continue // nothing was sent
@@ -115,7 +117,7 @@
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.begun, false) == retry.Retry
 		if again && s.awaitBudget(s.worthWaiting) {
 			s.e.metrics.Retried("service", refusal.Reason)
-			s.e.events.Record("retry", s.name, "", field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail))
+			s.e.events.Record("retry", s.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail))
 			continue
 		}
 		s.fail(refusal)
@@ -179,7 +181,7 @@
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
 		},
 	}
-	s.e.events.Record("dispatched", s.name, u.name, field("call", call.FromWire(x.request.GetCall())))
+	s.e.events.Record("dispatched", s.name, u.name, events.Field("call", call.FromWire(x.request.GetCall())))
 	s.head, s.held = nil, nil
 	outcome, err := x.run(s.ctx)
 	if err == nil {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -13,6 +13,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar/role"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -229,7 +230,7 @@
 
 // run closes idle links on demand until ctx ends.
 func (p *upstreamPool) run(ctx context.Context) {
-	for pause(ctx, sweepPause) {
+	for wait.For(ctx, sweepPause) {
 		p.sweep()
 	}
 }
--- a/internal/events/recorder.go
+++ b/internal/events/recorder.go
@@ -3,6 +3,7 @@
 package events
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -35,6 +36,11 @@
 	}
 }
 
+// Field formats a field of an event.
+func Field(name string, value any) *wirev1.Header {
+	return &wirev1.Header{Name: name, Value: fmt.Sprint(value)}
+}
+
 // Record adds an event. request and upstream may be empty. Anything that looks like a caller's key is replaced by
 // Redacted, in all strings, and texts are cut to MaxTextBytes.
 func (r *Recorder) Record(kind string, request, upstream string, fields ...*wirev1.Header) {
--- a/internal/kv/memory/faults.go
+++ b/internal/kv/memory/faults.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // Faults of the service. The zero value is a healthy service without rate limits.
@@ -240,12 +241,8 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -9,6 +9,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // maxBatch is the largest number of charges or settlements in one message.
@@ -48,7 +49,7 @@
 		if err != nil || result.GetReason() == wirev1.Reason_REASON_NOT_OWNER {
 			n.refreshLater()
 		}
-		pause(ctx, delay)
+		wait.For(ctx, delay)
 		delay = min(2*delay, chargeDelayMax)
 	}
 	// An owner may still grant the charge or have granted it without an answer.
--- a/internal/ledger/handoff.go
+++ b/internal/ledger/handoff.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // handoffTry is how long a handoff to a better placed member is tried before the owner goes on.
@@ -37,7 +38,7 @@
 		if left == 0 {
 			return nil
 		}
-		pause(ctx, retryDelay)
+		wait.For(ctx, retryDelay)
 	}
 	return ErrNotHandedOff
 }
@@ -220,10 +221,10 @@
 		if n.tryHandoff(tryCtx, s) {
 			return
 		}
-		pause(tryCtx, retryDelay)
+		wait.For(tryCtx, retryDelay)
 	}
 	for ctx.Err() == nil && !n.resume(ctx, s) {
-		pause(ctx, maxRetryDelay)
+		wait.For(ctx, maxRetryDelay)
 	}
 }
 
--- a/internal/ledger/load_test.go
+++ b/internal/ledger/load_test.go
@@ -10,6 +10,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // receiver stands for the upstreams: it starts work and records what each account received.
@@ -85,9 +86,9 @@
 
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
-	var wait sync.WaitGroup
+	var running sync.WaitGroup
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(c.random.Int63n(int64(2*c.gap))))
+		wait.For(ctx, time.Duration(c.random.Int63n(int64(2*c.gap))))
 		node := c.fleet.node(c.entry)
 		if node == nil {
 			continue
@@ -100,9 +101,9 @@
 			hold = -1
 		}
 		work := time.Duration(c.random.Int63n(int64(4 * time.Second)))
-		wait.Go(func() { c.request(node, id, tokens, used, hold, work) })
+		running.Go(func() { c.request(node, id, tokens, used, hold, work) })
 	}
-	wait.Wait()
+	running.Wait()
 }
 
 func (c *client) request(node *Node, id *wirev1.CallID, tokens, used uint64, hold, work time.Duration) {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // recordPrefix is the key prefix of the shard records; the shard number follows.
@@ -115,7 +116,7 @@
 		case errors.Is(err, kv.ErrNotFound) && revision != 0:
 			return swapResult{}, true
 		}
-		pause(ctx, delay)
+		wait.For(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
 	return swapResult{}, false
@@ -132,13 +133,3 @@
 	defer cancel()
 	return store.Get(ctx, key)
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -49,7 +50,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		pause(ctx, retryDelay)
+		wait.For(ctx, retryDelay)
 	}
 	return nil
 }
@@ -96,7 +97,7 @@
 		n.settler.mu.Unlock()
 		if len(failed) > 0 {
 			n.refreshLater()
-			pause(ctx, settleRetry)
+			wait.For(ctx, settleRetry)
 		}
 	}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fulmardoor/fulmardoor/internal/openai"
+	"github.com/fulmardoor/fulmardoor/internal/prefix"
 )
 
 // Plan says what to send.
@@ -53,8 +54,6 @@
 	Err   error
 }
 
-const bytesPerToken = 4
-
 // Run sends everything and returns the results in the order of sending.
 func Run(ctx context.Context, plan Plan) []Result {
 	total := plan.Requests + plan.Bookings
@@ -83,10 +82,10 @@
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
 	var b strings.Builder
 	fmt.Fprintf(&b, "stall %04d: ", number)
-	for b.Len() < tokens*bytesPerToken {
+	for b.Len() < tokens*prefix.BytesPerToken {
 		fmt.Fprintf(&b, "item%d ", random.IntN(1000))
 	}
-	return b.String()[:tokens*bytesPerToken]
+	return b.String()[:tokens*prefix.BytesPerToken]
 }
 
 func complete(ctx context.Context, client *http.Client, target string, plan Plan, number int) Result {
--- a/internal/openai/types.go
+++ b/internal/openai/types.go
@@ -8,14 +8,6 @@
 	"github.com/go-faster/errors"
 )
 
-// bytesPerToken is the estimate of the length of one token of text.
-const bytesPerToken = 4
-
-// CountTokens estimates the number of tokens of a text.
-func CountTokens(text string) int {
-	return (len(text) + bytesPerToken - 1) / bytesPerToken
-}
-
 // Kind is the API that a request uses.
 type Kind int
 
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -54,10 +55,8 @@
 		if !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrOutcomeUnknown) {
 			return 0, err
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, retryPause) {
 			return 0, ctx.Err()
-		case <-time.After(retryPause):
 		}
 	}
 }
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -14,6 +14,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/prefix"
 	"github.com/fulmardoor/fulmardoor/internal/progress"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -71,7 +72,7 @@
 			break
 		}
 		u.cfg.Logger.Warn("engine does not answer", zap.Error(err))
-		sleep(ctx, abortRetry)
+		wait.For(ctx, abortRetry)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -9,6 +9,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
+	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/orders"
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -82,7 +83,7 @@
 	if err != nil {
 		refusal := verdict.As(err)
 		s.events.Record("place_refused", id.String(), s.settings.GetUpstream().GetName(),
-			field("reason", verdict.ReasonName(refusal.Reason)), field("detail", refusal.Detail))
+			events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail))
 		s.reply(stream, &wirev1.ReserveReply{
 			Reason: refusal.Reason, Nonce: s.issuer.Issue(), RetryAfterMs: uint32(refusal.RetryAfter.Milliseconds()),
 		})
@@ -183,7 +184,7 @@
 		refusal = verdict.Refuse(wirev1.Reason_REASON_CANCELLED, "the call was withdrawn before it began")
 	}
 	s.events.Record("call_refused", id.String(), s.settings.GetUpstream().GetName(),
-		field("reason", verdict.ReasonName(refusal.Reason)))
+		events.Field("reason", verdict.ReasonName(refusal.Reason)))
 	s.metrics.Ended(refusal.Verdict, refusal.Reason)
 	outcome := &wirev1.Outcome{
 		Verdict: refusal.Verdict.Wire(), Reason: refusal.Reason, Detail: refusal.Detail, Nonce: s.issuer.Issue(),
@@ -207,12 +208,12 @@
 }
 
 func (s *Sidecar) recordEnd(c *call.Call, outcome *wirev1.Outcome) {
-	fields := []*wirev1.Header{field("verdict", verdict.FromWire(outcome.GetVerdict()))}
+	fields := []*wirev1.Header{events.Field("verdict", verdict.FromWire(outcome.GetVerdict()))}
 	if outcome.GetReason() != wirev1.Reason_REASON_UNSPECIFIED {
-		fields = append(fields, field("reason", verdict.ReasonName(outcome.GetReason())), field("detail", outcome.GetDetail()))
+		fields = append(fields, events.Field("reason", verdict.ReasonName(outcome.GetReason())), events.Field("detail", outcome.GetDetail()))
 	}
 	if outcome.GetOutputTokens() > 0 {
-		fields = append(fields, field("output_tokens", outcome.GetOutputTokens()))
+		fields = append(fields, events.Field("output_tokens", outcome.GetOutputTokens()))
 	}
 	s.events.Record("call_ended", c.ID.String(), s.settings.GetUpstream().GetName(), fields...)
 }
@@ -227,7 +228,7 @@
 		return
 	}
 	s.events.Record("answer_resumed", c.ID.String(), s.settings.GetUpstream().GetName(),
-		field("next_frame", req.GetNextFrame()))
+		events.Field("next_frame", req.GetNextFrame()))
 	s.deliver(ctx, c, stream, req.GetNextFrame())
 }
 
@@ -330,7 +331,7 @@
 		return reply
 	}
 	s.events.Record("order_accepted", "", s.settings.GetUpstream().GetName(),
-		field("fencing_number", req.GetFencingNumber()))
+		events.Field("fencing_number", req.GetFencingNumber()))
 	reply.Accepted = true
 	return reply
 }
--- a/internal/sidecar/sessions.go
+++ b/internal/sidecar/sessions.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"context"
-	"fmt"
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
@@ -17,20 +15,6 @@
 	idlePoll      = 50 * time.Millisecond
 )
 
-// field formats a field of an event.
-func field(name string, value any) *wirev1.Header {
-	return &wirev1.Header{Name: name, Value: fmt.Sprint(value)}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Sidecar) load() *wirev1.Load {
 	upstream := s.settings.GetUpstream()
 	load := &wirev1.Load{Upstream: upstream.GetName(), Pool: upstream.GetPool(), EngineRole: s.role}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/places"
 	"github.com/fulmardoor/fulmardoor/internal/sidecar/role"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -95,17 +96,13 @@
 // New returns a sidecar that takes no work before Run.
 func New(cfg Config) *Sidecar {
 	process := cfg.Settings.GetProcess()
-	incarnation := transport.NewIncarnation()
+	hello := transport.NewHello(wirev1.Role_ROLE_SIDECAR, process, cfg.Settings.GetPeers().GetListen())
 	s := &Sidecar{
-		settings: cfg.Settings,
-		upstream: cfg.Upstream,
-		logger:   cfg.Logger,
-		hello: &wirev1.Hello{
-			Role: wirev1.Role_ROLE_SIDECAR, Incarnation: incarnation, Host: process.GetHost(),
-			DataCentre: process.GetDataCentre(), Process: process.GetName(),
-			Address: cfg.Settings.GetPeers().GetListen(), ProtocolVersion: transport.ProtocolVersion,
-		},
-		issuer:       transport.NewNonceIssuer(incarnation),
+		settings:     cfg.Settings,
+		upstream:     cfg.Upstream,
+		logger:       cfg.Logger,
+		hello:        transport.NewHello(wirev1.Role_ROLE_SIDECAR, process, cfg.Settings.GetPeers().GetListen()),
+		issuer:       transport.NewNonceIssuer(hello.GetIncarnation()),
 		places:       places.New(places.Config{Places: int(cfg.Settings.GetUpstream().GetPlaces()), Logger: cfg.Logger}),
 		events:       events.New(process.GetName(), process.GetHost(), process.GetDataCentre(), eventCapacity),
 		role:         role.Parse(cfg.Settings.GetUpstream().GetRole()),
@@ -168,7 +165,7 @@
 	leavingNow := ok && upstream.GetState() == document.StateLeaving
 	s.events.SetConfigRevision(snapshot.Revision)
 	s.events.Record("configuration_applied", "", s.settings.GetUpstream().GetName(),
-		field("revision", snapshot.Revision), field("leaving", leavingNow))
+		events.Field("revision", snapshot.Revision), events.Field("leaving", leavingNow))
 	s.setLeaving(func(l *leaving) { l.document = leavingNow })
 }
 
@@ -188,7 +185,7 @@
 		s.places.Return()
 	}
 	s.logger.Info("upstream leaving", zap.Bool("leaving", after))
-	s.events.Record("leaving", "", s.settings.GetUpstream().GetName(), field("leaving", after))
+	s.events.Record("leaving", "", s.settings.GetUpstream().GetName(), events.Field("leaving", after))
 	s.beatAll()
 }
 
@@ -226,7 +223,7 @@
 			break
 		}
 		s.logger.Debug("probe failed", zap.String("upstream", name), zap.Error(err))
-		sleep(ctx, probeInterval)
+		wait.For(ctx, probeInterval)
 	}
 	s.places.Stall(false)
 	s.events.Record("recovered", "", name)
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 const (
@@ -127,7 +129,7 @@
 		session, err := p.dial(ctx)
 		if err != nil {
 			p.opts.Logger.Debug("dial failed", zap.String("address", p.address), zap.Error(err))
-			sleep(ctx, jitter(delay))
+			wait.For(ctx, jitter(delay))
 			delay = min(delay*redialGrowth, maxRedialDelay)
 			continue
 		}
@@ -159,15 +161,6 @@
 	return d/2 + rand.N(d)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Serve accepts sessions until the listener is closed. Handshakes run concurrently.
 func Serve(listener net.Listener, opts *Options) error {
 	for {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 )
 
@@ -46,6 +47,14 @@
 	f(ctx, session, open, stream)
 }
 
+// NewHello returns the first message of a new incarnation of a process that listens at an address.
+func NewHello(role wirev1.Role, process *configv1.ProcessSettings, address string) *wirev1.Hello {
+	return &wirev1.Hello{
+		Role: role, Incarnation: NewIncarnation(), Host: process.GetHost(), DataCentre: process.GetDataCentre(),
+		Process: process.GetName(), Address: address, ProtocolVersion: ProtocolVersion,
+	}
+}
+
 // Clock is a Lamport clock. Both methods must not block.
 type Clock interface {
 	Now() uint64
