sidecar: a planned stop waits for requests that are on their way

By reading: the stop counted registered calls only, so it could close the sessions while an execute request waited for its place, or just after a refusal was written and before it was delivered; the entry then found no sidecar to ask. Change: streams of execute requests count as work, and the sidecar closes only after 500 ms in which nothing came.

--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -118,6 +118,8 @@
 
 // serveExecute runs a call, or refuses it with a truthful "not run", and delivers its answer.
 func (s *Sidecar) serveExecute(ctx context.Context, req *wirev1.ExecuteRequest, stream *transport.Stream) {
+	s.executing.Add(1)
+	defer s.executing.Add(-1)
 	id := call.FromWire(req.GetCall())
 	reservation, err := s.begin(ctx, req)
 	if err != nil {
--- a/internal/sidecar/sessions.go
+++ b/internal/sidecar/sessions.go
@@ -13,6 +13,7 @@
 	probeTimeout  = 2 * time.Second
 	probeInterval = time.Second
 	idlePoll      = 50 * time.Millisecond
+	stopLinger    = 500 * time.Millisecond
 )
 
 func (s *Sidecar) load() *wirev1.Load {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,6 +75,9 @@
 	// reached is set when the upstream has answered once.
 	reached atomic.Bool
 
+	// executing counts the streams of execute requests, from their first message to the end of their answer.
+	executing atomic.Int64
+
 	mu           sync.Mutex // guards the fields below
 	reservations map[call.ID]*places.Reservation
 	sessions     map[*transport.Session]struct{}
@@ -247,12 +250,17 @@
 	return len(running)
 }
 
-// waitIdle waits until every call has ended and its answer was acknowledged or given up.
+// waitIdle waits until every call has ended, its answer was acknowledged or given up, and nothing more has come for
+// stopLinger: requests that were on their way when the entries learnt of the stop still get their refusal.
 func (s *Sidecar) waitIdle(ctx context.Context) {
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
+	busy := time.Now()
 	for {
-		if s.idle() {
+		if !s.idle() {
+			busy = time.Now()
+		}
+		if time.Since(busy) >= stopLinger {
 			return
 		}
 		select {
@@ -267,5 +275,5 @@
 	s.mu.Lock()
 	reserved := len(s.reservations)
 	s.mu.Unlock()
-	return reserved == 0 && s.calls.Undelivered() == 0
+	return reserved == 0 && s.executing.Load() == 0 && s.calls.Undelivered() == 0
 }
