quota: a refusal for the rate logs what decided it

Need and level of the bucket, and of how many processes the charges are known, are on the request's line.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -319,12 +319,14 @@
 		return nil
 	}
 	r.cost = r.account.Cost(r.call.PromptTokens+r.call.OutputTokens, r.call.HasTokens)
-	ok, pause := r.g.Limiter.Admit(r.account, r.cost, r.began)
-	if ok {
+	decision := r.g.Limiter.Admit(r.account, r.cost, r.began)
+	if decision.OK {
 		return nil
 	}
 	refusal := verdict.Refuse(wirev1.Reason_REASON_RATE_EXCEEDED, "the account is over its rate")
-	refusal.RetryAfter = pause
+	refusal.RetryAfter = decision.Wait
+	r.step("rate_exceeded needs "+strconv.FormatFloat(decision.Needed, 'f', 0, 64)+" has "+strconv.FormatFloat(decision.Level, 'f', 0, 64)+
+		" heard "+strconv.Itoa(decision.Heard)+"/"+strconv.Itoa(decision.Processes), r.account.Name)
 	return refusal
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -104,10 +104,21 @@
 	}
 }
 
-// Admit charges cost to the account. If it is over its rate, wait is the time after which the charge would fit.
-func (l *Limiter) Admit(account *fleet.Account, cost float64, now time.Time) (ok bool, wait time.Duration) {
+// Decision is the outcome of a charge with what decided it.
+type Decision struct {
+	OK bool
+	// Wait is the time after which a refused charge would fit.
+	Wait time.Duration
+	// Needed and Level are what the charge needs and what was there, in the unit that the account counts.
+	Needed, Level float64
+	// Heard is the number of processes whose charges are known, the own included; Processes is how many there are.
+	Heard, Processes int
+}
+
+// Admit charges cost to the account, unless it is over its rate.
+func (l *Limiter) Admit(account *fleet.Account, cost float64, now time.Time) Decision {
 	if account.Rate <= 0 {
-		return true, 0
+		return Decision{OK: true}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,14 +127,20 @@
 	if account.CountsTokens && cost > smallCharges*float64(account.PlainTokens) {
 		needed += smallReserve * capacity
 	}
-	if missing := min(needed, capacity) - b.level; missing > 0 {
-		return false, time.Duration(missing / rate * float64(time.Second))
+	d := Decision{Needed: min(needed, capacity), Level: b.level, Heard: l.heard(), Processes: l.processes}
+	if missing := d.Needed - d.Level; missing > 0 {
+		d.Wait = time.Duration(missing / rate * float64(time.Second))
+		return d
 	}
+	d.OK = true
 	b.level -= cost
 	l.spent[account.Name] += cost
-	return true, 0
+	return d
 }
 
+// heard is the number of processes whose charges are known, the own included.
+func (l *Limiter) heard() int { return min(len(l.others)+1, l.processes) }
+
 // Return gives back the charge of a request that did not run. Other processes are not told: their view errs on the side of
 // the limit.
 func (l *Limiter) Return(account *fleet.Account, cost float64) {
@@ -140,7 +157,7 @@
 // fill adds what has flowed into the account's bucket. Changed limits take effect at once: a level above a lower capacity is
 // cut.
 func (l *Limiter) fill(account *fleet.Account, now time.Time) (b *bucket, rate, capacity float64) {
-	known := float64(min(len(l.others)+1, l.processes)) / float64(l.processes)
+	known := float64(l.heard()) / float64(l.processes)
 	rate = account.Rate * known
 	tolerated := (account.Rate*l.tolerance.Window.Seconds()+account.Burst)*l.tolerance.Over + l.tolerance.Slack*slackUse
 	capacity = (account.Burst + tolerated) * known
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -13,7 +13,7 @@
 func admitted(l *Limiter, account *fleet.Account, cost float64, from time.Time, length time.Duration) float64 {
 	sum := 0.0
 	for at := time.Duration(0); at < length; at += 10 * time.Millisecond {
-		if ok, _ := l.Admit(account, cost, from.Add(at)); ok {
+		if l.Admit(account, cost, from.Add(at)).OK {
 			sum += cost
 		}
 	}
@@ -46,7 +46,7 @@
 	l := NewLimiter(Tolerance{Window: 8 * time.Second})
 	high, low := &fleet.Account{Name: "a", Rate: 1000, Burst: 10000}, &fleet.Account{Name: "a", Rate: 10, Burst: 10}
 	start := time.Unix(0, 0)
-	if ok, _ := l.Admit(high, 1, start); !ok {
+	if !l.Admit(high, 1, start).OK {
 		t.Fatal("refused within the rate")
 	}
 	if got := admitted(l, low, 1, start.Add(time.Millisecond), time.Second); got > 21 {
@@ -60,15 +60,15 @@
 	account := &fleet.Account{Name: "a", Rate: 100, Burst: 100}
 	now := time.Unix(0, 0)
 	l.Admit(account, 100, now)
-	ok, wait := l.Admit(account, 50, now)
-	if ok {
+	refused := l.Admit(account, 50, now)
+	if refused.OK {
 		t.Fatal("admitted over the burst")
 	}
-	if ok, _ := l.Admit(account, 50, now.Add(wait+time.Millisecond)); !ok {
-		t.Errorf("refused again after %v", wait)
+	if !l.Admit(account, 50, now.Add(refused.Wait+time.Millisecond)).OK {
+		t.Errorf("refused again after %v", refused.Wait)
 	}
 	l.Return(account, 50)
-	if ok, _ := l.Admit(account, 50, now.Add(wait+2*time.Millisecond)); !ok {
+	if !l.Admit(account, 50, now.Add(refused.Wait+2*time.Millisecond)).OK {
 		t.Error("the returned charge is missing")
 	}
 }
@@ -129,8 +129,8 @@
 	a.Admit(account, 1000, now)
 	b.Admit(account, 1000, now)
 	a.SetOthers("other", b.Spent())
-	if ok, wait := a.Admit(account, 500, now); ok || wait != 1500*time.Millisecond {
-		t.Errorf("admitted %v, wait %v; the account owes 1000 and needs 500", ok, wait)
+	if d := a.Admit(account, 500, now); d.OK || d.Wait != 1500*time.Millisecond {
+		t.Errorf("admitted %v, wait %v; the account owes 1000 and needs 500", d.OK, d.Wait)
 	}
 }
 
@@ -143,7 +143,7 @@
 		now := time.Unix(0, 0).Add(time.Duration(i) * 10 * time.Millisecond)
 		l.Admit(account, 5000, now) // prompts at fifty times the rate
 		if i%10 == 0 {              // bookings at a fifth of the rate
-			if ok, _ := l.Admit(account, 200, now); !ok {
+			if !l.Admit(account, 200, now).OK {
 				refused++
 			}
 		}
