placement: learnt stream speed and the route's pause target decide where outputs and prompts go

Cause: engines of one service differ in speed by 2.7 times, and a stream at a slow one holds its memory 2.7 times as long; streams took 1.8 s at the median and 5.7 s at the 95th percentile, and all under way are lost when an engine or all routers end. Prompts at decode engines made streams pause for more than 300 ms (late answers with a first event in time), since their cost was counted by prompts, not by the time that they take there. Now each router learns the time of an output token at each engine and weighs the expected stream with 0.1; a prompt costs each stream 60 ms, and 300 ms where the expected pause passes the route's target. Both tests failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,8 @@
 	Timeout time.Duration
 	// LatencyTarget is the time within which an answer, or the first event of a stream, counts as in time.
 	LatencyTarget time.Duration
+	// PauseTarget is the longest pause between events with which a stream counts as in time; zero means none.
+	PauseTarget time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	Targets  []Target
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -139,7 +139,7 @@
 	output := int(outputMemoryShare * float64(r.call.ExpectedOutput()))
 	plan, ok := r.g.Board.Model(placement.Query{
 		Service: r.service, Now: time.Now(), Excluded: r.excluded, SelfOnly: selfOnly,
-		PromptTokens: r.call.PromptTokens, OutputTokens: output, Prefilled: r.handlePlace(), Kept: r.kept,
+		PromptTokens: r.call.PromptTokens, OutputTokens: output, PauseTarget: r.route.PauseTarget, Prefilled: r.handlePlace(), Kept: r.kept,
 	})
 	if !ok {
 		return nil
@@ -271,8 +271,11 @@
 	if response.Status != http.StatusOK {
 		return r.passFailure(response, out)
 	}
+	var firstAt time.Time
+	before := out.events
 	first := func() {
 		stopWatch()
+		firstAt = time.Now()
 		if send.From == nil && work.Alone && send.ResumeAfter == "" {
 			r.g.Board.Read(send.Upstream.ID, r.call.PromptTokens, time.Since(began))
 		}
@@ -289,6 +292,7 @@
 		}
 		return err
 	}
+	r.g.Board.Streamed(send.Upstream.ID, (out.events-before-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.Sent(what, "answered")
 	return nil
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -59,6 +59,7 @@
 	suspicions   int
 
 	readPerMs float64 // learnt speed on prompts; 0 if not observed
+	tokenMs   float64 // learnt time of an output token; 0 if not observed
 	answerMs  float64 // learnt time of a plain answer; 0 if not observed
 }
 
@@ -324,6 +325,17 @@
 	b.change(id, func(s *state) { s.readPerMs = learn(s.readPerMs, float64(tokens)/(elapsed.Seconds()*1000)) })
 }
 
+// Streamed notes how long an engine took for output tokens after the first event.
+func (b *Board) Streamed(id string, tokens int, elapsed time.Duration) {
+	if tokens < minStreamedTokens || elapsed <= 0 {
+		return
+	}
+	b.change(id, func(s *state) { s.tokenMs = learn(s.tokenMs, elapsed.Seconds()*1000/float64(tokens)) })
+}
+
+// minStreamedTokens is the shortest output whose time says something of the engine's speed.
+const minStreamedTokens = 100
+
 // minObservedTokens is the shortest prompt whose time says something of the engine's speed.
 const minObservedTokens = 500
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -22,13 +22,15 @@
 	failureCost = 2 * time.Second
 	// suspectCost keeps work from an upstream that does not answer while any other is there.
 	suspectCost = 10 * time.Second
-	// pausedStreamsCost is the cost of a second prompt at a decode engine that already processes one: the streams that run
-	// there would pause for both.
-	pausedStreamsCost = 250 * time.Millisecond
 	// slowedStreamCost is what a prompt costs each stream that runs at the decode engine which processes it.
 	slowedStreamCost = 60 * time.Millisecond
+	// pausedStreamCost is the same if the stream's events are expected to come further apart than their target.
+	pausedStreamCost = 300 * time.Millisecond
 	// runningCost is the slow-down by one more request in a decode batch over a usual output.
 	runningCost = 8 * time.Millisecond
+	// streamTimeWeight is what a second of an expected stream is worth avoiding, as waiting time. A stream at an engine of
+	// 0.6 times the usual speed holds its memory 1.7 times as long, and is lost more often when a process or engine ends.
+	streamTimeWeight = 0.1
 	// memoryShare is the part of an engine's memory that this process fills by its own estimate.
 	memoryShare = 0.9
 	// refusalPause is the time for which an engine that had no room is not asked again. About one request ends at a full
@@ -50,6 +52,8 @@
 	Excluded map[string]bool
 	// PromptTokens and OutputTokens are the sizes of a model request; the output is an estimate.
 	PromptTokens, OutputTokens int
+	// PauseTarget is the longest pause between the events of a stream that is in time; zero means that none is known.
+	PauseTarget time.Duration
 	// Prefilled is the engine that already has the prompt's KV cache; nil for none.
 	Prefilled *fleet.Upstream
 	// Kept is a decode engine that probably has the prompt's KV cache from an earlier try; nil for none.
@@ -180,9 +184,7 @@
 	var best time.Duration
 	for _, d := range decoders {
 		read := b.readTime(d, q.PromptTokens, decodeReadShare)
-		cost := read + b.decodeCost(d, q.Now)
-		cost += time.Duration(d.own.Reading+d.others.Reading) * pausedStreamsCost
-		cost += time.Duration(d.running()) * slowedStreamCost
+		cost := read + b.decodeCost(d, &q) + time.Duration(d.running())*streamPauseCost(d, &q, read)
 		if plan.Decode == nil || cost < best {
 			best, plan = cost, Plan{Decode: d.info, Expected: read}
 		}
@@ -194,7 +196,7 @@
 		read := b.readTime(p, q.PromptTokens, 1)
 		for _, d := range decoders {
 			move := transferTime(q.Service.Engine, q.PromptTokens, p.info.DataCentre == d.info.DataCentre)
-			cost := read + move + b.decodeCost(d, q.Now) + p.health(q.Now) + transferCost
+			cost := read + move + b.decodeCost(d, &q) + p.health(q.Now) + transferCost
 			if p.info.DataCentre != d.info.DataCentre {
 				cost += remoteTransferCost - transferCost
 			}
@@ -209,7 +211,7 @@
 // fetch returns the best decode engine for a prompt that was prefilled already.
 func (b *Board) fetch(q *Query, decoders []*state) (plan Plan, ok bool) {
 	plan.Decode, ok = b.least(decoders, func(d *state) time.Duration {
-		cost := b.decodeCost(d, q.Now)
+		cost := b.decodeCost(d, q)
 		if d.info.DataCentre != q.Prefilled.DataCentre {
 			cost += remoteTransferCost
 		}
@@ -234,8 +236,21 @@
 	return kept
 }
 
-func (b *Board) decodeCost(s *state, now time.Time) time.Duration {
-	cost := time.Duration(s.running())*runningCost + s.health(now)
+// streamPauseCost is what each stream at a decode engine loses by a prompt that the engine processes in read, with those
+// before it. The engine processes a part of the prompt before each token, so that about the whole of it falls between two
+// events.
+func streamPauseCost(s *state, q *Query, read time.Duration) time.Duration {
+	usual := time.Duration(s.tokenMs * float64(q.Service.Engine.TokensPerEvent) * float64(time.Millisecond))
+	if q.PauseTarget > 0 && usual+read > q.PauseTarget {
+		return pausedStreamCost
+	}
+	return slowedStreamCost
+}
+
+// decodeCost is the price of an output at an engine.
+func (b *Board) decodeCost(s *state, q *Query) time.Duration {
+	cost := time.Duration(s.running())*runningCost + s.health(q.Now)
+	cost += time.Duration(streamTimeWeight * s.tokenMs * float64(q.OutputTokens) * float64(time.Millisecond))
 	if s.info.DataCentre != b.dataCentre {
 		cost += remoteModelCost
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -157,6 +157,50 @@
 	}
 }
 
+// Guards against streams at an engine of 0.6 times the usual speed while a fast one has room: they hold memory longer, and
+// more of them are lost when an engine or a process ends.
+func TestStreamsPreferFastEngines(t *testing.T) {
+	b := board(upstream("p", "model", "here", fleet.StagePrefill), upstream("d", "model", "here", fleet.StageDecode),
+		upstream("e", "model", "there", fleet.StageDecode))
+	b.Streamed("d", 900, 4*time.Second)
+	b.Streamed("e", 900, 1500*time.Millisecond)
+	if plan, ok := model(b, 3000, 540); !ok || plan.Decode.ID != "e" {
+		t.Errorf("plan %+v, %v", plan, ok)
+	}
+	b.Streamed("e", 20, time.Minute) // too short to tell
+	if plan, ok := model(b, 3000, 540); !ok || plan.Decode.ID != "e" {
+		t.Errorf("after a short stream: plan %+v, %v", plan, ok)
+	}
+}
+
+// Guards against a prompt at a decode engine whose streams would pause for longer than their target, while a prefill engine
+// costs a transfer only; and against transfers where the decode engine is fast enough.
+func TestPromptsDoNotPauseStreams(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		perMs    float64 // speed of the decode engine on prompts
+		waiting  int     // prompt tokens that it already processes
+		prefills bool
+	}{
+		{"slow engine", 9, 0, true},
+		{"fast engine", 27, 0, false},
+		{"fast engine behind a prompt", 27, 3000, false},
+		{"fast engine behind two prompts", 27, 6000, true},
+	} {
+		b := board(upstream("p", "model", "here", fleet.StagePrefill), upstream("d", "model", "here", fleet.StageDecode))
+		b.Read("d", 3000, time.Duration(3000/c.perMs*float64(time.Millisecond)))
+		b.BeginRun("p", 0).BeginRead(9000) // the prefill engine has three prompts to finish first
+		work := b.BeginRun("d", 3000)
+		if c.waiting > 0 {
+			work.BeginRead(c.waiting)
+		}
+		plan, ok := b.Model(Query{Service: engine, Now: noon, PromptTokens: 3000, OutputTokens: 540, PauseTarget: 300 * time.Millisecond})
+		if !ok || (plan.Prefill != nil) != c.prefills {
+			t.Errorf("%s: plan %+v, %v", c.name, plan, ok)
+		}
+	}
+}
+
 // Guards against memory that stays counted for requests that are gone.
 func TestWorkEndsOnce(t *testing.T) {
 	b := board(upstream("d", "model", "here", fleet.StageDecode))
