gateway: a stream that goes silent continues at another engine

Now a stream without an event for four pause targets, at an engine that sends nothing else either, goes on elsewhere if it may be resumed, and a silent engine is not asked again for the same request.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -249,8 +249,8 @@
 func (r *request) decode(send *Send, work *placement.Work, out *eventWriter) error {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
-	stopWatch := r.watchSilence(send.Upstream, cancel)
-	defer stopWatch()
+	answer := r.watchAnswer(send.Upstream, cancel)
+	defer answer.stop()
 	r.sends++
 	what := "decode"
 	if send.From == nil {
@@ -264,7 +264,7 @@
 		if send.From != nil && verdict.As(err).Reason != wirev1.Reason_REASON_NO_PLACE {
 			r.dropHandle()
 		}
-		return err
+		return silentFailure(ctx, err)
 	}
 	r.handle = nil
 	defer response.Close()
@@ -273,8 +273,11 @@
 	}
 	var firstAt time.Time
 	before := out.events
+	var pauses *silenceWatch
+	defer func() { pauses.stop() }()
 	first := func() {
-		stopWatch()
+		answer.stop()
+		pauses = r.watchPauses(send.Upstream, cancel)
 		firstAt = time.Now()
 		if send.From == nil && work.Alone && send.ResumeAfter == "" {
 			r.g.Board.Read(send.Upstream.ID, r.call.PromptTokens, time.Since(began))
@@ -282,6 +285,7 @@
 		work.EndRead()
 	}
 	out.progress = func(events int) {
+		pauses.restart()
 		r.g.Board.Alive(send.Upstream.ID, time.Now())
 		work.Grow(r.call.PromptTokens + int(growthMargin*float64(events*r.service.Engine.TokensPerEvent)))
 	}
@@ -290,7 +294,7 @@
 		if r.ctx.Err() == nil {
 			r.g.Board.Silent(send.Upstream.ID, time.Now())
 		}
-		return err
+		return silentFailure(ctx, err)
 	}
 	r.g.Board.Streamed(send.Upstream.ID, (out.events-before-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.Sent(what, "answered")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,14 +17,8 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-const (
-	// bufferedAnswer is the largest answer that is held until it is whole, so that one that breaks off can be replaced.
-	bufferedAnswer = 256 << 10
-	// silentTargets is the number of latency targets after which an upstream without an answer counts as silent.
-	silentTargets = 2
-	// silentStreamTargets is the same for the first event of a stream, which may wait behind other prompts.
-	silentStreamTargets = 3
-)
+// bufferedAnswer is the largest answer that is held until it is whole, so that one that breaks off can be replaced.
+const bufferedAnswer = 256 << 10
 
 // servePlain runs the request at a plain service.
 func (r *request) servePlain() error {
@@ -85,7 +79,7 @@
 			cancel(nil)
 		}
 	}()
-	defer r.watchSilence(upstream, cancel)()
+	defer r.watchAnswer(upstream, cancel).stop()
 	began := time.Now()
 	r.sends++
 	r.step("send", upstream.ID)
@@ -115,28 +109,6 @@
 	return answer, nil
 }
 
-// errSilent ends a try at an upstream that did not answer in time.
-var errSilent = errors.New("no answer in time")
-
-// watchSilence notes an upstream that does not answer within a few latency targets, so that other requests avoid it, and
-// ends the try if the request may go elsewhere. The returned function ends the watch.
-func (r *request) watchSilence(upstream *fleet.Upstream, cancel context.CancelCauseFunc) func() {
-	if r.route.LatencyTarget <= 0 {
-		return func() {}
-	}
-	limit := silentTargets * r.route.LatencyTarget
-	if r.route.Kind == fleet.Stream {
-		limit = silentStreamTargets * r.route.LatencyTarget
-	}
-	timer := time.AfterFunc(limit, func() {
-		r.g.Board.Slow(upstream.ID, time.Now())
-		if r.route.Repeatable() && r.ran+1 < r.route.Attempts {
-			cancel(errSilent)
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // deliver passes an answer on.
 func (r *request) deliver(answer *plainAnswer) error {
 	header := r.w.Header()
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -279,15 +279,18 @@
 	b.change(id, func(s *state) { s.aliveAt = now })
 }
 
-// Slow notes that an upstream did not answer in time. One that sends on other connections is only busy.
-func (b *Board) Slow(id string, now time.Time) {
+// Slow notes that an upstream did not send in time, and reports whether it is silent. One that sends on other connections is
+// only busy.
+func (b *Board) Slow(id string, now time.Time) (silent bool) {
 	b.mu.Lock()
 	s := b.states[id]
 	busy := s != nil && now.Sub(s.aliveAt) < busyWindow
 	b.mu.Unlock()
-	if !busy {
-		b.Silent(id, now)
+	if busy {
+		return false
 	}
+	b.Silent(id, now)
+	return true
 }
 
 // Replaced notes that another process has the address of an upstream: it ended, and the list does not say so yet.
