placement: an upstream that did not answer is tried again by one request at a time

Now a suspected engine is left out while another one is announced, even if that one is full (the request waits for room), and after its pause one request of each router finds out; an event on any stream ends the suspicion. The test failed before.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -57,6 +57,8 @@
 
 	suspectUntil time.Time
 	suspicions   int
+	// probes is the number of requests under way that began while the upstream had not answered since it was suspected.
+	probes int
 
 	readPerMs float64 // learnt speed on prompts; 0 if not observed
 	tokenMs   float64 // learnt time of an output token; 0 if not observed
@@ -252,8 +254,14 @@
 	return s.failures * math.Exp2(-float64(now.Sub(s.failuresAt))/float64(failureHalfLife))
 }
 
-// suspect reports whether the upstream recently did not answer.
-func (s *state) suspect(now time.Time) bool { return now.Before(s.suspectUntil) }
+// suspect reports whether the upstream recently did not answer. After its pause one request at a time finds out whether it
+// answers again: an engine that ended looks empty, and would draw all requests until the first of them has failed.
+func (s *state) suspect(now time.Time) bool { return now.Before(s.suspectUntil) || s.probes > 0 }
+
+// trusted ends all suspicion.
+func (s *state) trusted() {
+	s.suspicions, s.probes, s.suspectUntil = 0, 0, time.Time{}
+}
 
 // Answered notes an answer of an upstream. failed tells that it was an error of the upstream.
 func (b *Board) Answered(id string, now time.Time, failed bool) {
@@ -262,8 +270,7 @@
 		if failed {
 			rate += failureWeight
 		} else {
-			s.suspicions = 0
-			s.suspectUntil = time.Time{}
+			s.trusted()
 		}
 		s.failures, s.failuresAt, s.aliveAt = rate, now, now
 	})
@@ -276,7 +283,12 @@
 
 // Alive notes that an upstream sent something.
 func (b *Board) Alive(id string, now time.Time) {
-	b.change(id, func(s *state) { s.aliveAt = now })
+	b.change(id, func(s *state) {
+		s.aliveAt = now
+		if !now.Before(s.suspectUntil) {
+			s.trusted()
+		}
+	})
 }
 
 // Slow notes that an upstream did not send in time, and reports whether it is silent. One that sends on other connections is
@@ -301,7 +313,7 @@
 // Silent notes that an upstream refused a connection or broke it off.
 func (b *Board) Silent(id string, now time.Time) {
 	b.change(id, func(s *state) {
-		if s.suspect(now) {
+		if now.Before(s.suspectUntil) {
 			return
 		}
 		pause := min(suspectMin<<min(s.suspicions, 8), suspectMax)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -172,7 +172,7 @@
 }
 
 func (b *Board) plan(q Query) (plan Plan, ok bool) {
-	decoders := b.roomy(&q, b.filter(&q, fleet.StageDecode))
+	decoders := b.roomy(&q, answering(b.filter(&q, fleet.StageDecode), q.Now))
 	if q.Prefilled != nil {
 		return b.fetch(&q, decoders)
 	}
@@ -220,6 +220,20 @@
 	return plan, ok
 }
 
+// answering leaves out the engines that do not answer, unless none does: a request had better wait for room at another.
+func answering(engines []*state, now time.Time) []*state {
+	kept := make([]*state, 0, len(engines))
+	for _, s := range engines {
+		if !s.suspect(now) {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return engines
+	}
+	return kept
+}
+
 // roomy keeps the engines with a free slot and memory for the request, by the own estimate.
 func (b *Board) roomy(q *Query, engines []*state) []*state {
 	kept := engines[:0]
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -157,6 +157,50 @@
 	}
 }
 
+// Guards against an engine that ended and looks empty: while the others were full it drew each waiting request (134 tries
+// without a connection on one day), and after each pause all of them at once.
+func TestEndedEngineIsProbedByOneRequest(t *testing.T) {
+	b := board(upstream("d", "model", "here", fleet.StageDecode), upstream("e", "model", "here", fleet.StageDecode))
+	choose := func(after time.Duration) string {
+		plan, ok := b.Model(Query{Service: engine, Now: noon.Add(after), PromptTokens: 3000, OutputTokens: 500})
+		if !ok {
+			return "none"
+		}
+		return plan.Decode.ID
+	}
+	b.BeginRun("e", 20000)
+	b.Silent("d", noon)
+	if got := choose(suspectMin / 2); got != "e" {
+		t.Errorf("while d is suspected: %s", got)
+	}
+	full := b.BeginRun("e", 15000)
+	if got := choose(suspectMin / 2); got != "none" {
+		t.Errorf("while d is suspected and e full: %s", got)
+	}
+	if got := choose(suspectMin + 1); got != "d" {
+		t.Fatalf("after the pause: %s", got)
+	}
+	probe := b.BeginRun("d", 3000)
+	if got := choose(suspectMin + 2); got != "none" {
+		t.Errorf("while one request finds out: %s", got)
+	}
+	full.End()
+	if got := choose(suspectMin + 2); got != "e" {
+		t.Errorf("while one request finds out, e has room: %s", got)
+	}
+	b.Silent("d", noon.Add(suspectMin+3))
+	probe.End()
+	if got := choose(2*suspectMin + 4); got != "e" {
+		t.Errorf("the second pause is longer: %s", got)
+	}
+	again := noon.Add(suspectMin + 3 + 2*suspectMin)
+	b.BeginRun("d", 3000)
+	b.Alive("d", again)
+	if got := choose(again.Sub(noon) + 1); got != "d" {
+		t.Errorf("after d has sent something: %s", got)
+	}
+}
+
 // Guards against streams at an engine of 0.6 times the usual speed while a fast one has room: they hold memory longer, and
 // more of them are lost when an engine or a process ends.
 func TestStreamsPreferFastEngines(t *testing.T) {
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -5,6 +5,8 @@
 	board *Board
 	state *state
 	share Share // as counted now
+	// probe is set while the request finds out whether a suspected upstream answers.
+	probe bool
 	// Alone reports whether no other prompt was under way when this one began.
 	Alone bool
 }
@@ -14,6 +16,10 @@
 	w := &Work{board: b}
 	b.mu.Lock()
 	w.state = b.states[id]
+	if w.state != nil && w.state.suspicions > 0 {
+		w.probe = true
+		w.state.probes++
+	}
 	w.countLocked(Share{Running: 1, Memory: memory})
 	b.mu.Unlock()
 	b.ownChanged()
@@ -67,6 +73,10 @@
 // End ends the request. It may be called more than once.
 func (w *Work) End() {
 	w.board.mu.Lock()
+	if w.probe {
+		w.probe = false
+		w.state.probes = max(0, w.state.probes-1)
+	}
 	w.countLocked(Share{})
 	w.board.mu.Unlock()
 	w.board.ownChanged()
