ledger: the tests of the takeover wait use the wait that New sets

They passed with the production value set to 0, because each set its own. With 0 in New, TestTakeoverWait/wait and TestRandomFaults/wait fail now; the rows without a wait set 0 themselves and must still see the violation.

--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -18,17 +18,19 @@
 func TestTakeoverWait(t *testing.T) {
 	for _, test := range []struct {
 		name          string
-		wait          time.Duration
+		noWait        bool // else the wait is the one that New sets
 		wantViolation bool
 	}{
-		{"no wait", 0, true},
-		{"wait", TakeoverWait, false},
+		{"no wait", true, true},
+		{"wait", false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limits := limitTable{"kilimo": {Rate: 1000, Burst: 4000}}
 				f := newFleet(t, 1, 1, limits, "a", "b")
-				f.adjust = func(n *Node) { n.takeoverWait = test.wait }
+				if test.noWait {
+					f.adjust = dropTakeoverWait
+				}
 				f.start("a", "b")
 				defer f.stop()
 				owner := awaitOwner(t, f, 0, 5*time.Second)
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -212,6 +212,9 @@
 	ids     atomic.Uint64
 }
 
+// dropTakeoverWait lets a node grant tokens as soon as it has taken over.
+func dropTakeoverWait(n *Node) { n.takeoverWait = 0 }
+
 func newFleet(t *testing.T, seed int64, shards int, limits limitTable, names ...string) *fleet {
 	f := &fleet{
 		t: t, ctx: t.Context(), net: newFakeNet(seed), store: newStore(uint64(seed) + 1), members: &memberList{},
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -119,11 +119,13 @@
 }
 
 // runDisturbed runs a fleet under load through random events, one every 0 to 4 s; crashed nodes come back within 20 s.
-func runDisturbed(t *testing.T, codes []uint32, wait time.Duration, settles bool) (result disturbed) {
+func runDisturbed(t *testing.T, codes []uint32, noWait, settles bool) (result disturbed) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := limitTable{"kilimo": {Rate: 1000, Burst: 4000}, "ubungo": {Rate: 200, Burst: 3000}}
 		f := newFleet(t, int64(len(codes)), 1, limits, fleetNames...)
-		f.adjust = func(n *Node) { n.takeoverWait = wait }
+		if noWait {
+			f.adjust = dropTakeoverWait
+		}
 		f.start(fleetNames...)
 		defer f.stop()
 		time.Sleep(3 * time.Second)
@@ -164,13 +166,13 @@
 func TestRandomFaults(t *testing.T) {
 	tests := []struct {
 		name          string
-		wait          time.Duration
+		noWait        bool // else the wait is the one that New sets
 		settles       bool // without refunds the load stays closest to the limit
 		wantViolation bool
 	}{
-		{"no wait", 0, false, true},
-		{"wait", TakeoverWait, false, false},
-		{"wait and refunds", TakeoverWait, true, false},
+		{"no wait", true, false, true},
+		{"wait", false, false, false},
+		{"wait and refunds", false, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -178,7 +180,7 @@
 			var epochs uint64
 			worst := math.Inf(-1)
 			property := func(codes []uint32) bool {
-				result := runDisturbed(t, codes, test.wait, test.settles)
+				result := runDisturbed(t, codes, test.noWait, test.settles)
 				grants += result.grants
 				refused += result.refused
 				epochs += result.epoch
