gateway: a prefill that reached no engine takes nothing from the retry budget

Found by reading: the comment said that only a prefill which reached an upstream makes what follows a repeat, the code drew on the budget for each. The test (budget empty, prefill engine ended) got 503 before.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -141,7 +141,7 @@
 		},
 	})
 	r.members = follow.NewMembers(follow.MemberOptions{
-		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: memberTTL,
+		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
 		Hold: memberHold, Logger: logger,
 	}, func(count int) {
 		r.limiter.SetProcesses(count)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -188,7 +188,8 @@
 			if r.ctx.Err() != nil {
 				return err
 			}
-			if !r.g.Budgets.of(r.service.Name).Allow() {
+			reached := verdict.As(err).Reason != wirev1.Reason_REASON_UPSTREAM_UNREACHABLE
+			if reached && !r.g.Budgets.of(r.service.Name).Allow() {
 				// A prefill that was refused or lost has reached an upstream, so what follows is a repeat.
 				return verdict.Refuse(wirev1.Reason_REASON_RETRY_BUDGET, "prefill failed and the retry budget is spent")
 			}
