quota: a process that starts again begins with its share of the burst

Two restarts within a window admitted 28,000 tokens where 27,800 were allowed. Now it begins with an equal share of the burst, filled at the rate since its start, and counts eight processes until it is told. The new test admitted 33,000 before. TestDebtIsPaid lets its limiters begin a minute earlier, with full buckets as before.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -73,6 +73,9 @@
 	headerTimeout = 10 * time.Second
 	// headerLimit is larger than what callers may send; the configuration's own limit is lower.
 	headerLimit = 64 << 10
+	// assumedProcesses is the number of entry processes until the store has told it: about that of the users' deployments. A
+	// process that counts itself alone would take the whole of what all share.
+	assumedProcesses = 8
 	// budgetUse is the part of the permitted retries that is used; the rest covers requests that are counted elsewhere.
 	budgetUse = 0.8
 	logFlush  = 200 * time.Millisecond
@@ -120,10 +123,11 @@
 	pool := upstreamconn.New(nil)
 	r := &router{
 		path: path, settings: s, logger: logger, pool: pool,
-		board: placement.NewBoard(s.DataCentre, nil), limiter: quota.NewLimiter(tolerance(s)),
+		board: placement.NewBoard(s.DataCentre, nil), limiter: quota.NewLimiter(tolerance(s), time.Now()),
 		budgets: gateway.NewBudgets(retryLimits(s)), registry: prometheus.NewRegistry(),
 		newer: make(chan struct{}, 1),
 	}
+	r.setProcesses(assumedProcesses)
 	r.store = platform.NewStore(platform.StoreOptions{
 		Address: s.StoreAddress, Pool: pool, CallTimeout: storeCallTimeout, WatchWait: r.watchWait,
 	})
@@ -143,14 +147,17 @@
 	r.members = follow.NewMembers(follow.MemberOptions{
 		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
 		Hold: memberHold, Logger: logger,
-	}, func(count int) {
-		r.limiter.SetProcesses(count)
-		r.budgets.SetProcesses(count)
-	}, r.mesh.SetMembers)
+	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.Changed, r.gateway.RoomChanged)
 	return r
 }
 
+// setProcesses divides what all processes share.
+func (r *router) setProcesses(count int) {
+	r.limiter.SetProcesses(count)
+	r.budgets.SetProcesses(count)
+}
+
 // watchWait returns how long a watch call of the configuration waits.
 func (r *router) watchWait() time.Duration {
 	if r.mesh.Connected() > 0 {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}), address: listener.Addr().String()}
+	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), address: listener.Addr().String()}
 	_ = listener.Close()
 	n.mesh = New(Options{
 		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Logger: zap.NewNop(),
@@ -79,7 +79,6 @@
 	b.limiter.SetProcesses(2)
 	eventually(t, "b knows what a charged", func() bool {
 		a.limiter.Admit(account, 100, time.Now())
-		ok, _ := b.limiter.Admit(account, 100, time.Now())
-		return !ok
+		return !b.limiter.Admit(account, 100, time.Now()).OK
 	})
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -41,9 +41,10 @@
 
 // Limiter admits requests by account. Its methods may be called concurrently.
 type Limiter struct {
-	tolerance Tolerance
+	began time.Time
 
 	mu        sync.Mutex // guards the fields below
+	tolerance Tolerance
 	processes int
 	buckets   map[string]*bucket
 	// spent has all charges of this process since its start, by account.
@@ -52,9 +53,9 @@
 	others map[string]map[string]float64
 }
 
-// NewLimiter returns a limiter for a fleet of one process.
-func NewLimiter(tolerance Tolerance) *Limiter {
-	return &Limiter{tolerance: tolerance, processes: 1, buckets: make(map[string]*bucket), spent: make(map[string]float64),
+// NewLimiter returns a limiter for a fleet of one process that began at a time.
+func NewLimiter(tolerance Tolerance, began time.Time) *Limiter {
+	return &Limiter{tolerance: tolerance, began: began, processes: 1, buckets: make(map[string]*bucket), spent: make(map[string]float64),
 		others: make(map[string]map[string]float64)}
 }
 
@@ -163,7 +164,9 @@
 	capacity = (account.Burst + tolerated) * known
 	b = l.buckets[account.Name]
 	if b == nil {
-		b = &bucket{level: capacity, at: now}
+		// The other processes hold the rest of the burst, and what is tolerated beyond it may be spent already: this process
+		// may have started again a moment ago.
+		b = &bucket{level: account.Burst / float64(l.processes), at: l.began}
 		l.buckets[account.Name] = b
 	}
 	b.level = min(b.level+rate*max(0, now.Sub(b.at).Seconds()), capacity)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -28,7 +28,7 @@
 	for _, processes := range []int{1, 4, 32} {
 		total := 0.0
 		for range processes {
-			l := NewLimiter(tolerance)
+			l := NewLimiter(tolerance, time.Unix(0, 0))
 			l.SetProcesses(processes)
 			total += admitted(l, account, 4000, time.Unix(0, 0), 8*time.Second)
 		}
@@ -43,7 +43,7 @@
 
 // Guards against a lowered limit that binds only after the old burst was spent.
 func TestLowerLimitBindsAtOnce(t *testing.T) {
-	l := NewLimiter(Tolerance{Window: 8 * time.Second})
+	l := NewLimiter(Tolerance{Window: 8 * time.Second}, time.Unix(0, 0))
 	high, low := &fleet.Account{Name: "a", Rate: 1000, Burst: 10000}, &fleet.Account{Name: "a", Rate: 10, Burst: 10}
 	start := time.Unix(0, 0)
 	if !l.Admit(high, 1, start).OK {
@@ -56,7 +56,7 @@
 
 // Guards against a time to return at which the request is refused again, and against a lost charge of work that did not run.
 func TestWaitAndReturn(t *testing.T) {
-	l := NewLimiter(Tolerance{Window: 8 * time.Second})
+	l := NewLimiter(Tolerance{Window: 8 * time.Second}, time.Unix(0, 0))
 	account := &fleet.Account{Name: "a", Rate: 100, Burst: 100}
 	now := time.Unix(0, 0)
 	l.Admit(account, 100, now)
@@ -92,7 +92,7 @@
 	} {
 		limiters := make([]*Limiter, processes)
 		for i := range limiters {
-			limiters[i] = NewLimiter(Tolerance{Window: 8 * time.Second})
+			limiters[i] = NewLimiter(Tolerance{Window: 8 * time.Second}, time.Unix(0, 0))
 			limiters[i].SetProcesses(processes)
 		}
 		total := 0.0
@@ -120,7 +120,8 @@
 // Guards against an account whose debt, from charges that several processes made before they knew of each other, is forgotten.
 func TestDebtIsPaid(t *testing.T) {
 	account := &fleet.Account{Name: "a", Rate: 1000, Burst: 1000}
-	a, b := NewLimiter(Tolerance{Window: 8 * time.Second}), NewLimiter(Tolerance{Window: 8 * time.Second})
+	began := time.Unix(-60, 0) // the buckets are full by now
+	a, b := NewLimiter(Tolerance{Window: 8 * time.Second}, began), NewLimiter(Tolerance{Window: 8 * time.Second}, began)
 	for _, l := range []*Limiter{a, b} {
 		l.SetProcesses(2)
 		l.SetOthers("other", map[string]float64{})
@@ -134,10 +135,55 @@
 	}
 }
 
+// Guards against an account that gets its burst again with each process that starts again: two restarts within a window
+// admitted 28,000 tokens where 27,800 were allowed.
+func TestRestartDoesNotRefillTheBurst(t *testing.T) {
+	account := &fleet.Account{Name: "a", Rate: 2000, Burst: 2000, CountsTokens: true, PlainTokens: 200}
+	tolerance := Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 8000}
+	limit := (account.Rate*8+account.Burst)*1.1 + tolerance.Slack
+	limiters := make([]*Limiter, 3)
+	start := func(i int, now time.Time) {
+		limiters[i] = NewLimiter(tolerance, now)
+		limiters[i].SetProcesses(len(limiters))
+	}
+	for i := range limiters {
+		start(i, time.Unix(0, 0).Add(-time.Minute))
+	}
+	total := 0.0
+	for at := time.Duration(0); at < 8*time.Second; at += 20 * time.Millisecond {
+		now := time.Unix(0, 0).Add(at)
+		if at%(500*time.Millisecond) == 0 {
+			for i, l := range limiters {
+				for j, other := range limiters {
+					if i != j {
+						l.SetOthers(string(rune('a'+j)), other.Spent())
+					}
+				}
+			}
+		}
+		if at == time.Second || at == 3*time.Second || at == 5*time.Second || at == 7*time.Second {
+			i := int(at/time.Second) % 3
+			for _, l := range limiters {
+				l.SetOthers(string(rune('a'+i)), nil)
+			}
+			start(i, now)
+		}
+		if l := limiters[int(at/(20*time.Millisecond))%3]; l.Admit(account, 200, now).OK { // five times the rate
+			total += 200
+		}
+	}
+	if total > limit {
+		t.Errorf("%.0f admitted in a window, the limit is %.0f", total, limit)
+	}
+	if total < account.Rate*8 {
+		t.Errorf("only %.0f admitted in a window", total)
+	}
+}
+
 // Guards against bookings that are refused because the same account's prompts have spent everything: 264 of 5,030 were.
 func TestLargeChargesLeaveRoomForSmallOnes(t *testing.T) {
 	account := &fleet.Account{Name: "a", Rate: 10000, Burst: 100000, CountsTokens: true, PlainTokens: 200}
-	l := NewLimiter(Tolerance{Window: 8 * time.Second})
+	l := NewLimiter(Tolerance{Window: 8 * time.Second}, time.Unix(0, 0))
 	refused := 0
 	for i := range 1000 {
 		now := time.Unix(0, 0).Add(time.Duration(i) * 10 * time.Millisecond)
