--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	stopTargets = 3
 	// stopPause is the pause for a caller that a stopping process refuses; another process serves it at once.
 	stopPause = 200 * time.Millisecond
+	// defaultPause is asked for where no better time is known; a process without a configuration has one within it once the
+	// store answers.
+	defaultPause = time.Second
 	// idleAfter is the time without a request after which a stopping process has no callers any more.
 	idleAfter = 300 * time.Millisecond
 	// answerMargin is kept of the route's timeout, so that the final answer reaches the caller within it.
@@ -383,10 +386,13 @@
 	header := r.w.Header()
 	r.g.Protocol.RefusalHeader(r.call, header)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	r.status = refusal.HTTPStatus()
+	if refusal.RetryAfter == 0 && refusal.Verdict == verdict.NotRun && r.status >= http.StatusTooManyRequests {
+		refusal.RetryAfter = defaultPause
+	}
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	r.status = refusal.HTTPStatus()
 	body := verdict.ReasonName(refusal.Reason) + " (" + refusal.Verdict.String() + "): " + refusal.Detail + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	r.w.WriteHeader(r.status)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -22,12 +22,17 @@
 
 // servePlain runs the request at a plain service.
 func (r *request) servePlain() error {
+	var answer *plainAnswer // of the last upstream that failed
 	for {
 		upstream, ok := r.g.Board.Plain(placement.Query{Service: r.service, Now: time.Now(), Excluded: r.excluded})
+		if !ok && answer != nil {
+			return r.deliver(answer)
+		}
 		if !ok {
-			return r.noUpstream()
+			return r.finalRefusal(verdict.As(r.noUpstream()))
 		}
-		answer, err := r.tryPlain(upstream)
+		var err error
+		answer, err = r.tryPlain(upstream)
 		if err == nil {
 			return r.deliver(answer)
 		}
