processtest: a fault soak of routers, store and runners

Each seed starts three router programs with a store and runners, sends four kinds of requests and a hot account through the routers that are ready, and for six seconds mixes delays, resets, lost answers and silence on the links, kills, stops, freezes and reloads of routers, outages, slowness, lost and late writes, old lists and compaction of the store, faults and ends of runners. From outside it checks runs per request, whole answers with the signature of a runner that ran them, true refusals, the rate of the hot account in each window, and that every router serves every kind within 12 s. The usual suite plays two seeds, make soak 60. Clocks are not disturbed: wall clocks of processes cannot be set apart without root.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: all build test lint demo run bench capacity generate fuzz clean
+.PHONY: all build test lint demo run bench soak capacity generate fuzz clean
 
 all: build
 
@@ -28,6 +28,10 @@
 	$(GO) test ./internal/bench -run '^TestPolicyTable$$' -v -count=1 -args -full
 	$(GO) test ./internal/bench/rates -run '^TestRateTable$$' -v -count=1
 
+# SOAK_FIRST and SOAK_SEEDS choose the seeds; the usual tests play two.
+soak:
+	SOAK_SEEDS=$${SOAK_SEEDS:-60} $(GO) test ./internal/processtest -run '^TestSoak$$' -count=1 -timeout 20m
+
 capacity:
 	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 200ms -timeout 10m
 
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -54,7 +54,7 @@
 // trackSources makes the cached result of this package depend on the sources of the programs, which it does not import.
 // Go notes the files that a test looks at.
 var trackSources = sync.OnceFunc(func() {
-	for _, dir := range []string{"cmd", "internal", "standin", "api", "go.mod"} {
+	for _, dir := range []string{"cmd", "internal", "platform", "standin", "api", "go.mod"} {
 		_ = filepath.WalkDir("../../"+dir, func(path string, _ fs.DirEntry, _ error) error {
 			_, _ = os.Stat(path)
 			return nil
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -23,6 +23,8 @@
 	record   bool
 	// deaf drops all answers, also on new connections.
 	deaf bool
+	// delay holds up everything that is passed on.
+	delay time.Duration
 }
 
 // link is one connection through a relay.
@@ -81,8 +83,8 @@
 	r.links[l] = struct{}{}
 	r.mu.Unlock()
 	var copying sync.WaitGroup
-	copying.Go(func() { l.copy(in, out, r.requestPassed, nil) })
-	copying.Go(func() { l.copy(out, in, nil, r.isDeaf) })
+	copying.Go(func() { l.copy(in, out, r.requestPassed, nil, r.pause) })
+	copying.Go(func() { l.copy(out, in, nil, r.isDeaf, r.pause) })
 	copying.Wait()
 	r.mu.Lock()
 	delete(r.links, l)
@@ -91,7 +93,7 @@
 
 // copy delivers bytes until an end closes. Once the link is silent it reads and drops everything, the end of the
 // connection included, so that the other side sees neither data nor a close.
-func (l *link) copy(from, to net.Conn, passed func([]byte), drop func() bool) {
+func (l *link) copy(from, to net.Conn, passed func([]byte), drop func() bool, pause func() time.Duration) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -107,6 +109,7 @@
 			if passed != nil {
 				passed(buffer[:n])
 			}
+			time.Sleep(pause())
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
@@ -158,10 +161,30 @@
 	return r.deaf
 }
 
+func (r *relay) pause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
+// slow holds up everything from now on.
+func (r *relay) slow(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// deafen drops all answers from now on.
+func (r *relay) deafen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deaf = true
+}
+
 // heal breaks the open connections, whose answers are incomplete, and passes everything on again.
 func (r *relay) heal() {
 	r.mu.Lock()
-	r.deaf, r.trigger = false, nil
+	r.deaf, r.trigger, r.delay = false, nil, 0
 	r.mu.Unlock()
 	r.reset()
 }
--- /dev/null
+++ b/internal/processtest/soak_test.go
@@ -0,0 +1,257 @@
+package processtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+	"github.com/fulmardoor/fulmardoor/platform/platformtest"
+)
+
+const (
+	// soakFaults is the time in which faults begin. Each lasts 3 s at most.
+	soakFaults = 6 * time.Second
+	// soakRecovery is the time after the last fault in which every kind of request must be served by every router. The
+	// users' bound for recovery is 12 s; dead peers and engines are forgotten within it.
+	soakRecovery = 12 * time.Second
+	soakRouters  = 3
+	// soakSeeds is the number of seeds of a usual run; SOAK_SEEDS and SOAK_FIRST choose others.
+	soakSeeds = 2
+)
+
+const soakConfig = `{"version":%d,"routes":[
+{"name":"book","host":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"latency_goal_ms":300,"service":"shop","attempts":1},
+{"name":"look","host":"h.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":1500,"latency_goal_ms":300,"service":"shop","attempts":2},
+{"name":"note","host":"h.example","path_prefix":"/note/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":600,"gap_aim_ms":200,"service":"llm","attempts":1},
+{"name":"reply","host":"h.example","path_prefix":"/reply/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":600,"gap_aim_ms":200,"service":"llm","attempts":2,"resumable":true}],
+"services":[{"name":"shop","max_conns":100},{"name":"llm","max_conns":100,
+"engine":{"slots":64,"kv_tokens":40000,"kv_token_bytes":18432,"link_mbps":180000,"stride":13,"handle_ttl_s":0.5,"hold_ms":2000}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"usual","api_keys":["key-usual"],"unit":"token_stream","plain_tokens":200,"rate_per_s":1000000,"burst":1000000},
+{"name":"hot","api_keys":["key-hot"],"unit":"token_stream","plain_tokens":200,"rate_per_s":2000,"burst":2000}]}`
+
+const soakSettings = `node_name=%[1]s
+ip=%[2]s
+zone=here
+platform.address=%[3]s
+listen.front=%[4]s
+listen.ready=%[5]s
+port_range=%[6]s,%[6]s
+limits.memory_mb=256
+bounds.grace_s=4
+bounds.budget_ratio=0.2
+bounds.retry_slack=56
+bounds.budget_window_s=10
+bounds.quota_window_s=8
+bounds.quota_over=0.1
+bounds.quota_slack=8000
+platform.ttl_min_ms=1000
+`
+
+// soakRouter is a router with its own path to the store.
+type soakRouter struct {
+	name, callers, ready, settings string
+	store                          *relay
+
+	mu      sync.Mutex // guards process
+	process *process
+}
+
+// soakFleet is the world of one seed.
+type soakFleet struct {
+	t       *testing.T
+	dir     string
+	store   *memory.Store
+	routers []*soakRouter
+
+	mu      sync.Mutex // guards the fields below
+	runners []*soakRunner
+	started int
+	version int
+	events  []string // what was done, for the log of a failed seed
+	began   time.Time
+}
+
+// soakRunner is a runner behind a relay, as it is announced.
+type soakRunner struct {
+	*platformtest.Runner
+	relay *relay
+	ended atomic.Bool
+}
+
+func newSoakFleet(t *testing.T) *soakFleet {
+	f := &soakFleet{t: t, dir: t.TempDir(), store: memory.New(memory.Options{}), began: time.Now()}
+	server := httptest.NewServer(platformtest.NewStore(f.store))
+	t.Cleanup(server.Close)
+	f.nextConfig()
+	for _, stage := range []string{"", "", "prefill", "decode", "decode", "decode"} {
+		f.addRunner(stage)
+	}
+	for i := range soakRouters {
+		r := &soakRouter{name: fmt.Sprintf("router-%d", i+1), callers: freeAddress(t), ready: freeAddress(t),
+			store: startRelay(t, server.Listener.Addr().String())}
+		r.settings = filepath.Join(f.dir, r.name+".conf")
+		host, port := splitAddress(t, freeAddress(t))
+		text := fmt.Sprintf(soakSettings, r.name, host, r.store.address, r.callers, r.ready, port)
+		if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.start(f)
+		f.routers = append(f.routers, r)
+	}
+	return f
+}
+
+func (r *soakRouter) start(f *soakFleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.process = start(f.t, f.dir, r.name, "fulmardoor-router", "run", "--settings", r.settings, "--metrics-port", "0")
+}
+
+// restart ends the router by a signal and starts it again after a pause. It returns at once.
+func (r *soakRouter) restart(f *soakFleet, by syscall.Signal, pause time.Duration) {
+	r.mu.Lock()
+	p := r.process
+	r.mu.Unlock()
+	p.signal(by)
+	f.later(pause, func() {
+		<-p.done
+		r.start(f)
+	})
+}
+
+func (r *soakRouter) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.process.signal(s)
+}
+
+// isReady asks as the balancer does.
+func (r *soakRouter) isReady() bool {
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + r.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// nextConfig writes the configuration with the next version.
+func (f *soakFleet) nextConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.store.Put("op/config", fmt.Appendf(nil, soakConfig, f.version))
+}
+
+func (f *soakFleet) addRunner(stage string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	id := "i-" + strconv.Itoa(f.started)
+	runner := platformtest.NewRunner(f.t, id, stage)
+	r := &soakRunner{Runner: runner, relay: startRelay(f.t, runner.Address)}
+	f.runners = append(f.runners, r)
+	service, extra := "shop", ""
+	if stage != "" {
+		service, extra = "llm", `,"stage":"`+stage+`"`
+	}
+	f.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"here","slots":6,"state":"ready","seq":1%s}`,
+		service, r.relay.address, extra))
+}
+
+// endRunner ends a runner as a crash does; its entry is removed a second later, and another one takes its place.
+func (f *soakFleet) endRunner(r *soakRunner) {
+	if r.ended.Swap(true) {
+		return
+	}
+	r.Stop()
+	f.later(time.Second, func() {
+		f.store.Remove("servers/" + r.ID)
+		f.addRunner(r.Stage)
+	})
+}
+
+// all returns all runners, those that have ended included.
+func (f *soakFleet) all() []*soakRunner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*soakRunner(nil), f.runners...)
+}
+
+// later runs an action after a time, unless the test has ended.
+func (f *soakFleet) later(after time.Duration, action func()) {
+	timer := time.AfterFunc(after, action)
+	f.t.Cleanup(func() { timer.Stop() })
+}
+
+// TestSoak guards the promises against mixes of faults that no single test brings about: each seed runs three routers, a
+// store and runners for some seconds under load, cuts, delays, resets, silence, signals and faults of store and runners, and
+// checks from outside what callers got and what runners ran.
+func TestSoak(t *testing.T) {
+	first, seeds := soakNumber(t, "SOAK_FIRST", 1), soakNumber(t, "SOAK_SEEDS", soakSeeds)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			trackSources()
+			soak(t, uint64(seed))
+		})
+	}
+}
+
+func soakNumber(t *testing.T, name string, otherwise int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return number
+}
+
+func soak(t *testing.T, seed uint64) {
+	f := newSoakFleet(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			showLogs(t, f.dir)
+		}
+	})
+	for _, r := range f.routers {
+		eventually(t, r.name+" is ready", func() string {
+			if r.isReady() {
+				return ""
+			}
+			return "not ready"
+		})
+	}
+	load := startSoakLoad(f)
+	f.began = time.Now()
+	random := rand.New(rand.NewPCG(seed, 0))
+	for time.Since(f.began) < soakFaults {
+		f.disturb(random)
+		time.Sleep(time.Duration(random.Int64N(int64(800 * time.Millisecond))))
+	}
+	time.Sleep(soakLongest)
+	f.heal()
+	f.awaitRecovery()
+	results := load.stop()
+	f.check(results)
+	if t.Failed() {
+		for _, event := range f.events {
+			t.Log(event)
+		}
+	}
+}
