--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -176,10 +176,8 @@
 	if q.Prefilled != nil {
 		return b.fetch(&q, decoders)
 	}
-	for _, d := range decoders {
-		if q.Kept != nil && d.info.ID == q.Kept.ID && d.info.Incarnation == q.Kept.Incarnation {
-			return Plan{Decode: d.info}, true
-		}
+	if kept := b.kept(&q); kept != nil {
+		return Plan{Decode: kept.info}, true
 	}
 	var best time.Duration
 	for _, d := range decoders {
@@ -208,6 +206,20 @@
 	return plan, plan.Decode != nil
 }
 
+// kept returns the engine that probably has the prompt, nil for none. The answer that broke off there made it a suspect, so
+// suspicion does not count.
+func (b *Board) kept(q *Query) *state {
+	if q.Kept == nil {
+		return nil
+	}
+	for _, d := range b.roomy(q, b.filter(q, fleet.StageDecode)) {
+		if d.info.ID == q.Kept.ID && d.info.Incarnation == q.Kept.Incarnation {
+			return d
+		}
+	}
+	return nil
+}
+
 // fetch returns the best decode engine for a prompt that was prefilled already.
 func (b *Board) fetch(q *Query, decoders []*state) (plan Plan, ok bool) {
 	plan.Decode, ok = b.least(decoders, func(d *state) time.Duration {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -144,6 +144,7 @@
 func TestPromptIsNotReadAgain(t *testing.T) {
 	d, e := upstream("d", "model", "here", fleet.StageDecode), upstream("e", "model", "there", fleet.StageDecode)
 	b := board(upstream("p", "model", "there", fleet.StagePrefill), d, e)
+	b.Silent("e", noon) // as after each answer that broke off
 	plan, ok := b.Model(Query{Service: engine, Now: noon, PromptTokens: 3000, OutputTokens: 500, Kept: e})
 	if !ok || plan.Decode.ID != "e" || plan.Prefill != nil {
 		t.Errorf("with the prompt kept at e: %+v", plan)
