--- a/internal/follow/refresh_test.go
+++ b/internal/follow/refresh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,13 +17,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		asks := make(chan struct{}, 1)
-		calls, away := 0, true
+		var calls atomic.Int64
+		var answering atomic.Bool
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
 			Refresh(ctx, asks, "store", zap.NewNop(), func(context.Context) error {
-				calls++
-				if away {
+				calls.Add(1)
+				if !answering.Load() {
 					return errors.New("refused")
 				}
 				return nil
@@ -39,13 +41,13 @@
 			synctest.Wait()
 		}
 		ask(600) // 9 s
-		if calls > 30 {
-			t.Errorf("%d calls in 9 s of an outage", calls)
+		if calls.Load() > 30 {
+			t.Errorf("%d calls in 9 s of an outage", calls.Load())
 		}
-		away = false
-		before := calls
+		answering.Store(true)
+		before := calls.Load()
 		ask(40) // 0.6 s
-		if calls == before {
+		if calls.Load() == before {
 			t.Error("no call within 0.6 s after the outage")
 		}
 		cancel()
