--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -109,11 +109,7 @@
 	return zap.New(core).With(zap.String("process", s.Name))
 }
 
-func run(path string, metricsPort int) error {
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
-		return err
-	}
+func run(path string, settings *platform.Settings, metricsPort int) error {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
 	out := asynclog.New(os.Stdout)
 	defer out.Close(logFlush)
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -24,9 +24,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.share = 1 / float64(max(1, count))
-	for _, budget := range b.byName {
-		budget.SetShares(b.limits.Share, b.limits.Extra*b.share)
-	}
+	b.applyLocked()
 }
 
 // SetLimits changes the limits that hold over all processes together.
@@ -34,8 +32,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limits = limits
+	b.applyLocked()
+}
+
+// ownLocked returns the part of the limits that is this process's.
+func (b *Budgets) ownLocked() retry.Limits {
+	limits := b.limits
+	limits.Extra *= b.share
+	return limits
+}
+
+func (b *Budgets) applyLocked() {
+	own := b.ownLocked()
 	for _, budget := range b.byName {
-		budget.SetShares(limits.Share, limits.Extra*b.share)
+		budget.SetShares(own.Share, own.Extra)
 	}
 }
 
@@ -44,9 +54,7 @@
 	defer b.mu.Unlock()
 	budget, ok := b.byName[service]
 	if !ok {
-		limits := b.limits
-		limits.Extra *= b.share
-		budget = retry.NewLimitedBudget(limits)
+		budget = retry.NewLimitedBudget(b.ownLocked())
 		b.byName[service] = budget
 	}
 	return budget
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -328,8 +329,8 @@
 	}
 	refusal := verdict.Refuse(wirev1.Reason_REASON_RATE_EXCEEDED, "the account is over its rate")
 	refusal.RetryAfter = decision.Wait
-	r.step("rate_exceeded needs "+strconv.FormatFloat(decision.Needed, 'f', 0, 64)+" has "+strconv.FormatFloat(decision.Level, 'f', 0, 64)+
-		" heard "+strconv.Itoa(decision.Heard)+"/"+strconv.Itoa(decision.Processes), r.account.Name)
+	r.step(fmt.Sprintf("rate_exceeded needs %.0f has %.0f heard %d/%d", decision.Needed, decision.Level, decision.Heard, decision.Processes),
+		r.account.Name)
 	return refusal
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -131,7 +131,7 @@
 	if queue.Wait(r.ctx, item) {
 		return found, nil
 	}
-	return nil, r.noUpstream()
+	return nil, noUpstream()
 }
 
 // findPlace takes room for the request if there is any now.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,7 +29,7 @@
 			return r.deliver(answer)
 		}
 		if !ok {
-			return r.finalRefusal(verdict.As(r.noUpstream()))
+			return r.finalRefusal(noUpstream())
 		}
 		var err error
 		answer, err = r.tryPlain(upstream)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -116,8 +116,6 @@
 	return time.Duration((overloadTargets + overloadSpread*rand.Float64()) * float64(target))
 }
 
-func (r *request) noUpstream() error {
-	refusal := verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of the service takes work")
-	refusal.RetryAfter = overloadPause(r)
-	return refusal
+func noUpstream() *verdict.Refusal {
+	return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no upstream of the service takes work")
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
@@ -58,10 +59,8 @@
 func New(options Options) *Mesh {
 	m := &Mesh{options: options, news: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), sessions: make(map[*transport.Session]bool)}
 	m.transport = &transport.Options{
-		Hello: &wirev1.Hello{
-			Role: wirev1.Role_ROLE_ENTRY, Incarnation: transport.NewIncarnation(), Host: options.Host, DataCentre: options.DataCentre,
-			Process: options.Name, Address: options.Address, ProtocolVersion: transport.ProtocolVersion,
-		},
+		Hello: transport.NewHello(wirev1.Role_ROLE_ENTRY,
+			&configv1.ProcessSettings{Name: options.Name, Host: options.Host, DataCentre: options.DataCentre}, options.Address),
 		HeartbeatInterval: beatInterval, SilenceLimit: silenceLimit, Heartbeat: m.heartbeat, OnHeartbeat: m.received,
 		OnOpen: m.opened, OnClose: m.closed, Logger: options.Logger,
 	}
