platformtest: one copy of the entry, the settings file, the stream and the callers' headers

The demo's deployment, the path tests and the soak each wrote them. The limits and expectations of the tests are the same; settings_test keeps its own text, which it parses as an outside file.

--- a/internal/processtest/soak_check_test.go
+++ b/internal/processtest/soak_check_test.go
@@ -12,7 +12,7 @@
 	// hotWindow and hotLimit are the users' bound for the account "hot": (2,000 tokens a second in 8 s and a burst of
 	// 2,000) with a tenth and 8,000 more.
 	hotWindow = 8 * time.Second
-	hotLimit  = (2000*8+2000)*11/10 + 8000
+	hotLimit  = (2000*8+2000)*11/10 + soakRateSlack
 	// plainTokens is what a plain request counts.
 	plainTokens = 200
 )
--- a/internal/processtest/soak_load_test.go
+++ b/internal/processtest/soak_load_test.go
@@ -109,15 +109,11 @@
 		return result
 	}
 	request.Host = "h.example"
-	request.Header.Set("Fulmardoor-Request-Id", result.id)
-	request.Header.Set("Fulmardoor-Deadline-Ms", "1500")
-	request.Header.Set("Authorization", "Token key-"+account)
-	if kind == "note" || kind == "reply" {
-		request.Header.Set("Fulmardoor-Deadline-Ms", "5000")
-		request.Header.Set("Fulmardoor-Token-Count", "100,60")
-		request.Header.Set("Fulmardoor-Length-Hint", "40")
-		request.Header.Set("Fulmardoor-Model", "m")
+	model, deadlineMs := kind == "note" || kind == "reply", 1500
+	if model {
+		deadlineMs = 5000
 	}
+	platformtest.SetCallerHeaders(request.Header, result.id, "key-"+account, deadlineMs, model)
 	client := &http.Client{Transport: transport, Timeout: 8 * time.Second}
 	response, err := client.Do(request)
 	if err != nil {
@@ -142,9 +138,5 @@
 	if r.kind == "book" || r.kind == "look" {
 		return "answer"
 	}
-	var b strings.Builder
-	for id := 1; id <= platformtest.Events; id++ {
-		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", id, id)
-	}
-	return b.String()
+	return platformtest.WholeStream()
 }
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -25,29 +25,12 @@
 	// users' bound for recovery is 12 s; dead peers and engines are forgotten within it.
 	soakRecovery = 12 * time.Second
 	soakRouters  = 3
+	// soakRateSlack is the tolerated amount over the rate of an account, in tokens.
+	soakRateSlack = 8000
 	// soakSeeds is the number of seeds of a usual run; SOAK_SEEDS and SOAK_FIRST choose others.
 	soakSeeds = 2
 )
 
-const soakSettings = `node_name=%[1]s
-ip=%[2]s
-zone=here
-platform.address=%[3]s
-listen.front=%[4]s
-listen.ready=%[5]s
-port_range=%[6]s,%[6]s
-limits.memory_mb=256
-bounds.drain_ms=2000
-bounds.grace_s=4
-bounds.budget_ratio=0.2
-bounds.retry_slack=56
-bounds.budget_window_s=10
-bounds.quota_window_s=8
-bounds.quota_over=0.1
-bounds.quota_slack=8000
-platform.ttl_min_ms=1000
-`
-
 // soakRouter is a router with its own path to the store.
 type soakRouter struct {
 	name, callers, ready, settings string
@@ -92,8 +75,11 @@
 			store: startRelay(t, server.Listener.Addr().String())}
 		r.settings = filepath.Join(f.dir, r.name+".conf")
 		host, port := splitAddress(t, freeAddress(t))
-		text := fmt.Sprintf(soakSettings, r.name, host, r.store.address, r.callers, r.ready, port)
-		if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+		settings := platformtest.RouterSettings{
+			Name: r.name, Host: host, Zone: "here", Store: r.store.address, Callers: r.callers, Ready: r.ready, Ports: port + "," + port,
+			StopGraceS: 4, RateSlack: soakRateSlack,
+		}
+		if err := os.WriteFile(r.settings, settings.Text(), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		r.start(f)
@@ -153,12 +139,11 @@
 	runner := platformtest.NewRunner(f.t, id, stage)
 	r := &soakRunner{Runner: runner, relay: startRelay(f.t, runner.Address)}
 	f.runners = append(f.runners, r)
-	service, extra := "shop", ""
+	entry := platformtest.Entry{Service: "shop", Address: r.relay.address, Zone: "here", Stage: stage, Slots: 6}
 	if stage != "" {
-		service, extra = "llm", `,"stage":"`+stage+`"`
+		entry.Service = "llm"
 	}
-	f.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"here","slots":6,"state":"ready","seq":1%s}`,
-		service, r.relay.address, extra))
+	f.store.Put("servers/"+id, entry.Text())
 }
 
 // endRunner ends a runner as a crash does; its entry is removed a second later, and another one takes its place.
