gateway: log the requests that the end of a process cuts, with their events and output size

A router that ended with running requests logged only their number, so the logs could not tell a stream with a long output from one at a stalled engine, nor when and with how much time left it was accepted.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -346,11 +346,20 @@
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		r.logger.Error("stopped with running requests", zap.Int("cut", r.gateway.Running()))
+		r.gateway.End()
+		r.waitIdle(closeTimeout)
 		return
 	}
 	r.logger.Info("stopped, no request was cut", zap.Duration("took", time.Since(start)))
 }
 
+// waitIdle waits until no request runs, but not longer than limit.
+func (r *router) waitIdle(limit time.Duration) {
+	for deadline := time.Now().Add(limit); r.gateway.Running() > 0 && time.Now().Before(deadline); {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // reloadSettings reads the settings file on SIGHUP and every reloadInterval, and applies changed limits for rates and retries.
 // An invalid file changes nothing.
 func (r *router) reloadSettings(ctx context.Context) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -25,7 +26,6 @@
 	headerSent bool
 	// lastID is the id of the last event that the caller has. It starts as Call.ResumeAfter.
 	lastID string
-	events int
 	// onEvent is called after each event with the number of events sent so far.
 	onEvent func(events int)
 }
@@ -115,8 +115,9 @@
 	if err := wrapForwardError(e.r.w.Write(event)); err != nil {
 		return err
 	}
-	e.events++
-	e.onEvent(e.events)
+	e.r.events++
+	e.r.lastEventAt = time.Now()
+	e.onEvent(e.r.events)
 	if id != "" {
 		e.lastID = id
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,18 +30,9 @@
 	maxTimeout = 30 * time.Second
 	// defaultBodyLimit is the largest body in bytes if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
-	// A stopping process refuses requests for which too little time is left. It assumes that a stream takes streamEndTime (nine
-	// of ten take less) and a plain request plainEndTargets times its latency target.
-	streamEndTime   = 4 * time.Second
-	plainEndTargets = 3
-	// stoppingRetryAfter is the delay before a caller refused by a stopping process retries. It is short, as another process
-	// can serve the caller at once.
-	stoppingRetryAfter = 200 * time.Millisecond
 	// defaultRetryAfter is used where no better delay is known. Once the store answers, a process without a configuration
 	// gets one within this time.
 	defaultRetryAfter = time.Second
-	// idleTime is the time without a new request after which a stopping process assumes that no callers are left.
-	idleTime = 300 * time.Millisecond
 	// deadlineMargin is subtracted from the timeout, so that the final answer still reaches the caller in time. A timeout of
 	// less than ten times the margin is reduced by a tenth instead.
 	deadlineMargin = 60 * time.Millisecond
@@ -66,6 +57,9 @@
 	// stopAt is when the process ends, in Unix nanoseconds; 0 while it is not stopping.
 	stopAt  atomic.Int64
 	arrived atomic.Int64 // arrival of the latest request, in Unix nanoseconds
+	// ended ends when the process cuts the requests that still run.
+	ended context.Context
+	end   context.CancelFunc
 
 	mu     sync.Mutex                  // guards queues
 	queues map[string]*waitqueue.Queue // by service
@@ -73,7 +67,9 @@
 
 // New returns a gateway that refuses requests until it has a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, queues: make(map[string]*waitqueue.Queue)}
+	g := &Gateway{Options: options, queues: make(map[string]*waitqueue.Queue)}
+	g.ended, g.end = context.WithCancel(context.Background())
+	return g
 }
 
 // queue returns the queue of a service, and creates it if needed.
@@ -117,34 +113,6 @@
 // Running returns the number of requests in flight.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// Stop begins a graceful shutdown that ends at the given time. Every further answer closes its connection, so that callers
-// move to other processes, and requests that would probably not be finished in time are refused. Other requests are still
-// served, because in a rolling restart all processes may be stopping at once and callers have no other to go to.
-func (g *Gateway) Stop(at time.Time) { g.stopAt.Store(at.UnixNano()) }
-
-// Idle reports whether no request is in flight and none arrived recently.
-func (g *Gateway) Idle() bool {
-	return g.Running() == 0 && time.Since(time.Unix(0, g.arrived.Load())) > idleTime
-}
-
-// checkStopping refuses a request that would probably not be finished before the process ends.
-func (r *request) checkStopping() error {
-	at := r.g.stopAt.Load()
-	if at == 0 {
-		return nil
-	}
-	required := streamEndTime
-	if r.route.Kind != fleet.Stream {
-		required = plainEndTargets * r.route.LatencyTarget
-	}
-	if r.began.Add(required).Before(time.Unix(0, at)) {
-		return nil
-	}
-	refusal := verdict.Refuse(wirev1.Reason_REASON_STOPPING, "this process is stopping")
-	refusal.RetryAfter = stoppingRetryAfter
-	return refusal
-}
-
 // Ready returns nil if callers may be routed to this process.
 func (g *Gateway) Ready() error {
 	if g.stopAt.Load() != 0 {
@@ -184,6 +152,9 @@
 	status   int
 	// written is set once the status or body of an answer was sent to the caller.
 	written bool
+	// events is the number of events sent to the caller, and lastEventAt the time of the last one.
+	events      int
+	lastEventAt time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -201,6 +172,7 @@
 		var cancel context.CancelFunc
 		req.ctx, cancel = context.WithDeadline(r.Context(), req.deadline)
 		defer cancel()
+		defer context.AfterFunc(g.ended, cancel)()
 		err = req.serve()
 	}
 	req.finish(r, err)
@@ -368,6 +340,8 @@
 		refusal := *verdict.As(err)
 		name = verdict.ReasonName(refusal.Reason)
 		switch {
+		case r.g.ended.Err() != nil:
+			name = "cut_by_stop"
 		case httpRequest.Context().Err() != nil && errors.Is(httpRequest.Context().Err(), context.Canceled):
 			name = "caller_gone"
 		case r.written:
@@ -425,6 +399,9 @@
 	if len(r.steps) > 0 {
 		fields = append(fields, zap.Strings("steps", r.steps))
 	}
+	if r.events > 0 {
+		fields = append(fields, zap.Int("events", r.events), zap.Duration("last_event_age", time.Since(r.lastEventAt)), zap.Int("output_tokens", r.call.OutputTokens))
+	}
 	if refusal != nil {
 		fields = append(fields, zap.Stringer("verdict", refusal.Verdict), zap.String("detail", refusal.Detail))
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -284,7 +284,7 @@
 		return r.forwardEngineError(response, out)
 	}
 	var firstAt time.Time
-	eventsBefore := out.events
+	eventsBefore := r.events
 	var eventTimer *responseTimer
 	defer func() { eventTimer.stop() }()
 	onFirst := func() {
@@ -308,7 +308,7 @@
 		}
 		return timeoutRefusal(ctx, err)
 	}
-	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, (out.events-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
+	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, (r.events-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.CountSend(purpose, "answered")
 	return nil
 }
