gateway: check the time left again when a request's body is complete

A booking whose headers arrived while enough time was left, and whose body came shortly before a stopping router ended, was started at its service and cut: the time left was compared once, before the body was read, and reading has no time limit. It is compared again after the body.

TestRouterDoesNotStartRequestJustBeforeItEnds failed before: the booking complete 3.301 s after SIGTERM of a grace of 4 s ran and got EOF; since the end of the process answers what still runs, status 502. Now it is refused and does not run. The router process tests share startRouter.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -215,6 +215,11 @@
 	if call.Body, err = readBody(httpRequest, limit); err != nil {
 		return err
 	}
+	// The caller may have taken long to send the body.
+	if err := r.checkStopping(); err != nil {
+		return err
+	}
+	r.recordAcceptedStopping()
 	r.deadline = r.began.Add(r.timeout())
 	return nil
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -57,12 +57,19 @@
 	if s == nil {
 		return nil
 	}
-	left := s.end.Sub(r.began)
-	if needed := r.expectedTime(); !r.g.drained.Load() && needed < left && (r.route.Kind != fleet.Stream || r.began.Before(s.streamsUntil)) {
-		r.recordStep("accepted_stopping", "needed_ms "+strconv.FormatInt(needed.Milliseconds(), 10)+" left_ms "+strconv.FormatInt(left.Milliseconds(), 10))
-		return nil
+	now := time.Now()
+	if r.g.drained.Load() || now.Add(r.expectedTime()).After(s.end) || r.route.Kind == fleet.Stream && now.After(s.streamsUntil) {
+		return stoppingRefusal()
+	}
+	return nil
+}
+
+// recordAcceptedStopping adds a step to the log line of a request that a stopping process accepts.
+func (r *request) recordAcceptedStopping() {
+	if s := r.g.shutdown.Load(); s != nil {
+		r.recordStep("accepted_stopping", "needed_ms "+strconv.FormatInt(r.expectedTime().Milliseconds(), 10)+
+			" left_ms "+strconv.FormatInt(time.Until(s.end).Milliseconds(), 10))
 	}
-	return stoppingRefusal()
 }
 
 // stoppingRefusal refuses a request that has not run at a process that is stopping.
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -50,34 +47,16 @@
 // startStoppingRouter starts a router and waits until it serves requests.
 func startStoppingRouter(t *testing.T) *stoppingRouter {
 	t.Helper()
-	trackSources()
 	r := &stoppingRouter{
-		soakRouter: &soakRouter{name: "router", callerAddress: freeAddress(t), readyAddress: freeAddress(t)}, t: t,
+		t:      t,
 		engine: platformtest.NewRunner(t, "i-engine", "decode"), service: platformtest.NewRunner(t, "i-service", ""),
 		ended: make(chan time.Duration, 1),
 	}
 	store := memory.New(memory.Options{})
-	server := httptest.NewServer(platformtest.NewStore(store))
-	t.Cleanup(server.Close)
 	store.Put("op/config", []byte(platformtest.StopConfig))
 	store.Put("servers/"+r.engine.ID, platformtest.Entry{Service: "llm", Address: r.engine.Address, Zone: "here", Stage: "decode", Slots: 64}.Text())
 	store.Put("servers/"+r.service.ID, platformtest.Entry{Service: "shop", Address: r.service.Address, Zone: "here", Slots: 6}.Text())
-	dir := t.TempDir()
-	r.settingsFile = filepath.Join(dir, "router.conf")
-	host, port := splitAddress(t, freeAddress(t))
-	settings := platformtest.RouterSettings{
-		Name: r.name, Host: host, Zone: "here", Store: server.Listener.Addr().String(), Callers: r.callerAddress, Ready: r.readyAddress,
-		Ports: port + "," + port, StopGraceS: int(routerStopGrace / time.Second), RateSlack: soakRateSlack,
-	}
-	if err := os.WriteFile(r.settingsFile, settings.Text(), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	r.process = startProcess(t, dir, r.name, "fulmardoor-router", "run", "--settings", r.settingsFile, "--metrics-port", "0")
-	t.Cleanup(func() {
-		if t.Failed() {
-			showLogs(t, dir)
-		}
-	})
+	r.soakRouter = startRouter(t, store, routerStopGrace)
 	for _, kind := range []string{"book", "note"} {
 		eventually(t, "the router serves "+kind, func() string {
 			if result := r.send(newConnection(), kind, "usual"); !result.isWhole() {
