entry: announce the close of connections while the process stops

Callers on kept connections lost the request that was on its way when fulmardoor-entry closed its idle connections at the end of its drain delay: they saw EOF and could not know whether a booking ran, and the process logged that no request was cut. No answer during the drain delay had told them that the connection closes.

While the process stops every answer now has Connection: close, so that callers move to other processes before the end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -239,15 +239,18 @@
 
 // Ready returns nil if the load balancer should send requests to this process.
 func (e *Entry) Ready() error {
-	e.mu.Lock()
-	stopping := e.stopping
-	e.mu.Unlock()
-	if stopping {
+	if e.isStopping() {
 		return errStopping
 	}
 	return e.conf.Admit()
 }
 
+func (e *Entry) isStopping() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopping
+}
+
 // BeginStop fails the readiness check, so that the load balancer sends no new requests, and hands the ledger shards over to
 // their successors.
 func (e *Entry) BeginStop(ctx context.Context) {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -17,7 +17,18 @@
 	router.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(e.serveService)
 	router.MethodNotAllowedHandler = http.HandlerFunc(e.serveService)
-	return router
+	return e.announceClose(router)
+}
+
+// announceClose makes the answers of a stopping process announce the close of their connections. Without that, a caller sends its
+// next request on a connection that the process is closing, and cannot know whether it ran.
+func (e *Entry) announceClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // OperationsHandler serves health, readiness and metrics to the platform.
