gateway: check after the prefill that the decode engine still accepts requests

A stream reached a decode engine 2.3 s after the store had acknowledged that the engine is draining (the limit is 2 s): the engine was chosen before the prefill, which was assumed to take 0.3 s but may take three times its expected time, and was not checked again.

After the prefill the router now asks the board whether the engine still accepts requests, and otherwise places the request anew with the KV cache that it has. Nothing was sent, so this is not charged as a retry.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -71,6 +71,10 @@
 		}
 		failure := *verdict.As(err)
 		r.recordStep(verdict.ReasonName(failure.Reason), alloc.Decode.ID)
+		if failure.Reason == wirev1.Reason_REASON_LEAVING { // nothing was sent to the engine
+			r.excluded[alloc.Decode.ID] = true
+			continue
+		}
 		if failure.Reason == wirev1.Reason_REASON_UPSTREAM_BROKE && r.cachedAt == nil {
 			// Only the answer was lost, or the engine has ended. If it is still running, it has the prompt's KV cache,
 			// so it is not excluded yet.
@@ -207,6 +211,9 @@
 		}
 		attempt.KVHandle, r.handle, r.handleAt, r.prefillEngine = handle, handle, time.Now(), alloc.Prefill
 	}
+	if !r.g.Board.Accepts(alloc.Decode) { // it may have left during the prefill
+		return verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", alloc.Decode.ID)
+	}
 	attempt.Reservation, alloc.reservation = alloc.reservation, ""
 	return r.decode(attempt, alloc.decodeWork, out)
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -254,6 +254,14 @@
 	return counts
 }
 
+// Accepts reports whether an upstream may still get new requests: it is announced, with the same incarnation, and not leaving.
+func (b *Board) Accepts(upstream *fleet.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[upstream.ID]
+	return s != nil && s.usable() && s.info.Incarnation == upstream.Incarnation
+}
+
 func (s *state) usable() bool { return !s.removed && !s.info.Leaving }
 
 // failureRate returns the failure average, decayed to now.
