router: answer requests on open connections after the listener is closed

A caller whose request arrived on an open connection just after a stopping router had closed its listener got EOF: http.Server.Shutdown drops requests that it has not begun to read. The request did not run, but the caller could not know that.

The router now closes its listener first and answers what still arrives for 200 ms, about a hundred times the way from a caller, with the usual refusal (503, not run), and shuts the server down after that. TestRequestsDroppedAtListenerClose failed before: 8 of 8 connections got an unexpected EOF.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -69,7 +69,9 @@
 	reloadInterval = 5 * time.Second
 	// stopPollInterval is how often a stopping process checks whether it is idle.
 	stopPollInterval = 50 * time.Millisecond
-	// closeTimeout limits the wait for requests that arrived just before the listener is closed.
+	// lingerTime is how long requests on open connections are still answered after the listener was closed.
+	lingerTime = 200 * time.Millisecond
+	// closeTimeout limits the wait for requests that arrived just before the server is closed.
 	closeTimeout = 200 * time.Millisecond
 	// exitMargin is subtracted from the stop grace, so that the process exits before it is killed.
 	exitMargin = 600 * time.Millisecond
@@ -315,7 +317,7 @@
 		return errors.Wrap(err, "listener failed")
 	case <-stopSignal.Done():
 	}
-	r.shutDown(server, forceStop)
+	r.shutDown(server, callerListener, forceStop)
 	return nil
 }
 
@@ -330,7 +332,7 @@
 
 // shutDown keeps serving until the load balancer has had time to notice the stop and the accepted requests have ended, or
 // until the stop grace is almost over. Then it answers the requests that still run, as far as possible, and closes the server.
-func (r *router) shutDown(server *http.Server, forceStop <-chan struct{}) {
+func (r *router) shutDown(server *http.Server, listener net.Listener, forceStop <-chan struct{}) {
 	start := time.Now()
 	end := start.Add(r.settings.StopGrace - exitMargin)
 	r.gateway.Stop(start.Add(drainDelay), end)
@@ -338,6 +340,11 @@
 	r.waitDrained(end, forceStop)
 	cut := r.gateway.Running()
 	r.gateway.End()
+	// Server.Shutdown drops requests that it has not begun to read, so those on their way are answered before.
+	if err := listener.Close(); err != nil {
+		r.logger.Warn("cannot close the listener", zap.String("error", err.Error()))
+	}
+	time.Sleep(lingerTime)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -290,3 +291,42 @@
 		})
 	}
 }
+
+// Guards against a request on an open connection that a stopping router drops without an answer, because it arrives just after the
+// listener was closed.
+func TestRequestsDroppedAtListenerClose(t *testing.T) {
+	t.Parallel()
+	const connections = 8
+	r := startStoppingRouter(t)
+	var open []net.Conn
+	for range connections {
+		conn, err := net.Dial("tcp", r.callerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		open = append(open, conn)
+	}
+	r.stop()
+	for ; ; time.Sleep(time.Millisecond) { // eventually polls too slowly for the time in which requests are still answered
+		conn, err := net.Dial("tcp", r.callerAddress)
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+	}
+	for i, conn := range open {
+		header := make(http.Header)
+		platformtest.SetCallerHeaders(header, fmt.Sprintf("%016x", 1000+i), "key-usual", int(stopRequestTimeout.Milliseconds()), false)
+		var request strings.Builder
+		request.WriteString("POST /book/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n")
+		_ = header.Write(&request) // writes to a strings.Builder never fail
+		if _, err := io.WriteString(conn, request.String()+"\r\n"); err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		if got := readAnswer(conn); got.err != nil || got.status != http.StatusServiceUnavailable {
+			t.Errorf("connection %d: %v", i, got)
+		}
+	}
+	r.checkEnd(routerStopGrace)
+}
