gateway: quarantine prompt parts that crash engines

The routers marked the engines as suspect, but nothing remembered which requests had been there, no router told the others, and on resumable routes each request was sent to a second engine.

The new package quarantine keeps, per prompt part, the crashes of engines before the first event of a request with it. A first event clears the part. After three separate crashes of requests from at least two callers' prompts, requests with all parts that the crashed ones have in common are refused (prompt_quarantined), at arrival, before the prefill and after it. Routers exchange crashes and cleared parts at once over their sessions, and a process that connects gets all of them. A quarantine lasts one to two minutes, then one request finds out whether it is still needed; each further crash doubles it.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -26,6 +26,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/peering"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/process"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
@@ -140,12 +141,13 @@
 	r.store = platform.NewStore(platform.StoreOptions{
 		Address: s.StoreAddress, Pool: pool, CallTimeout: storeCallTimeout, WatchWait: r.watchWait,
 	})
+	prompts := quarantine.NewList()
 	r.gateway = gateway.New(gateway.Options{
-		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool,
+		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.mesh = peering.New(peering.Options{
-		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Logger: logger,
+		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Quarantine: prompts, Logger: logger,
 		Version: r.configVersion, OnNewerVersion: func(string, int64) {
 			select {
 			case r.refreshConfig <- struct{}{}:
@@ -158,6 +160,7 @@
 		ShrinkDelay: memberLossDelay, Logger: logger,
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
+	prompts.OnReport(r.mesh.SendPromptReport)
 	return r
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -28,6 +28,10 @@
 	HasTokens                  bool
 	// OutputHint is the caller's estimate of the output tokens; zero for none.
 	OutputHint int
+	// SharedParts are the identifiers of the parts of a model request's prompt that other requests may share, and OwnPart is
+	// that of its last part.
+	SharedParts []string
+	OwnPart     string
 	// ResumeAfter is the id of the last event that the caller already has; empty for a new stream.
 	ResumeAfter string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -45,8 +46,10 @@
 	Limiter  *quota.Limiter
 	Budgets  *Budgets
 	Pool     *upstreamconn.Pool
-	Metrics  *Metrics
-	Logger   *zap.Logger
+	// Quarantine has the prompts that crash engines.
+	Quarantine *quarantine.List
+	Metrics    *Metrics
+	Logger     *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers. Create it with New.
@@ -150,6 +153,8 @@
 	handle        *Handle
 	handleAt      time.Time
 	prefillEngine *fleet.Upstream
+	// probe is set while the request finds out whether its prompt, after a quarantine, still crashes engines.
+	probe bool
 	// cachedAt is a decode engine whose answer was cut off; if it is still running, it has the prompt's KV cache.
 	cachedAt *fleet.Upstream
 	status   int
@@ -292,6 +297,9 @@
 
 // serve admits the request and runs it. The charge is refunded if the request did not run.
 func (r *request) serve() error {
+	if err := r.checkQuarantine(); err != nil {
+		return err
+	}
 	if err := r.admit(); err != nil {
 		return err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,8 @@
 	requests  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	sends     *prometheus.CounterVec
+	// promptCrashes counts the attempts that an engine broke before their first event.
+	promptCrashes prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -26,8 +28,11 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_sends_total", Help: "Requests sent to upstreams by purpose and result.",
 		}, []string{"purpose", "result"}),
+		promptCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_broken_before_first_event_total", Help: "Attempts that an engine broke before their first event.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -53,6 +53,10 @@
 		if err != nil {
 			return out.streamError(r.finalRefusal(verdict.As(err)))
 		}
+		if err := r.enterQuarantine(); err != nil {
+			alloc.release()
+			return out.streamError(err)
+		}
 		if !r.reserve(alloc) {
 			alloc.release()
 			if err := r.ctx.Err(); err != nil {
@@ -210,6 +214,9 @@
 			alloc.decodeWork.BeginPrefill(r.call.PromptTokens)
 		}
 		attempt.KVHandle, r.handle, r.handleAt, r.prefillEngine = handle, handle, time.Now(), alloc.Prefill
+		if err := r.checkQuarantine(); err != nil {
+			return err
+		}
 	}
 	if !r.g.Board.Accepts(alloc.Decode) { // it may have left during the prefill
 		return verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", alloc.Decode.ID)
@@ -280,10 +287,13 @@
 	response, err := r.send(ctx, attempt)
 	if err != nil {
 		r.g.Metrics.CountSend(purpose, "failed")
+		if err = timeoutRefusal(ctx, err); r.mayBeCrash(attempt, err) {
+			r.recordCrash(attempt.Upstream)
+		}
 		if attempt.KVHandle != nil && verdict.As(err).Reason != wirev1.Reason_REASON_NO_PLACE {
 			r.dropHandle()
 		}
-		return timeoutRefusal(ctx, err)
+		return err
 	}
 	r.handle = nil
 	defer response.Close()
@@ -298,6 +308,7 @@
 		answerTimer.stop()
 		eventTimer = r.startEventTimer(attempt.Upstream, cancel)
 		firstAt = time.Now()
+		r.recordFirstEvent()
 		if attempt.KVHandle == nil && work.SolePrefill && attempt.ResumeAfter == "" {
 			r.g.Board.RecordPrefillTime(attempt.Upstream.ID, r.call.PromptTokens, time.Since(began))
 		}
@@ -313,7 +324,10 @@
 		if r.ctx.Err() == nil {
 			r.g.Board.MarkSuspect(attempt.Upstream.ID, time.Now())
 		}
-		return timeoutRefusal(ctx, err)
+		if err = timeoutRefusal(ctx, err); firstAt.IsZero() && r.mayBeCrash(attempt, err) {
+			r.recordCrash(attempt.Upstream)
+		}
+		return err
 	}
 	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, (r.events-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.CountSend(purpose, "answered")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -55,7 +55,7 @@
 	if failure.Verdict == verdict.NotRun && r.possibleRuns > 0 {
 		failure = &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failure.Reason, Detail: failure.Detail}
 	}
-	if failure.Verdict == verdict.NotRun {
+	if failure.Verdict == verdict.NotRun && failure.RetryAfter == 0 {
 		failure.RetryAfter = overloadRetryAfter(r)
 	}
 	return failure
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -14,6 +14,7 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 )
@@ -34,6 +35,7 @@
 	Name, Host, DataCentre, Address string
 	Board                           *placement.Board
 	Limiter                         *quota.Limiter
+	Quarantine                      *quarantine.List
 	// Version returns the version of the configuration in force; 0 for none.
 	Version func() int64
 	// OnNewerVersion is called when another process has a newer configuration. It must not block.
@@ -62,7 +64,7 @@
 		Hello: transport.NewHello(wirev1.Role_ROLE_ENTRY,
 			&configv1.ProcessSettings{Name: options.Name, Host: options.Host, DataCentre: options.DataCentre}, options.Address),
 		HeartbeatInterval: heartbeatInterval, HeartbeatTimeout: heartbeatTimeout,
-		Heartbeat: m.buildHeartbeat, OnHeartbeat: m.onHeartbeat, OnOpen: m.onOpen, OnClose: m.onClose, Logger: options.Logger,
+		Heartbeat: m.buildHeartbeat, OnHeartbeat: m.onHeartbeat, OnOpen: m.onOpen, OnClose: m.onClose, Handler: transport.HandlerFunc(m.serveStream), Logger: options.Logger,
 	}
 	go m.sendHeartbeats()
 	return m
@@ -185,6 +187,9 @@
 	m.sessions[session] = true
 	m.updatePeersIncompleteLocked()
 	m.options.Logger.Info("peer connected", zap.String("peer", session.Remote().GetProcess()))
+	if known := m.options.Quarantine.Known(); len(known.Crashes) > 0 {
+		go m.sendPromptReport(session, known)
+	}
 }
 
 func (m *Mesh) onClose(session *transport.Session) {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 )
 
@@ -18,6 +19,7 @@
 	mesh            *Mesh
 	board           *placement.Board
 	limiter         *quota.Limiter
+	prompts         *quarantine.List
 	version         atomic.Int64
 	newerVersion    atomic.Int64
 	capacityChanges atomic.Int64
@@ -30,12 +32,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), address: listener.Addr().String()}
+	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), prompts: quarantine.NewList(), address: listener.Addr().String()}
 	_ = listener.Close()
 	n.mesh = New(Options{
-		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Logger: zap.NewNop(),
+		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Logger: zap.NewNop(),
 		Version: n.version.Load, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
 	})
+	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
 	n.board.Update([]*fleet.Upstream{{ID: "d", Service: "model", Stage: fleet.StageDecode}})
 	go func() { _ = n.mesh.Listen() }()
@@ -82,3 +85,27 @@
 		return !b.limiter.Admit(account, 100, time.Now()).OK
 	})
 }
+
+// Guards against processes that let prompts crash further engines because they do not know the crashes that others saw, also if they
+// connect later, and against a part that stays quarantined although a request of another process reached its first event.
+func TestPromptReportsReachAllProcesses(t *testing.T) {
+	a, b, late := startNode(t, "a"), startNode(t, "b"), startNode(t, "late")
+	members := map[string]string{"a": a.address, "b": b.address}
+	a.mesh.SetMembers(members)
+	b.mesh.SetMembers(members)
+	eventually(t, "a and b connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
+	for i, n := range []*node{a, b, a} {
+		crash := quarantine.Crash{Upstream: string(rune('u' + i)), Request: string(rune('r' + i)), Parts: []string{"bad"}, At: time.Now()}
+		n.prompts.RecordCrash(crash)
+		time.Sleep(300 * time.Millisecond) // crashes at the same moment count as one
+	}
+	blocked := func(n *node) bool { return n.prompts.Check([]string{"bad"}, time.Now()).Blocked }
+	eventually(t, "a and b block", func() bool { return blocked(a) && blocked(b) })
+	members["late"] = late.address
+	for _, n := range []*node{a, b, late} {
+		n.mesh.SetMembers(members)
+	}
+	eventually(t, "the process that connected later blocks", func() bool { return blocked(late) })
+	late.prompts.RecordFirstEvent([]string{"bad"})
+	eventually(t, "a first event at one process clears the part at all", func() bool { return !blocked(a) && !blocked(b) && !blocked(late) })
+}
