gateway: keep a prefilled KV cache when its decode engine cannot be reached

In a logged trial 1,409 of 1,826 such arrivals were prefills after a decode engine had refused the connection: the router released the KV cache that it held for that engine and prefilled the prompt again, up to three times for one request. Failed connections are not charged to the budget, and neither were these prefills.

Nothing was sent to the engine, so the KV cache can still be fetched by another one and is kept until it is too old.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -290,7 +290,7 @@
 		if err = timeoutRefusal(ctx, err); r.mayBeCrash(attempt, err) {
 			r.recordCrash(attempt.Upstream)
 		}
-		if attempt.KVHandle != nil && verdict.As(err).Reason != wirev1.Reason_REASON_NO_PLACE {
+		if attempt.KVHandle != nil && !keepsHandle(err) {
 			r.dropHandle()
 		}
 		return err
@@ -334,6 +334,16 @@
 	return nil
 }
 
+// keepsHandle reports whether a KV cache can still be fetched by another engine after an attempt with it failed: the engine refused
+// the request or was not reached.
+func keepsHandle(err error) bool {
+	switch verdict.As(err).Reason {
+	case wirev1.Reason_REASON_NO_PLACE, wirev1.Reason_REASON_UPSTREAM_UNREACHABLE:
+		return true
+	}
+	return false
+}
+
 // forwardEngineError delivers an engine's error answer to the caller, or returns an error if the request can be retried or the
 // stream has already started.
 func (r *request) forwardEngineError(response *upstreamconn.Response, out *eventWriter) error {
