gateway: charge a repeated prefill to the retry budget

A retry whose prompt is prefilled again arrives at two engines, the prefill engine and the decode engine, and was charged once. The first prefill of a request stays free; each later one that reaches an engine is charged, and without budget the decode engine processes the prompt itself.

TestRepeatedPrefillUsesRetryBudget failed before: 2 prefills with a budget of one retry.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,10 +144,10 @@
 	ctx      context.Context
 	w        http.ResponseWriter
 	excluded map[string]bool // upstreams that are not tried again
-	// sends is the number of attempts to send the request to an upstream that is to run it; prefills are not counted.
-	// possibleRuns is the number of failed attempts after which it may have run.
-	sends, possibleRuns int
-	steps               []string
+	// sends is the number of attempts to send the request to an upstream that is to run it, and prefills that of calls that reached
+	// a prefill engine. possibleRuns is the number of failed attempts after which it may have run.
+	sends, prefills, possibleRuns int
+	steps                         []string
 	// handle is a prefilled KV cache that no decode engine has fetched yet, handleAt the time when it was created and
 	// prefillEngine the engine that holds it.
 	handle        *Handle
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// dropPrefill makes the decode engine process the prompt itself.
+func (a *allocation) dropPrefill(promptTokens int) {
+	a.prefillWork.End()
+	a.Prefill, a.prefillWork = nil, nil
+	a.decodeWork.BeginPrefill(promptTokens)
+}
+
 // retriedByCaller reports whether this is a caller's retry after a refusal. A retry is recognized by its timeout, which is
 // clearly shorter than the route's, because the caller has already spent part of its time.
 func (r *request) retriedByCaller() bool {
@@ -194,6 +201,9 @@
 // request.
 func (r *request) tryModel(alloc *allocation, out *eventWriter) error {
 	attempt := &Attempt{Upstream: alloc.Decode, ResumeAfter: out.lastID, KVHandle: r.handle}
+	if alloc.Prefill != nil && !r.mayPrefill() {
+		alloc.dropPrefill(r.call.PromptTokens)
+	}
 	if alloc.Prefill != nil {
 		handle, err := r.prefill(alloc)
 		if err != nil && verdict.As(err).Reason == wirev1.Reason_REASON_UPSTREAM_BROKE && r.mayRetryPrefill() {
@@ -225,6 +235,12 @@
 	return r.decode(attempt, alloc.decodeWork, out)
 }
 
+// mayPrefill reports whether a prefill engine may process the prompt. Only the first of these calls is free; a later one arrives in
+// addition to the retry for which it is made, and is charged to the retry budget.
+func (r *request) mayPrefill() bool {
+	return r.prefills == 0 || r.g.Budgets.forService(r.service.Name).Allow()
+}
+
 // mayRetryPrefill reports whether a failed prefill may be retried, and charges the retry budget if so.
 func (r *request) mayRetryPrefill() bool {
 	return r.ctx.Err() == nil && time.Since(r.began) < r.route.LatencyTarget/2 && r.g.Budgets.forService(r.service.Name).Allow()
@@ -241,6 +257,9 @@
 	began := time.Now()
 	attempt := &Attempt{Upstream: alloc.Prefill, PrefillOnly: true}
 	response, err := r.send(ctx, attempt)
+	if err == nil || verdict.As(err).Reason != wirev1.Reason_REASON_UPSTREAM_UNREACHABLE {
+		r.prefills++
+	}
 	if err != nil {
 		r.g.Metrics.CountSend("prefill", "failed")
 		return nil, err
