upstreamconn: limit the head of a response to 64 KiB

An upstream that sent a status line, a header line or header lines without end grew the router's memory until the deadline of the request, because http.ReadResponse has no limit. Informational responses without end held the request as long.

The connection now has a byte limit while a head is read. It covers the informational responses before the response, too. The request fails at once with an error that says that it may have run, and the connection is closed.

--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,7 +19,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// received limits the bytes that reader may still read from Conn.
+	received *io.LimitedReader
+	reader   *bufio.Reader
 	// expires is when the connection must no longer be reused.
 	expires time.Time
 	// writeStarted is set once any byte of the current request may have been written to the connection.
@@ -25,8 +29,8 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	c := &conn{Conn: raw, address: address}
-	c.reader = bufio.NewReaderSize(raw, readBufferBytes)
+	c := &conn{Conn: raw, address: address, received: &io.LimitedReader{R: raw, N: math.MaxInt64}}
+	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
 	return c
 }
 
--- /dev/null
+++ b/internal/upstreamconn/endless_test.go
@@ -0,0 +1,70 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// endlessUpstream is a Dialer with one connection to an upstream that responds to the first request with start, and then sends
+// repeated until the connection is closed.
+type endlessUpstream struct {
+	start, repeated string
+	// sent receives the number of bytes that were read from the upstream.
+	sent chan int
+}
+
+// maxSentBytes is the number of bytes after which an endlessUpstream only waits, so that a test does not exhaust the memory.
+const maxSentBytes = 16 << 20
+
+func (u *endlessUpstream) DialContext(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe() // without a buffer, so that only bytes which were read count as sent
+	go func() {
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+			return
+		}
+		sent, err := io.WriteString(server, u.start)
+		repeated := []byte(strings.Repeat(u.repeated, 4096/len(u.repeated)))
+		for err == nil && sent < maxSentBytes {
+			var n int
+			n, err = server.Write(repeated)
+			sent += n
+		}
+		_, _ = io.Copy(io.Discard, server)
+		u.sent <- sent
+	}()
+	return client, nil
+}
+
+// checkEndless sends a request to an upstream and checks that it fails by itself and that at most limit bytes were read.
+func checkEndless(t *testing.T, name string, u *endlessUpstream, limit int) {
+	t.Helper()
+	u.sent = make(chan int, 1)
+	pool := New(u)
+	_, err := get(t, pool, "upstream", http.MethodGet, "1")
+	if err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%s: %v, want an error that is neither ErrNotSent nor the end of the request's time", name, err)
+	}
+	if sent := <-u.sent; sent > limit || len(pool.idle) != 0 {
+		t.Errorf("%s: read %d bytes and kept %d connections, want at most %d bytes and none", name, sent, len(pool.idle), limit)
+	}
+}
+
+// Guards against a response head without end that is read, and kept in memory, until the deadline of its request.
+func TestEndlessHead(t *testing.T) {
+	for name, u := range map[string]*endlessUpstream{
+		"not HTTP":                {repeated: "x"},
+		"status line":             {start: "HTTP/1.1 200 ", repeated: "O"},
+		"header line":             {start: "HTTP/1.1 200 OK\r\nA: ", repeated: "a"},
+		"header lines":            {start: "HTTP/1.1 200 OK\r\n", repeated: "A: a\r\n"},
+		"informational responses": {repeated: "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		checkEndless(t, name, u, maxHeadBytes)
+	}
+}
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +21,9 @@
 // maxStaleResponses limits how many responses to earlier requests are skipped on one connection.
 const maxStaleResponses = 4
 
+// maxHeadBytes limits the status line and headers of a response, including the informational responses before it.
+const maxHeadBytes = 64 << 10
+
 // Request is a request to one upstream. Apart from Host and Content-Length, Header has every header that is sent.
 type Request struct {
 	Address string
@@ -109,20 +113,32 @@
 	return c.readResponse(ctx, r, bodyWritten)
 }
 
-// readResponse reads the status and headers of the response that belongs to the request. It skips informational responses
-// and responses to earlier requests.
+// readHead reads the status and headers of the next response. It skips informational responses.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.received.N = maxHeadBytes
+	defer func() { c.received.N = math.MaxInt64 }()
+	for {
+		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.received.N <= 0 {
+			return nil, errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
+		}
+		if err != nil || raw.StatusCode >= http.StatusOK {
+			return raw, err
+		}
+	}
+}
+
+// readResponse reads the status and headers of the response that belongs to the request. It skips responses to earlier
+// requests.
 func (c *conn) readResponse(ctx context.Context, r *Request, bodyWritten func() bool) (*Response, error) {
 	for skipped := 0; skipped <= maxStaleResponses; {
-		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		raw, err := c.readHead(r.Method)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
 			return nil, errors.Wrap(err, "read response")
 		}
-		if raw.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.Accept == nil || r.Accept(raw.Header) {
 			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, bodyWritten: bodyWritten}
 			response.Body = &bodyReader{response: response}
