upstreamconn: limit the body of a skipped response to 1 MiB

A response to another request is skipped. If its body had no end, the request behind it was held until its deadline, and the router read at full speed until then. Now the request fails when the skipped body reaches 1 MiB, with an error that says that it may have run, and the connection is closed.

--- a/internal/upstreamconn/endless_test.go
+++ b/internal/upstreamconn/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
@@ -48,7 +49,7 @@
 	u.sent = make(chan int, 1)
 	pool := New(u)
 	_, err := get(t, pool, "upstream", http.MethodGet, "1")
-	if err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, context.DeadlineExceeded) {
+	if err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("%s: %v, want an error that is neither ErrNotSent nor the end of the request's time", name, err)
 	}
 	if sent := <-u.sent; sent > limit || len(pool.idle) != 0 {
@@ -68,3 +69,14 @@
 		checkEndless(t, name, u, maxHeadBytes)
 	}
 }
+
+// Guards against a response to another request whose body has no end, and which is skipped until the deadline.
+func TestEndlessStaleResponse(t *testing.T) {
+	for name, u := range map[string]*endlessUpstream{
+		"until the connection ends": {start: "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", repeated: "x"},
+		"chunks":                    {start: "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "10\r\n0123456789abcdef\r\n"},
+		"long":                      {start: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999\r\n\r\n", repeated: "x"},
+	} {
+		checkEndless(t, name, u, 2*maxStaleBodyBytes)
+	}
+}
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -21,6 +21,9 @@
 // maxStaleResponses limits how many responses to earlier requests are skipped on one connection.
 const maxStaleResponses = 4
 
+// maxStaleBodyBytes is the size from which the body of a response to an earlier request is not skipped: the request fails.
+const maxStaleBodyBytes = 1 << 20
+
 // maxHeadBytes limits the status line and headers of a response, including the informational responses before it.
 const maxHeadBytes = 64 << 10
 
@@ -144,7 +147,11 @@
 			response.Body = &bodyReader{response: response}
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
+		_, err = io.CopyN(io.Discard, raw.Body, maxStaleBodyBytes)
+		if err == nil {
+			return nil, errors.Errorf("response to another request has %d bytes or more", maxStaleBodyBytes)
+		}
+		if err != io.EOF {
 			return nil, errors.Wrap(err, "skip a response to another request")
 		}
 		skipped++
