gateway: don't end an event at a line of 4,096 bytes

readEvent reads a line in pieces of 4,096 bytes. If a line had exactly that length before its line feed, the last piece was the line feed alone, which was taken for the empty line that ends an event. The two parts of the event were then handled as events of their own: a stream that ended after the first part looked complete to its caller and was not resumed, and the id in the second part did not belong to the data in the first. A reader of the code noticed it; no caller has reported it.

The empty line is now recognized from the whole line.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -56,9 +56,11 @@
 	}
 }
 
-// readEvent reads one event up to and including the empty line that ends it. On an error it also returns the partial event.
+// readEvent reads one event up to and including the empty line that ends it. Lines end with a line feed, which a carriage
+// return may precede. On an error it also returns the partial event.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
@@ -68,9 +70,13 @@
 		if len(event) > maxEventBytes {
 			return event, errors.New("event exceeds the size limit")
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if err != nil {
+			continue // the line is longer than the buffer of the reader
+		}
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
 			return event, nil
 		}
+		lineStart = len(event)
 	}
 }
 
