gateway: don't take a stream for complete that ended before its first event

If an engine ended after it had sent the headers of a stream with neither a length nor chunks, the caller got status 200 with an empty, complete stream, and a resumable stream was not resumed. The end of such a connection looks the same as the end of the stream.

A stream that may have events and ends with its connection before the first is now an answer that was cut off. The rest of a resumed stream may still be empty, because the caller may already have the last event. No caller has reported it.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -46,6 +46,10 @@
 			}
 			continue
 		}
+		if errors.Is(err, io.EOF) && e.lastID == "" && !seen && !response.SelfDelimited() {
+			// The connection of an engine that ends after it sent the headers looks the same as an empty stream.
+			err = errors.New("the connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if !e.headerSent {
 				e.sendHeader(response)
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -183,9 +183,9 @@
 	return n, err
 }
 
-// selfDelimited reports whether the body ends by its Content-Length or chunked encoding, as opposed to the end of the
+// SelfDelimited reports whether the body ends by its Content-Length or chunked encoding, as opposed to the end of the
 // connection.
-func (r *Response) selfDelimited() bool {
+func (r *Response) SelfDelimited() bool {
 	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
 }
 
@@ -193,7 +193,7 @@
 // it otherwise.
 func (r *Response) Close() {
 	r.closeOnce.Do(func() {
-		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.selfDelimited() && r.bodyWritten() && r.conn.reader.Buffered() == 0
+		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.bodyWritten() && r.conn.reader.Buffered() == 0
 		if !reusable {
 			_ = r.conn.Close()
 			return
