gateway: limit an answer without Content-Length to 16 MiB

A plain answer without end was forwarded as a success until the deadline of its request, 30 s at most, and its upstream stayed in use. A large answer that was cut while it was forwarded did not make its upstream suspect either, because the failure was taken for one of the caller.

An answer without Content-Length is now cut at 16 MiB. An answer with a length is not limited, and nothing of it is kept in memory.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,10 @@
 // retried if the answer is cut off.
 const maxBufferedAnswer = 256 << 10
 
+// maxUnsizedAnswer limits the size in bytes of an answer without Content-Length. Such an answer may be bytes without end of an
+// upstream in trouble.
+const maxUnsizedAnswer = 16 << 20
+
 // servePlain runs the request at upstreams of a plain service until one attempt succeeds or no other is allowed.
 func (r *request) servePlain() error {
 	var answer *plainAnswer // error answer of the last upstream; nil if it sent none
@@ -68,6 +73,8 @@
 	body   []byte
 	rest   *upstreamconn.Response // the rest of a large answer; nil if body is complete
 	work   *placement.Work        // ended after rest was sent
+	// upstream is the one that sent the answer.
+	upstream *fleet.Upstream
 }
 
 // tryPlain makes one attempt at an upstream. If the upstream answers with an error status, it returns both the answer and an
@@ -95,7 +102,7 @@
 		r.g.Metrics.CountSend("plain", "failed")
 		return nil, err
 	}
-	answer := &plainAnswer{status: response.Status, header: response.Header, work: work}
+	answer := &plainAnswer{status: response.Status, header: response.Header, work: work, upstream: upstream}
 	answer.body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
 	if err != nil {
 		response.Close()
@@ -133,7 +140,40 @@
 	defer answer.rest.Close()
 	r.written = true
 	r.w.WriteHeader(answer.status)
-	return wrapForwardError(io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body), answer.rest.Body)))
+	rest := &restReader{body: answer.rest.Body, left: maxUnsizedAnswer - len(answer.body)}
+	if answer.rest.Length >= 0 {
+		rest.left = math.MaxInt
+	}
+	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body), rest))
+	if rest.err == nil {
+		r.g.Metrics.CountSend("plain", "answered")
+		return wrapForwardError(0, err)
+	}
+	if r.ctx.Err() == nil {
+		r.g.Board.MarkSuspect(answer.upstream.ID, time.Now())
+	}
+	r.g.Metrics.CountSend("plain", "cut")
+	return truncatedAnswer(rest.err)
+}
+
+// restReader reads the rest of an answer. It keeps an error that it returned, which distinguishes a failure of the upstream from
+// one of the caller.
+type restReader struct {
+	body io.Reader
+	left int // bytes until the size limit
+	err  error
+}
+
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.left -= n
+	if r.left < 0 {
+		err = errors.New("the answer exceeds the size limit")
+	}
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
 }
 
 // wrapForwardError adds context to an error from writing to the caller. Its parameters are the results of a write.
