gateway: deliver a large error answer of an engine whole

An error answer of an engine over 256 KiB reached the caller as its first 256 KiB with a matching Content-Length: a cut answer that looked complete. The body was read up to the limit, and its rest was dropped. A reader of the code noticed it; no caller has reported it.

A large error answer is now forwarded as it arrives, like a large plain answer, with the same limit for one without Content-Length. It also counts in sends_total.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -317,7 +317,11 @@
 	r.handle = nil
 	defer response.Close()
 	if response.Status != http.StatusOK {
-		return r.forwardEngineError(response, out)
+		answer, err := readAnswer(response, attempt.Upstream, work, purpose)
+		if err != nil {
+			return truncatedAnswer(err)
+		}
+		return r.forwardEngineError(answer, out)
 	}
 	var firstAt time.Time
 	eventsBefore := r.events
@@ -365,15 +369,11 @@
 
 // forwardEngineError delivers an engine's error answer to the caller, or returns an error if the request can be retried or the
 // stream has already started.
-func (r *request) forwardEngineError(response *upstreamconn.Response, out *eventWriter) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
-	if err != nil {
-		return truncatedAnswer(err)
-	}
+func (r *request) forwardEngineError(answer *plainAnswer, out *eventWriter) error {
 	if out.headerSent || r.route.Repeatable() && r.possibleRuns+1 < r.route.Attempts {
 		return &verdict.Refusal{Verdict: verdict.Ran, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "the engine answered with an error"}
 	}
-	return r.deliver(&plainAnswer{status: response.Status, header: response.Header, body: body})
+	return r.deliver(answer)
 }
 
 // truncatedAnswer returns the error of an answer that was cut off after its headers.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -73,8 +73,22 @@
 	body   []byte
 	rest   *upstreamconn.Response // the rest of a large answer; nil if body is complete
 	work   *placement.Work        // ended after rest was sent
-	// upstream is the one that sent the answer.
+	// upstream is the one that sent the answer, and purpose the one of the call in metrics.
 	upstream *fleet.Upstream
+	purpose  string
+}
+
+// readAnswer reads an answer up to its end, or the beginning of a large one.
+func readAnswer(response *upstreamconn.Response, upstream *fleet.Upstream, work *placement.Work, purpose string) (*plainAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
+	if err != nil {
+		return nil, err
+	}
+	answer := &plainAnswer{status: response.Status, header: response.Header, body: body, work: work, upstream: upstream, purpose: purpose}
+	if len(body) == maxBufferedAnswer {
+		answer.rest = response
+	}
+	return answer, nil
 }
 
 // tryPlain makes one attempt at an upstream. If the upstream answers with an error status, it returns both the answer and an
@@ -102,16 +116,15 @@
 		r.g.Metrics.CountSend("plain", "failed")
 		return nil, err
 	}
-	answer := &plainAnswer{status: response.Status, header: response.Header, work: work, upstream: upstream}
-	answer.body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
+	answer, err := readAnswer(response, upstream, work, "plain")
 	if err != nil {
 		response.Close()
 		r.g.Board.MarkSuspect(upstream.ID, time.Now())
 		r.g.Metrics.CountSend("plain", "cut")
 		return nil, truncatedAnswer(err)
 	}
-	if len(answer.body) == maxBufferedAnswer {
-		answer.rest, streamRest = response, true
+	if answer.rest != nil {
+		streamRest = true
 		return answer, nil
 	}
 	response.Close()
@@ -146,13 +159,13 @@
 	}
 	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body), rest))
 	if rest.err == nil {
-		r.g.Metrics.CountSend("plain", "answered")
+		r.g.Metrics.CountSend(answer.purpose, "answered")
 		return wrapForwardError(0, err)
 	}
 	if r.ctx.Err() == nil {
 		r.g.Board.MarkSuspect(answer.upstream.ID, time.Now())
 	}
-	r.g.Metrics.CountSend("plain", "cut")
+	r.g.Metrics.CountSend(answer.purpose, "cut")
 	return truncatedAnswer(rest.err)
 }
 
