gateway: retry a lookup whose error answer is large

A lookup that an upstream answered with a 5xx status and more than 256 KiB was not retried at another upstream. The answer counted as a large one and was forwarded as it arrived, before its status was looked at. With a body without end the caller got a cut answer.

The rest of a large error answer is now kept open until it is known whether there is another attempt. It is forwarded only if there is none.

Before, TestLargeErrorAnswerIsRetried:

large: status 500 (<nil>), "xxxxxxxxxxxxxxxxxxxx" after 1 runs at i-1 without end: status 500 (unexpected EOF), "xxxxxxxxxxxxxxxxxxxx" after 1 runs at i-1

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,6 +37,9 @@
 		if !ok {
 			return r.finalRefusal(noUpstream())
 		}
+		if answer != nil {
+			answer.close()
+		}
 		var err error
 		answer, err = r.tryPlain(upstream)
 		if err == nil {
@@ -91,6 +94,14 @@
 	return answer, nil
 }
 
+// close drops the rest of a large answer.
+func (a *plainAnswer) close() {
+	if a.rest != nil {
+		a.rest.Close()
+		a.work.End()
+	}
+}
+
 // tryPlain makes one attempt at an upstream. If the upstream answers with an error status, it returns both the answer and an
 // error; the answer is delivered if there is no further attempt.
 func (r *request) tryPlain(upstream *fleet.Upstream) (*plainAnswer, error) {
@@ -125,11 +136,11 @@
 	}
 	if answer.rest != nil {
 		streamRest = true
-		return answer, nil
+	} else {
+		response.Close()
+		r.g.Board.RecordAnswerTime(upstream.ID, time.Since(began))
+		r.g.Metrics.CountSend("plain", "answered")
 	}
-	response.Close()
-	r.g.Board.RecordAnswerTime(upstream.ID, time.Since(began))
-	r.g.Metrics.CountSend("plain", "answered")
 	if response.Status >= 500 {
 		return answer, &verdict.Refusal{Verdict: verdict.Ran, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "status " + strconv.Itoa(response.Status)}
 	}
@@ -149,8 +160,7 @@
 		r.w.WriteHeader(answer.status)
 		return wrapForwardError(r.w.Write(answer.body))
 	}
-	defer answer.work.End()
-	defer answer.rest.Close()
+	defer answer.close()
 	r.written = true
 	r.w.WriteHeader(answer.status)
 	rest := &restReader{body: answer.rest.Body, left: maxUnsizedAnswer - len(answer.body)}
