gateway: make a prefill engine suspect whose answer is cut off or has no end

A prefill answer that was cut off, or exceeded 4 KiB, was dropped and the decode engine processed the prompt, but the prefill engine stayed in use: each further request was prefilled there in vain. Other failed answers make their upstream suspect; this one was forgotten.

Before, TestPrefillAnswerWithoutEnd:

the prefill engine is still in use

TestReservationAnswerWithoutEnd passed before.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -266,6 +266,9 @@
 	}
 	defer response.Close()
 	body, err := readAllLimited(response)
+	if err != nil && r.ctx.Err() == nil {
+		r.g.Board.MarkSuspect(alloc.Prefill.ID, time.Now())
+	}
 	if err != nil || response.Status != http.StatusOK {
 		r.g.Metrics.CountSend("prefill", "failed")
 		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "prefill failed"}
