gateway: send a request elsewhere after malformed bytes of an engine

After an answer that broke off, the request goes to the same engine once more, because the engine probably still has the prompt's KV cache. The same was done after bytes that are no response: header lines without end, a chunk header without end, or an event without end. An engine in trouble so got a resumable stream twice, and as two attempts were used up, the caller got a 502 or a cut stream although another engine could have resumed it.

upstreamconn now marks errors with ErrMalformed if the upstream sent bytes that are no response, or more than a limit, as opposed to a connection that failed or ended. After such an error the engine is excluded for the request. The reason in the log line is then upstream_error.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-faster/errors"
 
-	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -56,7 +55,7 @@
 			}
 			return nil
 		}
-		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: wirev1.Reason_REASON_UPSTREAM_BROKE, Detail: "the stream was cut off: " + err.Error()}
+		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: "the stream was cut off: " + err.Error()}
 	}
 }
 
@@ -72,7 +71,7 @@
 			return event, err
 		}
 		if len(event) > maxEventBytes {
-			return event, errors.New("event exceeds the size limit")
+			return event, errors.Wrapf(upstreamconn.ErrMalformed, "event exceeds %d bytes", maxEventBytes)
 		}
 		if err != nil {
 			continue // the line is longer than the buffer of the reader
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -381,5 +381,5 @@
 
 // truncatedAnswer returns the error of an answer that was cut off after its headers.
 func truncatedAnswer(err error) error {
-	return &verdict.Refusal{Verdict: verdict.Ran, Reason: wirev1.Reason_REASON_UPSTREAM_BROKE, Detail: "the answer was cut off: " + err.Error()}
+	return &verdict.Refusal{Verdict: verdict.Ran, Reason: failureReason(err), Detail: "the answer was cut off: " + err.Error()}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -191,7 +191,7 @@
 	n, err := r.body.Read(p)
 	r.left -= n
 	if r.left < 0 {
-		err = errors.New("the answer exceeds the size limit")
+		err = errors.Wrapf(upstreamconn.ErrMalformed, "the answer exceeds %d bytes", maxUnsizedAnswer)
 	}
 	if err != nil && err != io.EOF {
 		r.err = err
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,7 +69,16 @@
 	if errors.Is(err, upstreamconn.ErrNotSent) {
 		return verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, "%s: %v", upstream.ID, err)
 	}
-	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: wirev1.Reason_REASON_UPSTREAM_BROKE, Detail: upstream.ID + ": " + err.Error()}
+	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: upstream.ID + ": " + err.Error()}
+}
+
+// failureReason returns the reason for an answer that could not be read. After REASON_UPSTREAM_BROKE serveModel may try the same
+// engine again; an engine that sends malformed answers must not get the request again.
+func failureReason(err error) wirev1.Reason {
+	if errors.Is(err, upstreamconn.ErrMalformed) {
+		return wirev1.Reason_REASON_UPSTREAM_ERROR
+	}
+	return wirev1.Reason_REASON_UPSTREAM_BROKE
 }
 
 // mayRetry reports whether the call may be sent again after a failure, and charges the retry budget if so. Failed
--- a/internal/upstreamconn/endless_test.go
+++ b/internal/upstreamconn/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 
@@ -49,8 +48,8 @@
 	u.sent = make(chan int, 1)
 	pool := New(u)
 	_, err := get(t, pool, "upstream", http.MethodGet, "1")
-	if err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("%s: %v, want an error that is neither ErrNotSent nor the end of the request's time", name, err)
+	if !errors.Is(err, ErrMalformed) || errors.Is(err, ErrNotSent) {
+		t.Errorf("%s: %v, want ErrMalformed and not ErrNotSent", name, err)
 	}
 	if sent := <-u.sent; sent > limit || len(pool.idle) != 0 {
 		t.Errorf("%s: read %d bytes and kept %d connections, want at most %d bytes and none", name, sent, len(pool.idle), limit)
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -123,14 +125,23 @@
 	for {
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.received.N <= 0 {
-			return nil, errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
+			return nil, errors.Wrapf(ErrMalformed, "head exceeds %d bytes", maxHeadBytes)
 		}
 		if err != nil || raw.StatusCode >= http.StatusOK {
-			return raw, err
+			return raw, markMalformed(err)
 		}
 	}
 }
 
+// markMalformed adds ErrMalformed to an error from reading a response, unless the connection failed or ended.
+func markMalformed(err error) error {
+	var connErr net.Error
+	if err == nil || err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &connErr) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
 // readResponse reads the status and headers of the response that belongs to the request. It skips responses to earlier
 // requests.
 func (c *conn) readResponse(ctx context.Context, r *Request, bodyWritten func() bool) (*Response, error) {
@@ -149,10 +160,10 @@
 		}
 		_, err = io.CopyN(io.Discard, raw.Body, maxStaleBodyBytes)
 		if err == nil {
-			return nil, errors.Errorf("response to another request has %d bytes or more", maxStaleBodyBytes)
+			return nil, errors.Wrapf(ErrMalformed, "response to another request has %d bytes or more", maxStaleBodyBytes)
 		}
 		if err != io.EOF {
-			return nil, errors.Wrap(err, "skip a response to another request")
+			return nil, errors.Wrap(markMalformed(err), "skip a response to another request")
 		}
 		skipped++
 	}
@@ -180,7 +191,7 @@
 	if err == io.EOF {
 		r.response.bodyRead = true
 	}
-	return n, err
+	return n, markMalformed(err)
 }
 
 // SelfDelimited reports whether the body ends by its Content-Length or chunked encoding, as opposed to the end of the
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -30,6 +30,9 @@
 // ErrNotSent marks failures before any byte of the request was sent.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrMalformed marks failures because an upstream sent bytes that are no response, as opposed to a connection that ended.
+var ErrMalformed = errors.New("malformed response")
+
 // Dialer opens connections; net.Dialer implements it.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -153,6 +153,21 @@
 	}
 }
 
+// Guards against a connection that ended which is taken for an upstream in trouble, and the reverse.
+func TestMalformedResponses(t *testing.T) {
+	for response, want := range map[string]bool{
+		"": false, "HTTP/1.1 200 OK\r\nId: 1": false, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\ncut": false,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ncut": false,
+		"no response\r\n\r\n": true, "HTTP/1.1 200 OK\r\nno header\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n": true,
+	} {
+		s := startScripted(t, []string{response})
+		if _, err := get(t, New(nil), s.address, http.MethodGet, "1"); err == nil || errors.Is(err, ErrMalformed) != want {
+			t.Errorf("%q: %v, want ErrMalformed %v", response, err, want)
+		}
+	}
+}
+
 // Guards against ErrNotSent for a request that the upstream may have received, and against its absence if nothing was sent:
 // the router reports a request to its client as "not run" by this error.
 func TestNotSent(t *testing.T) {
