gateway: send a request elsewhere if an engine's error answer does not end in time

If an engine answered a resumable stream with an error status and its body did not end, the timer for the answer cancelled the attempt, but the request went to the same engine again, as after a connection that broke. It ended at its deadline although another engine could have served it. The errors of other cancelled attempts were replaced by timeoutRefusal; this one was not.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -322,7 +322,7 @@
 	if response.Status != http.StatusOK {
 		answer, err := readAnswer(response, attempt.Upstream, work, purpose)
 		if err != nil {
-			return truncatedAnswer(err)
+			return timeoutRefusal(ctx, truncatedAnswer(err))
 		}
 		return r.forwardEngineError(answer, out)
 	}
