gateway: don't make an upstream suspect when the caller leaves

A caller that disconnected while a plain answer arrived made its upstream suspect, because the body could then not be read. Other requests avoided the upstream for a second or more. A reader of the code noticed it; no caller has reported it. A cut error answer of an engine, on the other hand, did not make the engine suspect and did not count in sends_total. Both are read by the same function now, and only a failure while the caller is there counts.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -320,9 +320,9 @@
 	r.handle = nil
 	defer response.Close()
 	if response.Status != http.StatusOK {
-		answer, err := readAnswer(response, attempt.Upstream, work, purpose)
+		answer, err := r.readAnswer(response, attempt.Upstream, work, purpose)
 		if err != nil {
-			return timeoutRefusal(ctx, truncatedAnswer(err))
+			return timeoutRefusal(ctx, err)
 		}
 		return r.forwardEngineError(answer, out)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -81,11 +81,15 @@
 	purpose  string
 }
 
-// readAnswer reads an answer up to its end, or the beginning of a large one.
-func readAnswer(response *upstreamconn.Response, upstream *fleet.Upstream, work *placement.Work, purpose string) (*plainAnswer, error) {
+// readAnswer reads an answer up to its end, or the beginning of a large one. An upstream whose answer is cut off becomes suspect.
+func (r *request) readAnswer(response *upstreamconn.Response, upstream *fleet.Upstream, work *placement.Work, purpose string) (*plainAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
 	if err != nil {
-		return nil, err
+		if !errors.Is(r.ctx.Err(), context.Canceled) { // the caller is still there
+			r.g.Board.MarkSuspect(upstream.ID, time.Now())
+		}
+		r.g.Metrics.CountSend(purpose, "cut")
+		return nil, truncatedAnswer(err)
 	}
 	answer := &plainAnswer{status: response.Status, header: response.Header, body: body, work: work, upstream: upstream, purpose: purpose}
 	if len(body) == maxBufferedAnswer {
@@ -127,12 +131,10 @@
 		r.g.Metrics.CountSend("plain", "failed")
 		return nil, err
 	}
-	answer, err := readAnswer(response, upstream, work, "plain")
+	answer, err := r.readAnswer(response, upstream, work, "plain")
 	if err != nil {
 		response.Close()
-		r.g.Board.MarkSuspect(upstream.ID, time.Now())
-		r.g.Metrics.CountSend("plain", "cut")
-		return nil, truncatedAnswer(err)
+		return nil, err
 	}
 	if answer.rest != nil {
 		streamRest = true
