--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -100,7 +99,7 @@
 				zap.String("address", request.Address), zap.String("error", err.Error()))
 			return
 		}
-		_, _ = io.Copy(io.Discard, response.Body)
+		_, _ = readAllLimited(response) // only a connection whose response was read is reused
 		response.Close()
 	}()
 }
