gateway: limit empty lines and events without an id in a stream

A stream body of empty lines, or of any text with empty lines, without end was forwarded event by event until the deadline of its request. A resumable stream was not resumed.

Empty lines now belong to the event that follows them, which has a size limit, and a stream is malformed after 64 consecutive events without an id. Empty lines after the last event are still forwarded.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,8 +14,13 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-// maxEventBytes is the largest size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the largest size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxEventsWithoutID is the number of consecutive events without an id from which a stream is malformed. Events have ids, but
+	// a few comments may come between them.
+	maxEventsWithoutID = 64
+)
 
 // eventWriter forwards the events of a stream to the caller. If the stream is continued at another upstream, each event is
 // still sent only once, and never in part.
@@ -25,6 +30,8 @@
 	headerSent bool
 	// lastID is the id of the last event that the caller has. It starts as Call.ResumeAfter.
 	lastID string
+	// eventsWithoutID counts the events since the last one with an id.
+	eventsWithoutID int
 	// onEvent is called after each event with the number of events sent so far.
 	onEvent func(events int)
 }
@@ -49,21 +56,26 @@
 			// The connection of an engine that ends after it sent the headers looks the same as an empty stream.
 			err = errors.New("the connection ended before the first event")
 		}
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(bytes.TrimRight(event, "\r\n")) == 0 {
 			if !e.headerSent {
 				e.sendHeader(response)
 			}
-			return nil
+			return wrapForwardError(e.r.w.Write(event))
 		}
-		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: "the stream was cut off: " + err.Error()}
+		return truncatedStream(err)
 	}
 }
 
-// readEvent reads one event up to and including the empty line that ends it. Lines end with a line feed, which a carriage
-// return may precede. On an error it also returns the partial event.
+// truncatedStream returns the error of a stream that was cut off.
+func truncatedStream(err error) error {
+	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: "the stream was cut off: " + err.Error()}
+}
+
+// readEvent reads one event up to and including the empty line that ends it, with the empty lines before it. Lines end with a
+// line feed, which a carriage return may precede. On an error it also returns the partial event.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
-	lineStart := 0
+	lineStart, hasText := 0, false
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
@@ -76,10 +88,11 @@
 		if err != nil {
 			continue // the line is longer than the buffer of the reader
 		}
-		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
+		empty := len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0
+		if empty && hasText {
 			return event, nil
 		}
-		lineStart = len(event)
+		lineStart, hasText = len(event), !empty
 	}
 }
 
@@ -114,6 +127,13 @@
 // write sends an event to the caller, unless the caller already has it.
 func (e *eventWriter) write(response *upstreamconn.Response, event []byte) error {
 	id := eventID(event)
+	e.eventsWithoutID++
+	if id != "" {
+		e.eventsWithoutID = 0
+	}
+	if e.eventsWithoutID > maxEventsWithoutID {
+		return truncatedStream(errors.Wrapf(upstreamconn.ErrMalformed, "more than %d events without an id", maxEventsWithoutID))
+	}
 	if id != "" && e.alreadySent(id) {
 		return nil
 	}
