gateway: make an engine suspect that does not answer a report or an order

An engine whose report was cut off or had no end stayed in use for requests. The order was dropped, but the failure was not recorded on the board, as it is for other calls to engines.

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	protocol := c.Gateway.Protocol
-	status, body, err := c.call(ctx, protocol.OrderCountRequest(move.Upstream))
+	status, body, err := c.call(ctx, move.Upstream, protocol.OrderCountRequest(move.Upstream))
 	if err != nil {
 		return 0, err
 	}
@@ -117,19 +117,25 @@
 		return accepted, errors.New("the leadership ended before the order")
 	}
 	order := &Order{Engine: move.Upstream, To: move.To, Holder: c.Holder, Fence: fence, Accepted: accepted}
-	status, _, err = c.call(ctx, protocol.GiveOrder(order))
+	status, _, err = c.call(ctx, move.Upstream, protocol.GiveOrder(order))
 	if err != nil {
 		return accepted, err
 	}
 	return accepted, protocol.ReadOrderAnswer(status)
 }
 
-func (c *StageController) call(ctx context.Context, request *upstreamconn.Request) (int, []byte, error) {
+// call sends a call to an engine and reads the answer. An engine without a complete answer becomes suspect.
+func (c *StageController) call(ctx context.Context, engine *fleet.Upstream, request *upstreamconn.Request) (status int, body []byte, err error) {
+	defer func() {
+		if err != nil && ctx.Err() == nil {
+			c.Gateway.Board.MarkSuspect(engine.ID, time.Now())
+		}
+	}()
 	response, err := c.Gateway.Pool.Do(ctx, request)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer response.Close()
-	body, err := readAllLimited(response)
+	body, err = readAllLimited(response)
 	return response.Status, body, err
 }
