--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -218,3 +218,26 @@
 		t.Errorf("status %d, %d idle connections", response.Status, len(pool.idle))
 	}
 }
+
+// Guards against a request that is sent on an idle connection although its deadline is already over.
+func TestEndedContextSendsNothing(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	upstream := startScripted(t, []string{response, response})
+	pool := New(nil)
+	request := &Request{Address: upstream.address, Method: http.MethodPost, Target: "/", Host: "h"}
+	first, err := pool.Do(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, first.Body)
+	first.Close()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := pool.Do(ended, request); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if n := upstream.requests.Load(); n != 1 {
+		t.Errorf("the upstream got %d requests, want only the first", n)
+	}
+}
