gateway: cut a resumed stream that ends with its connection before an event

An engine that ended right after the headers of a resumed stream, without length and chunks, made the caller's stream look complete: 200 with the events of the first engine only, or with none if the caller had resumed. The rest of a resumed stream was allowed to be empty. Such an answer cannot be told from that of an engine that ended, so the stream is now cut. With a length or chunks the rest may still be empty.

The row "empty rest that ends with its connection" of TestStreamWithoutEvents failed before (complete true).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -52,7 +52,7 @@
 			}
 			continue
 		}
-		if errors.Is(err, io.EOF) && e.lastID == "" && !seen && !response.SelfDelimited() {
+		if errors.Is(err, io.EOF) && !seen && !response.SelfDelimited() {
 			// The connection of an engine that ends after it sent the headers looks the same as an empty stream.
 			err = errors.New("the connection ended before the first event")
 		}
