gateway: go on after up to 16 engines that refuse connections

While engines crash, those that ended stay announced for 2.4 to 4.6 s, and their suspect time of 1 s is over before. A request that met four of them was refused (upstream_unreachable) although engines were free; this is what TestPromptPartCrashesEngines had shown once. A refused connection costs about a millisecond, so a request now goes on after up to 16; its deadline still bounds it.

TestRequestBesideDeadEngines failed before with 6 of 9 engines dead: status 503.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -108,7 +108,7 @@
 	// attempt counts too, but is itself followed by another attempt until maxUnreachable is reached.
 	maxSends = 3
 	// maxUnreachable is the number of excluded upstreams at which a request gives up after a failed connection attempt.
-	maxUnreachable = 4
+	maxUnreachable = 16
 )
 
 // A caller refused under overload is asked to retry after overloadDelayTargets to overloadDelayTargets+overloadJitterTargets
