--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -121,7 +121,7 @@
 		header[name] = values
 	}
 	e.headerSent, e.r.written, e.r.status = true, true, response.Status
-	e.r.w.WriteHeader(response.Status)
+	e.r.writeHeader(response.Status)
 }
 
 // write sends an event to the caller, unless the caller already has it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,9 +170,6 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	began := time.Now()
-	if g.shutdown.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	req := &request{g: g, began: began, w: w, excluded: make(map[string]bool)}
 	err := req.prepare(r)
 	if err == nil {
@@ -407,7 +404,7 @@
 	}
 	body := verdict.ReasonName(refusal.Reason) + " (" + refusal.Verdict.String() + "): " + refusal.Detail + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	r.w.WriteHeader(r.status)
+	r.writeHeader(r.status)
 	_, _ = io.WriteString(r.w, body) // the caller may have disconnected
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -159,12 +159,12 @@
 	if answer.rest == nil {
 		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 		r.written = true
-		r.w.WriteHeader(answer.status)
+		r.writeHeader(answer.status)
 		return wrapForwardError(r.w.Write(answer.body))
 	}
 	defer answer.close()
 	r.written = true
-	r.w.WriteHeader(answer.status)
+	r.writeHeader(answer.status)
 	rest := &restReader{body: answer.rest.Body, left: maxUnsizedAnswer - len(answer.body)}
 	if answer.rest.Length >= 0 {
 		rest.left = math.MaxInt
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// streamTimeFactor covers outputs that are longer than the caller's estimate, and engines that become slower.
+	// streamTimeFactor covers outputs that are longer than the caller's estimate, and engines that are slower than most.
 	streamTimeFactor = 1.5
 	// plainTimeTargets is the time that a plain request must have before the process ends, in latency targets of its route. One
 	// that takes longer is answered when the process ends, as one that may have run.
@@ -48,8 +48,20 @@
 	return g.Running() == 0
 }
 
-// End cancels all requests that still run. Those without any part of an answer yet are answered with a refusal.
-func (g *Gateway) End() { g.end() }
+// End refuses new requests and cancels all that still run. Those without any part of an answer yet are answered with a refusal.
+func (g *Gateway) End() {
+	g.drained.Store(true)
+	g.end()
+}
+
+// writeHeader sends the status and headers of an answer. A stopping process announces that it closes the connection, so that the
+// caller moves to another process.
+func (r *request) writeHeader(status int) {
+	if r.g.shutdown.Load() != nil {
+		r.w.Header().Set("Connection", "close")
+	}
+	r.w.WriteHeader(status)
+}
 
 // checkStopping refuses a request that a stopping process does not accept.
 func (r *request) checkStopping() error {
@@ -58,7 +70,9 @@
 		return nil
 	}
 	now := time.Now()
-	if r.g.drained.Load() || now.Add(r.expectedTime()).After(s.end) || r.route.Kind == fleet.Stream && now.After(s.streamsUntil) {
+	tooLate := now.Add(r.expectedTime()).After(s.end)
+	streamTooLate := r.route.Kind == fleet.Stream && now.After(s.streamsUntil)
+	if r.g.drained.Load() || tooLate || streamTooLate {
 		return stoppingRefusal()
 	}
 	return nil
@@ -89,13 +103,13 @@
 	return r.route.LatencyTarget + time.Duration(output)
 }
 
-// tokenTime returns the time per output token at the slowest engine, or that with which a stream just meets its pause target
-// while no engine was measured; zero if the route has no such target either.
+// tokenTime returns the time per output token at most engines, or that with which a stream just meets its pause target while no
+// engine was measured; zero if the route has no such target either.
 func (r *request) tokenTime() time.Duration {
 	if r.service.Engine == nil {
 		return 0
 	}
-	if measured := r.g.Board.SlowestTokenTime(r.service.Name); measured > 0 {
+	if measured := r.g.Board.MedianTokenTime(r.service.Name); measured > 0 {
 		return measured
 	}
 	return r.route.PauseTarget / time.Duration(r.service.Engine.TokensPerEvent)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -11,6 +11,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -370,17 +371,21 @@
 	b.withState(id, func(s *state) { s.msPerToken = movingAverage(s.msPerToken, elapsed.Seconds()*1000/float64(tokens)) })
 }
 
-// SlowestTokenTime returns the time per output token of the slowest decode engine of a service; zero if none was measured.
-func (b *Board) SlowestTokenTime(service string) time.Duration {
+// MedianTokenTime returns the median of the times per output token of a service's decode engines; zero if none was measured.
+func (b *Board) MedianTokenTime(service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	slowest := 0.0
+	var measured []float64
 	for _, s := range b.states {
-		if s.usable() && s.info.Service == service && s.info.Stage == fleet.StageDecode {
-			slowest = max(slowest, s.msPerToken)
+		if s.usable() && s.info.Service == service && s.info.Stage == fleet.StageDecode && s.msPerToken > 0 {
+			measured = append(measured, s.msPerToken)
 		}
 	}
-	return time.Duration(slowest * float64(time.Millisecond))
+	if len(measured) == 0 {
+		return 0
+	}
+	slices.Sort(measured)
+	return time.Duration(measured[len(measured)/2] * float64(time.Millisecond))
 }
 
 // minTimedOutputTokens is the shortest output from which the decode speed is measured. The time of a shorter one says little
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -324,6 +324,8 @@
 		if _, err := io.WriteString(conn, request.String()+"\r\n"); err != nil {
 			t.Fatalf("connection %d: %v", i, err)
 		}
+	}
+	for i, conn := range open {
 		if got := readAnswer(conn); got.err != nil || got.status != http.StatusServiceUnavailable {
 			t.Errorf("connection %d: %v", i, got)
 		}
