quarantine: findings of the review

A reviewer who had not seen the work showed with throw-away tests that the quarantine of prompt parts

- never began when crashes came faster than about 14 a second, because only the last eight were kept and all of them counted as one moment; only crashes that count are kept now (at most 30 crashes at 50 a second);
- counted what a router that had been cut off reported about the time before a first event; the time of the last first event of a part is kept, and older crashes say nothing;
- blamed parts of requests that waited at an engine beside the cause, when they were recorded first; the parts of all requests that waited at an engine now stand for its crash;

The list of crashes that is sent to a process that connects is in the order of time. TestPromptReportsReachAllProcesses uses given times in place of pauses.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,8 @@
 	handle        *Handle
 	handleAt      time.Time
 	prefillEngine *fleet.Upstream
+	// promptParts are Call.SharedParts with the name of the service.
+	promptParts []string
 	// probe is set while the request finds out whether its prompt, after a quarantine, still crashes engines.
 	probe bool
 	// cachedAt is a decode engine whose answer was cut off; if it is still running, it has the prompt's KV cache.
@@ -285,7 +287,7 @@
 			continue
 		}
 		if service, ok := r.config.Services[target.Service]; ok {
-			r.service = service
+			r.service, r.promptParts = service, qualifyParts(service.Name, r.call.SharedParts)
 			return nil
 		}
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -309,7 +309,7 @@
 	response, err := r.send(ctx, attempt)
 	if err != nil {
 		r.g.Metrics.CountSend(purpose, "failed")
-		if err = timeoutRefusal(ctx, err); r.mayBeCrash(attempt, err) {
+		if err = timeoutRefusal(ctx, err); r.mayBeCrash(err) {
 			r.recordCrash(attempt.Upstream)
 		}
 		if attempt.KVHandle != nil && !keepsHandle(err) {
@@ -350,7 +350,7 @@
 		if r.ctx.Err() == nil {
 			r.g.Board.MarkSuspect(attempt.Upstream.ID, time.Now())
 		}
-		if err = timeoutRefusal(ctx, err); firstAt.IsZero() && r.mayBeCrash(attempt, err) {
+		if err = timeoutRefusal(ctx, err); firstAt.IsZero() && r.mayBeCrash(err) {
 			r.recordCrash(attempt.Upstream)
 		}
 		return err
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -95,9 +95,8 @@
 	b.mesh.SetMembers(members)
 	eventually(t, "a and b connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
 	for i, n := range []*node{a, b, a} {
-		crash := quarantine.Crash{Upstream: string(rune('u' + i)), Request: string(rune('r' + i)), Parts: []string{"bad"}, At: time.Now()}
-		n.prompts.RecordCrash(crash)
-		time.Sleep(300 * time.Millisecond) // crashes at the same moment count as one
+		at := time.Now().Add(time.Duration(i-3) * time.Second) // crashes at the same moment count as one
+		n.prompts.RecordCrash(quarantine.Crash{Upstream: string(rune('u' + i)), Request: string(rune('r' + i)), Parts: []string{"bad"}, At: at})
 	}
 	blocked := func(n *node) bool { return n.prompts.Check([]string{"bad"}, time.Now()).Blocked }
 	eventually(t, "a and b block", func() bool { return blocked(a) && blocked(b) })
@@ -106,6 +105,6 @@
 		n.mesh.SetMembers(members)
 	}
 	eventually(t, "the process that connected later blocks", func() bool { return blocked(late) })
-	late.prompts.RecordFirstEvent([]string{"bad"})
+	late.prompts.RecordFirstEvent([]string{"bad"}, time.Now())
 	eventually(t, "a first event at one process clears the part at all", func() bool { return !blocked(a) && !blocked(b) && !blocked(late) })
 }
--- a/internal/peering/prompts.go
+++ b/internal/peering/prompts.go
@@ -52,7 +52,7 @@
 			At: time.Now().Add(-time.Duration(crash.GetAgeMs()) * time.Millisecond),
 		})
 	}
-	if quarantined := m.options.Quarantine.Apply(report); len(quarantined) > 0 {
+	if quarantined := m.options.Quarantine.Apply(report, time.Now()); len(quarantined) > 0 {
 		m.options.Logger.Info("prompt parts quarantined", zap.Strings("parts", quarantined), zap.String("peer", session.Remote().GetProcess()))
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,14 +32,18 @@
 	maxBlockTime   = time.Hour
 	// probeTime is how long the request that is let through after a quarantine may take to its first event.
 	probeTime = 10 * time.Second
-	// suspicionTime is how long a part that is not quarantined stays suspected without a further crash.
+	// suspicionTime is how long a part that is not quarantined stays suspected without a further crash, and how long the time of
+	// the last first event of a part is remembered.
 	suspicionTime = 2 * time.Minute
-	// maxSuspects limits the memory. The suspect whose last crash is the oldest makes room for a new one.
-	maxSuspects = 512
+	// maxSuspects and maxSurvivals limit the memory. The oldest entry makes room for a new one; quarantined parts go last.
+	maxSuspects  = 512
+	maxSurvivals = 4096
+	// sweepInterval limits the cost of dropping expired survivals while the memory is full.
+	sweepInterval = time.Second
 	// maxCrashesPerSuspect limits the crashes that are kept for each part.
 	maxCrashesPerSuspect = 8
-	// maxParts limits the parts of one prompt that are suspected.
-	maxParts = 32
+	// maxParts limits the parts of one prompt that are considered. They are the last ones, which fewer requests share.
+	maxParts = 64
 )
 
 // Crash says that an engine crashed while a request waited for its first event.
@@ -53,15 +58,20 @@
 	At    time.Time
 }
 
+// atSameEngine reports whether both values describe the crash of the same process.
+func (c *Crash) atSameEngine(other *Crash) bool {
+	return c.Upstream == other.Upstream && c.Incarnation == other.Incarnation
+}
+
 // suspect is what is known of one part.
 type suspect struct {
+	// crashes are at least crashSeparation apart, but for one that shows that different requests crashed engines. The parts of
+	// each are those of all requests with this part that waited at the engine, less the parts that were cleared.
 	crashes []Crash
-	// common are the parts that all requests of the crashes have and that are not cleared. It includes the part itself.
-	common []string
-	// blockedUntil is when the next request is let through; zero while the part is not quarantined. blocks is the number of
-	// quarantines so far.
-	blockedUntil time.Time
-	blocks       int
+	// blockedUntil is when the next request is let through; zero while the part is not quarantined. probesFrom is the earliest
+	// time at which any process lets one through, and blocks the number of quarantines so far.
+	blockedUntil, probesFrom time.Time
+	blocks                   int
 	// probeUntil is until when a request that was let through may still reach its first event.
 	probeUntil time.Time
 }
@@ -78,12 +88,18 @@
 	// send passes a report to the other processes. It is called without mu held and must not block.
 	send func(Report)
 
-	mu       sync.Mutex // guards suspects
+	mu       sync.Mutex // guards the fields below
 	suspects map[string]*suspect
+	// survivals has the time of the last first event of a request with a part. Crashes before it say nothing of the part.
+	survivals map[string]time.Time
+	// sweptAt is when the expired survivals were last dropped.
+	sweptAt time.Time
 }
 
 // NewList returns an empty list.
-func NewList() *List { return &List{send: func(Report) {}, suspects: make(map[string]*suspect)} }
+func NewList() *List {
+	return &List{send: func(Report) {}, suspects: make(map[string]*suspect), survivals: make(map[string]time.Time)}
+}
 
 // OnReport sets the function that passes reports to the other processes. It must be called before the list is used.
 func (l *List) OnReport(send func(Report)) { l.send = send }
@@ -93,18 +109,21 @@
 	if len(crash.Parts) == 0 {
 		return nil
 	}
-	crash.Parts = crash.Parts[:min(len(crash.Parts), maxParts)]
+	crash.Parts = lastParts(crash.Parts)
 	quarantined = l.addCrash(crash)
 	l.send(Report{Crashes: []Crash{crash}})
 	return quarantined
 }
 
-// Apply adds the report of another process and returns the parts that are quarantined because of it.
-func (l *List) Apply(report Report) (quarantined []string) {
+// lastParts returns the parts of a prompt that are considered.
+func lastParts(parts []string) []string { return parts[max(0, len(parts)-maxParts):] }
+
+// Apply adds the report of another process, received at now, and returns the parts that are quarantined because of it.
+func (l *List) Apply(report Report, now time.Time) (quarantined []string) {
+	l.clear(report.Cleared, now)
 	for _, crash := range report.Crashes {
 		quarantined = append(quarantined, l.addCrash(crash)...)
 	}
-	l.clear(report.Cleared)
 	return quarantined
 }
 
@@ -113,10 +132,13 @@
 	defer l.mu.Unlock()
 	l.expire(crash.At)
 	for _, part := range crash.Parts {
+		if !crash.At.After(l.survivals[part]) {
+			continue
+		}
 		s := l.suspects[part]
 		if s == nil {
 			l.makeRoom()
-			s = &suspect{common: slices.Clone(crash.Parts)}
+			s = new(suspect)
 			l.suspects[part] = s
 		}
 		if s.add(crash) {
@@ -128,73 +150,121 @@
 
 // add adds a crash. It reports whether the part is quarantined because of it.
 func (s *suspect) add(crash Crash) bool {
-	if slices.ContainsFunc(s.crashes, func(c Crash) bool { return c.Upstream == crash.Upstream && c.Incarnation == crash.Incarnation }) {
-		return false
+	for i := range s.crashes {
+		if known := &s.crashes[i]; known.atSameEngine(&crash) {
+			known.Parts = union(known.Parts, crash.Parts) // any of the requests that waited may be the cause
+			return false
+		}
 	}
-	s.crashes = append(s.crashes, crash)
-	if len(s.crashes) > maxCrashesPerSuspect {
-		s.crashes = s.crashes[1:]
+	if s.isSeparate(crash.At) || s.requests() < minRequests && crash.Request != s.crashes[0].Request {
+		crash.Parts = slices.Clone(crash.Parts)
+		s.crashes = append(s.crashes, crash)
+		if len(s.crashes) > maxCrashesPerSuspect {
+			s.crashes = s.crashes[1:]
+		}
 	}
-	s.common = slices.DeleteFunc(s.common, func(part string) bool { return !slices.Contains(crash.Parts, part) })
-	if s.blockedUntil.IsZero() && !s.certain() || crash.At.Before(s.blockedUntil) {
+	if crash.At.Before(s.probesFrom) || !s.hasEnoughCrashes() {
 		return false
 	}
 	block := min(firstBlockTime<<min(s.blocks, 10), maxBlockTime)
 	s.blocks++
-	// The random part keeps the processes from all letting a request through at the same time.
-	s.blockedUntil = crash.At.Add(block + rand.N(block))
+	s.probesFrom = crash.At.Add(block)
+	// With the random part, mostly one process lets a request through first, and its crash renews the quarantine at all.
+	s.blockedUntil = s.probesFrom.Add(rand.N(block))
 	s.probeUntil = s.blockedUntil
 	return true
 }
 
-// certain reports whether the crashes are enough for a quarantine.
-func (s *suspect) certain() bool {
+// isSeparate reports whether no known crash is within crashSeparation of at.
+func (s *suspect) isSeparate(at time.Time) bool {
+	return !slices.ContainsFunc(s.crashes, func(c Crash) bool { return at.Sub(c.At).Abs() < crashSeparation })
+}
+
+// requests returns the number of different requests that crashed engines.
+func (s *suspect) requests() int {
+	different := make(map[string]bool)
+	for _, crash := range s.crashes {
+		different[crash.Request] = true
+	}
+	return len(different)
+}
+
+// hasEnoughCrashes reports whether the crashes are enough for a quarantine.
+func (s *suspect) hasEnoughCrashes() bool {
 	times := make([]time.Time, len(s.crashes))
-	requests := make(map[string]bool)
 	for i, crash := range s.crashes {
 		times[i] = crash.At
-		requests[crash.Request] = true
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	var separate []time.Time
+	separate := 0
+	var last time.Time
 	for _, at := range times {
-		if len(separate) == 0 || at.Sub(separate[len(separate)-1]) >= crashSeparation {
-			separate = append(separate, at)
+		if separate == 0 || at.Sub(last) >= crashSeparation {
+			separate, last = separate+1, at
 		}
 	}
-	return len(separate) >= minCrashes && len(requests) >= minRequests
+	return separate >= minCrashes && s.requests() >= minRequests
+}
+
+// common returns the parts that all crashes have in common. It includes the part itself.
+func (s *suspect) common() []string {
+	common := slices.Clone(s.crashes[0].Parts)
+	for _, crash := range s.crashes[1:] {
+		common = slices.DeleteFunc(common, func(part string) bool { return !slices.Contains(crash.Parts, part) })
+	}
+	return common
 }
 
-// RecordFirstEvent clears the parts of a request that reached its first event, and returns those that were suspected.
-func (l *List) RecordFirstEvent(parts []string) (cleared []string) {
-	if cleared = l.clear(parts); len(cleared) > 0 {
+// RecordFirstEvent clears the parts of a request that reached its first event at now, and returns those that were suspected.
+func (l *List) RecordFirstEvent(parts []string, now time.Time) (cleared []string) {
+	if cleared = l.clear(lastParts(parts), now); len(cleared) > 0 {
 		l.send(Report{Cleared: cleared})
 	}
 	return cleared
 }
 
-func (l *List) clear(parts []string) (cleared []string) {
+func (l *List) clear(parts []string, now time.Time) (cleared []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.suspects) == 0 {
-		return nil
-	}
 	for _, part := range parts {
-		if l.suspects[part] == nil {
-			continue
+		l.addSurvival(part, now)
+		if l.suspects[part] != nil {
+			delete(l.suspects, part)
+			cleared = append(cleared, part)
 		}
-		delete(l.suspects, part)
-		cleared = append(cleared, part)
 	}
 	if len(cleared) == 0 {
 		return nil
 	}
 	for _, s := range l.suspects {
-		s.common = slices.DeleteFunc(s.common, func(part string) bool { return slices.Contains(cleared, part) })
+		for i := range s.crashes {
+			s.crashes[i].Parts = slices.DeleteFunc(s.crashes[i].Parts, func(part string) bool { return slices.Contains(cleared, part) })
+		}
 	}
 	return cleared
 }
 
+// addSurvival records a first event. If the memory is full, it drops those that have expired, or else any.
+func (l *List) addSurvival(part string, now time.Time) {
+	if _, ok := l.survivals[part]; !ok && len(l.survivals) >= maxSurvivals {
+		l.makeRoomForSurvival(now)
+	}
+	l.survivals[part] = now
+}
+
+func (l *List) makeRoomForSurvival(now time.Time) {
+	if now.Sub(l.sweptAt) > sweepInterval {
+		l.sweptAt = now
+		maps.DeleteFunc(l.survivals, func(_ string, at time.Time) bool { return now.Sub(at) > suspicionTime })
+	}
+	for old := range l.survivals {
+		if len(l.survivals) < maxSurvivals {
+			return
+		}
+		delete(l.survivals, old)
+	}
+}
+
 // Decision says whether a request may be sent to an engine.
 type Decision struct {
 	// Blocked is set if it may not, because all requests that crashed engines have Parts in common. Its caller may try again after
@@ -216,26 +286,37 @@
 func (l *List) decide(parts []string, now time.Time, enter bool) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.suspects) == 0 {
-		return Decision{}
-	}
-	var probed []*suspect
+	var due []*suspect
 	for _, part := range parts {
 		s := l.suspects[part]
-		if s == nil || s.blockedUntil.IsZero() || !containsAll(parts, s.common) {
+		if s == nil || s.blockedUntil.IsZero() {
+			continue
+		}
+		common := s.common()
+		if !containsAll(parts, common) {
 			continue
 		}
 		if until := later(s.blockedUntil, s.probeUntil); now.Before(until) {
-			return Decision{Blocked: true, Parts: slices.Clone(s.common), RetryAfter: until.Sub(now)}
+			return Decision{Blocked: true, Parts: common, RetryAfter: until.Sub(now)}
 		}
-		probed = append(probed, s)
+		due = append(due, s)
 	}
 	if enter {
-		for _, s := range probed {
+		for _, s := range due {
 			s.probeUntil = now.Add(probeTime)
 		}
 	}
-	return Decision{Probe: len(probed) > 0}
+	return Decision{Probe: len(due) > 0}
+}
+
+// union returns the parts of a and those of b that are not in a.
+func union(a, b []string) []string {
+	for _, part := range b {
+		if !slices.Contains(a, part) {
+			a = append(a, part)
+		}
+	}
+	return a
 }
 
 func containsAll(parts, wanted []string) bool {
@@ -253,20 +334,20 @@
 func (l *List) Known() Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var crashes []Crash
+	var report Report
 	for _, s := range l.suspects {
 		for _, crash := range s.crashes {
-			if !slices.ContainsFunc(crashes, crash.same) {
-				crashes = append(crashes, crash)
+			i := slices.IndexFunc(report.Crashes, func(known Crash) bool { return known.atSameEngine(&crash) && known.Request == crash.Request })
+			if i >= 0 {
+				report.Crashes[i].Parts = union(report.Crashes[i].Parts, crash.Parts)
+				continue
 			}
+			crash.Parts = slices.Clone(crash.Parts)
+			report.Crashes = append(report.Crashes, crash)
 		}
 	}
-	return Report{Crashes: crashes}
-}
-
-// same reports whether two values describe the same crash and request.
-func (c Crash) same(other Crash) bool {
-	return c.Upstream == other.Upstream && c.Incarnation == other.Incarnation && c.Request == other.Request
+	slices.SortFunc(report.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return report
 }
 
 // expire removes the parts that were not quarantined and had no crash within suspicionTime.
@@ -278,18 +359,26 @@
 	}
 }
 
-// makeRoom removes the suspect whose last crash is the oldest if the list is full.
+// makeRoom removes a suspect if the list is full: of those that are not quarantined, if there are any, the one whose last crash is
+// the oldest.
 func (l *List) makeRoom() {
 	if len(l.suspects) < maxSuspects {
 		return
 	}
 	oldest := ""
 	for part, s := range l.suspects {
-		if oldest == "" || s.lastCrash().Before(l.suspects[oldest].lastCrash()) {
+		if oldest == "" || s.yieldsBefore(l.suspects[oldest]) {
 			oldest = part
 		}
 	}
 	delete(l.suspects, oldest)
 }
 
+func (s *suspect) yieldsBefore(other *suspect) bool {
+	if quarantined, otherQuarantined := !s.blockedUntil.IsZero(), !other.blockedUntil.IsZero(); quarantined != otherQuarantined {
+		return otherQuarantined
+	}
+	return s.lastCrash().Before(other.lastCrash())
+}
+
 func (s *suspect) lastCrash() time.Time { return s.crashes[len(s.crashes)-1].At }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -52,7 +52,7 @@
 	if isBlocked(l, last, "shared") || isBlocked(l, last, "shared", "good") {
 		t.Error("a request with the shared part alone is blocked")
 	}
-	l.RecordFirstEvent([]string{"shared", "good"})
+	l.RecordFirstEvent([]string{"shared", "good"}, last)
 	if !isBlocked(l, last, "bad") {
 		t.Error("the part alone is not blocked after the shared part was cleared")
 	}
@@ -63,7 +63,7 @@
 	l := NewList()
 	for i := range 10 {
 		last := crashes(l, start.Add(time.Duration(i)*10*time.Second), 2, "sound")
-		if cleared := l.RecordFirstEvent([]string{"sound"}); !slices.Equal(cleared, []string{"sound"}) {
+		if cleared := l.RecordFirstEvent([]string{"sound"}, last); !slices.Equal(cleared, []string{"sound"}) {
 			t.Fatalf("cleared %v", cleared)
 		}
 		if isBlocked(l, last, "sound") {
@@ -104,7 +104,7 @@
 	if !isBlocked(l, last.Add(firstBlockTime-time.Second), "bad") {
 		t.Error("not blocked for the whole time")
 	}
-	after := last.Add(2 * firstBlockTime)
+	after := last.Add(2 * firstBlockTime) // the latest end of the random time
 	if isBlocked(l, after, "bad") || !isBlocked(l, after.Add(time.Second), "bad") {
 		t.Error("not exactly one request is let through after the quarantine")
 	}
@@ -112,7 +112,7 @@
 	if !isBlocked(l, again.Add(2*firstBlockTime-time.Second), "bad") {
 		t.Error("the time was not doubled after another crash")
 	}
-	l.RecordFirstEvent([]string{"bad"})
+	l.RecordFirstEvent([]string{"bad"}, again)
 	if isBlocked(l, again.Add(time.Second), "bad") {
 		t.Error("blocked after a first event")
 	}
@@ -122,12 +122,110 @@
 func TestCrashesRestoreTheList(t *testing.T) {
 	l, restarted := NewList(), NewList()
 	last := crashes(l, start, 5, "shared", "bad")
-	restarted.Apply(l.Known())
+	restarted.Apply(l.Known(), last)
 	if !isBlocked(restarted, last, "shared", "bad") || isBlocked(restarted, last, "shared") {
 		t.Error("the restored list blocks other requests")
 	}
 }
 
+// Guards against crashes that come too fast to be told apart and never lead to a quarantine.
+func TestFastCrashesQuarantine(t *testing.T) {
+	l := NewList()
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		l.RecordCrash(Crash{Upstream: fmt.Sprint("u", i), Request: fmt.Sprint("r", i), Parts: []string{"bad"}, At: at})
+		if isBlocked(l, at, "bad") {
+			if i > 30 {
+				t.Errorf("blocked only after %d crashes", i+1)
+			}
+			return
+		}
+	}
+	t.Error("never blocked")
+}
+
+// Guards against processes that each let a request through after a quarantine and crash one engine after the other.
+func TestProcessesProbeTogether(t *testing.T) {
+	const processes = 25
+	lists := make([]*List, processes)
+	now := start
+	for i := range lists {
+		lists[i] = NewList()
+		lists[i].OnReport(func(report Report) {
+			for j, other := range lists {
+				if j != i {
+					other.Apply(report, now)
+				}
+			}
+		})
+	}
+	crashed := 0
+	crash := func(l *List) {
+		crashed++
+		l.RecordCrash(Crash{Upstream: fmt.Sprint("u", crashed), Request: fmt.Sprint("r", crashed), Parts: []string{"bad"}, At: now})
+	}
+	for range minCrashes {
+		crash(lists[0])
+		now = now.Add(time.Second)
+	}
+	for ; now.Sub(start) < 10*time.Minute; now = now.Add(300 * time.Millisecond) {
+		for _, l := range lists {
+			if !isBlocked(l, now, "bad") {
+				crash(l)
+			}
+		}
+	}
+	if crashed > minCrashes+4 { // the quarantine doubles from one to two minutes up
+		t.Errorf("%d engines crashed in ten minutes", crashed)
+	}
+}
+
+// Guards against sound requests that are refused because they waited at engines beside the requests that crashed them.
+func TestRequestsBesideTheCauseStayUsable(t *testing.T) {
+	l := NewList()
+	for i := range 5 {
+		at := start.Add(time.Duration(i) * time.Second)
+		crash := Crash{Upstream: fmt.Sprint("u", i), At: at, Request: fmt.Sprint("sound", i), Parts: []string{"shared", fmt.Sprint("good", i)}}
+		l.RecordCrash(crash)
+		crash.Request, crash.Parts = fmt.Sprint("cause", i), []string{"shared", "bad"}
+		l.RecordCrash(crash)
+	}
+	now := start.Add(5 * time.Second)
+	if isBlocked(l, now, "shared", "good") || !isBlocked(l, now, "shared", "bad") {
+		t.Error("the list blocks requests with the shared part alone, or does not block the cause")
+	}
+}
+
+// Guards against a quarantine because of crashes that a process which was cut off reports after requests reached their first event.
+func TestLateReportsOfSoundParts(t *testing.T) {
+	l, cutOff := NewList(), NewList()
+	last := crashes(cutOff, start, 5, "sound")
+	l.RecordFirstEvent([]string{"sound"}, last.Add(time.Second))
+	if l.Apply(cutOff.Known(), last.Add(2*time.Second)); isBlocked(l, last.Add(2*time.Second), "sound") {
+		t.Error("blocked because of crashes before a first event")
+	}
+}
+
+// Guards against suspicions that never end, and against chance crashes that displace a quarantined part.
+func TestSuspicionsEndAndQuarantinesStay(t *testing.T) {
+	l := NewList()
+	last := crashes(l, start, 2, "sound")
+	if last = crashes(l, last.Add(suspicionTime+time.Second), 1, "sound"); isBlocked(l, last, "sound") {
+		t.Error("blocked because of crashes before suspicionTime")
+	}
+	last = crashes(l, last, 3, "bad")
+	for i := range 2 * maxSuspects {
+		l.RecordCrash(Crash{Upstream: fmt.Sprint("v", i), Request: fmt.Sprint(i), Parts: []string{fmt.Sprint("p", i)}, At: last.Add(time.Duration(i) * time.Millisecond)})
+		l.RecordFirstEvent([]string{fmt.Sprint("q", i)}, last)
+	}
+	if !isBlocked(l, last.Add(2*time.Second), "bad") {
+		t.Error("a quarantined part was displaced")
+	}
+	if len(l.suspects) > maxSuspects || len(l.survivals) > maxSurvivals {
+		t.Errorf("%d suspects, %d survivals", len(l.suspects), len(l.survivals))
+	}
+}
+
 // Guards against a list that blocks a request without a quarantined part, or grows without limit.
 func TestListProperties(t *testing.T) {
 	properties := gopter.NewProperties(nil)
@@ -140,7 +238,7 @@
 				now = now.Add(time.Duration(step%7) * 100 * time.Millisecond)
 				parts := []string{fmt.Sprint("a", step%5), fmt.Sprint("b", step%700)}
 				if step%3 == 0 {
-					l.RecordFirstEvent(parts)
+					l.RecordFirstEvent(parts, now)
 					for _, part := range parts {
 						counts[part] = 0
 					}
