--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -122,17 +122,7 @@
 	}
 	request.Host = "h.example"
 	platformtest.SetCallerHeaders(request.Header, result.id, "key-"+account, int(stopRequestTimeout.Milliseconds()), kind == "note")
-	client := &http.Client{Transport: transport, Timeout: stopRequestTimeout}
-	response, err := client.Do(request)
-	if err != nil {
-		result.err, result.ended = err, time.Now()
-		return result
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	result.status, result.body, result.err, result.ended = response.StatusCode, string(body), err, time.Now()
-	result.stamp, result.retryAfter = response.Header.Get("Fulmardoor-Response-Stamp"), response.Header.Get("Retry-After")
-	return result
+	return result.receive(&http.Client{Transport: transport, Timeout: stopRequestTimeout}, request)
 }
 
 // isWhole reports whether the caller received a runner's complete response.
--- a/internal/processtest/soak_load_test.go
+++ b/internal/processtest/soak_load_test.go
@@ -116,16 +116,21 @@
 	}
 	platformtest.SetCallerHeaders(request.Header, result.id, "key-"+account, deadlineMs, model)
 	client := &http.Client{Transport: transport, Timeout: 8 * time.Second}
+	return result.receive(client, request)
+}
+
+// receive sends a request and returns the result with its answer.
+func (r soakResult) receive(client *http.Client, request *http.Request) soakResult {
 	response, err := client.Do(request)
 	if err != nil {
-		result.err, result.ended = err, time.Now()
-		return result
+		r.err, r.ended = err, time.Now()
+		return r
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	result.status, result.body, result.err, result.ended = response.StatusCode, string(body), err, time.Now()
-	result.stamp, result.retryAfter = response.Header.Get("Fulmardoor-Response-Stamp"), response.Header.Get("Retry-After")
-	return result
+	r.status, r.body, r.err, r.ended = response.StatusCode, string(body), err, time.Now()
+	r.stamp, r.retryAfter = response.Header.Get("Fulmardoor-Response-Stamp"), response.Header.Get("Retry-After")
+	return r
 }
 
 func (l *soakLoad) stop() []soakResult {
