gateway: an upstream may work until shortly after the process ends

The deadline that the engine gets was cut to the end of the process, up to 50 ms before the process itself cancels what runs. It is 200 ms later now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -350,7 +350,7 @@
 func (r *request) timeLeft() time.Duration {
 	left := time.Until(r.deadline)
 	if s := r.g.shutdown.Load(); s != nil {
-		left = min(left, time.Until(s.end))
+		left = min(left, time.Until(s.end)+upstreamEndMargin)
 	}
 	return left
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -15,6 +15,9 @@
 	// plainTimeTargets is the time that a plain request must have before the process ends, in latency targets of its route. One
 	// that takes longer is answered when the process ends, as one that may have run.
 	plainTimeTargets = 3
+	// upstreamEndMargin is how much longer than the process an upstream may work on a request. An upstream that ended a request
+	// before the process does would look like one that failed, and the request would be sent to another.
+	upstreamEndMargin = 200 * time.Millisecond
 	// stoppingRetryAfter is the delay before a caller refused by a stopping process retries. It is short, as another process
 	// can serve the caller at once.
 	stoppingRetryAfter = 200 * time.Millisecond
