quarantine: widen a quarantine only with evidence for the wider one

After requests with the parts {first, A} were quarantined, one more crash of a request with {first, B} left only {first} in common and blocked all requests with that first part for one to two minutes; none of them could clear it.

The crashes that led to a quarantine stay its evidence. A crash that they do not explain counts anew, and replaces the evidence when there are enough of its kind. The request line of a refusal now has the request's own parts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -346,7 +346,8 @@
 	return r.route.Priority
 }
 
-// timeLeft returns the time until the request's deadline, or until the end of a stopping process if that is sooner.
+// timeLeft returns the time for which an upstream may work on the request: until its deadline, or until shortly after the end of
+// a stopping process if that is sooner.
 func (r *request) timeLeft() time.Duration {
 	left := time.Until(r.deadline)
 	if s := r.g.shutdown.Load(); s != nil {
@@ -430,6 +431,9 @@
 	if r.events > 0 {
 		fields = append(fields, zap.Int("events", r.events), zap.Duration("last_event_age", time.Since(r.lastEventAt)), zap.Int("output_tokens", r.call.OutputTokens))
 	}
+	if refusal != nil && refusal.Reason == wirev1.Reason_REASON_PROMPT_QUARANTINED {
+		fields = append(fields, zap.Strings("parts", r.promptParts))
+	}
 	if refusal != nil {
 		fields = append(fields, zap.Stringer("verdict", refusal.Verdict), zap.String("detail", refusal.Detail))
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -156,9 +156,7 @@
 		return nil
 	}
 	for _, s := range l.suspects {
-		for i := range s.crashes {
-			s.crashes[i].Parts = slices.DeleteFunc(s.crashes[i].Parts, func(part string) bool { return slices.Contains(cleared, part) })
-		}
+		s.clear(cleared)
 	}
 	return cleared
 }
@@ -208,7 +206,7 @@
 	var due []*suspect
 	for _, part := range parts {
 		s := l.suspects[part]
-		if s == nil || s.blockedUntil.IsZero() {
+		if s == nil || !s.quarantined() {
 			continue
 		}
 		common := s.common()
@@ -245,7 +243,7 @@
 	defer l.mu.Unlock()
 	var report Report
 	for _, s := range l.suspects {
-		for _, crash := range s.crashes {
+		for _, crash := range slices.Concat(s.evidence, s.crashes) {
 			i := slices.IndexFunc(report.Crashes, func(known Crash) bool { return known.atSameEngine(&crash) && known.Request == crash.Request })
 			if i >= 0 {
 				report.Crashes[i].Parts = union(report.Crashes[i].Parts, crash.Parts)
@@ -262,7 +260,7 @@
 // expire removes the parts that were not quarantined and had no crash within suspicionTime.
 func (l *List) expire(now time.Time) {
 	for part, s := range l.suspects {
-		if s.blockedUntil.IsZero() && now.Sub(s.lastCrash()) > suspicionTime {
+		if !s.quarantined() && now.Sub(s.lastCrash()) > suspicionTime {
 			delete(l.suspects, part)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -196,6 +196,27 @@
 	}
 }
 
+// Guards against a quarantine of a shared part because of one more crash, of a request with another part, after the quarantine began;
+// and against a quarantine that never grows to requests that share only the cause.
+func TestQuarantineWidensOnlyWithEvidence(t *testing.T) {
+	l := NewList()
+	last := crashes(l, start, 3, "shared", "bad")
+	crash := Crash{Upstream: "v", Request: "other", Parts: []string{"shared", "other"}, At: last.Add(time.Second)}
+	if l.RecordCrash(crash); isBlocked(l, crash.At, "shared") || isBlocked(l, crash.At, "shared", "good") {
+		t.Error("one crash with another part blocks the shared part")
+	}
+	if !isBlocked(l, crash.At, "shared", "bad") || isBlocked(l, crash.At, "different", "bad") {
+		t.Error("the quarantine before the other crash has changed")
+	}
+	for i := range 3 {
+		crash = Crash{Upstream: fmt.Sprint("w", i), Request: fmt.Sprint("s", i), Parts: []string{fmt.Sprint("first", i), "bad"}, At: last.Add(time.Duration(2+i) * time.Second)}
+		l.RecordCrash(crash)
+	}
+	if !isBlocked(l, crash.At, "different", "bad") || !isBlocked(l, crash.At, "shared", "bad") {
+		t.Error("the cause is not blocked with every first part after three crashes")
+	}
+}
+
 // Guards against a quarantine because of crashes that a process which was cut off reports after requests reached their first event.
 func TestLateReportsOfSoundParts(t *testing.T) {
 	l, cutOff := NewList(), NewList()
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -8,24 +8,31 @@
 
 // suspect is what is known of one part.
 type suspect struct {
-	// crashes are at least crashSeparation apart, but for one that shows that different requests crashed engines. The parts of
+	// evidence are the crashes for which the part is quarantined; empty while it is not. crashes are those that they do not
+	// explain, because the requests lacked a part that the evidence has in common. They become the evidence when they are enough.
+	//
+	// Crashes are at least crashSeparation apart, but for one that shows that different requests crashed engines. The parts of
 	// each are those of all requests with this part that waited at the engine, less the parts that were cleared.
-	crashes []Crash
-	// blockedUntil is when the next request is let through; zero while the part is not quarantined. probesFrom is the earliest
-	// time at which any process lets one through, and blocks the number of quarantines so far.
+	evidence, crashes []Crash
+	// blockedUntil is when the next request is let through. probesFrom is the earliest time at which any process lets one
+	// through, and blocks the number of quarantines so far.
 	blockedUntil, probesFrom time.Time
 	blocks                   int
 	// probeUntil is until when a request that was let through may still reach its first event.
 	probeUntil time.Time
 }
 
-// add adds a crash. It reports whether the part is quarantined because of it.
+// add adds a crash. It reports whether a quarantine begins or is renewed because of it.
 func (s *suspect) add(crash Crash) bool {
-	for i := range s.crashes {
-		if known := &s.crashes[i]; known.atSameEngine(&crash) {
-			known.Parts = union(known.Parts, crash.Parts) // any of the requests that waited may be the cause
+	if s.addToKnown(&crash) {
+		return false
+	}
+	if s.quarantined() && containsAll(crash.Parts, s.common()) {
+		if crash.At.Before(s.probesFrom) {
 			return false
 		}
+		s.block(crash.At)
+		return true
 	}
 	if s.isSeparate(crash.At) || s.requests() < minRequests && crash.Request != s.crashes[0].Request {
 		crash.Parts = slices.Clone(crash.Parts)
@@ -34,24 +41,55 @@
 			s.crashes = s.crashes[1:]
 		}
 	}
-	if crash.At.Before(s.probesFrom) || !s.hasEnoughCrashes() {
+	if !s.hasEnoughCrashes() {
 		return false
 	}
+	s.evidence, s.crashes = s.crashes, nil
+	s.block(crash.At)
+	return true
+}
+
+// addToKnown adds the parts of a request to the crash of the same engine, if it is known. Any of the requests that waited there may be
+// the cause.
+func (s *suspect) addToKnown(crash *Crash) bool {
+	for _, crashes := range [][]Crash{s.evidence, s.crashes} {
+		for i := range crashes {
+			if known := &crashes[i]; known.atSameEngine(crash) {
+				known.Parts = union(known.Parts, crash.Parts)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *suspect) quarantined() bool { return len(s.evidence) > 0 }
+
+// block begins or renews the quarantine after a crash at at.
+func (s *suspect) block(at time.Time) {
 	block := min(firstBlockTime<<min(s.blocks, 10), maxBlockTime)
 	s.blocks++
-	s.probesFrom = crash.At.Add(block)
+	s.probesFrom = at.Add(block)
 	// With the random part, mostly one process lets a request through first, and its crash renews the quarantine at all.
 	s.blockedUntil = s.probesFrom.Add(rand.N(block))
 	s.probeUntil = s.blockedUntil
-	return true
 }
 
-// isSeparate reports whether no known crash is within crashSeparation of at.
+// clear removes parts that a first event has cleared from all crashes.
+func (s *suspect) clear(parts []string) {
+	for _, crashes := range [][]Crash{s.evidence, s.crashes} {
+		for i := range crashes {
+			crashes[i].Parts = slices.DeleteFunc(crashes[i].Parts, func(part string) bool { return slices.Contains(parts, part) })
+		}
+	}
+}
+
+// isSeparate reports whether no crash outside the evidence is within crashSeparation of at.
 func (s *suspect) isSeparate(at time.Time) bool {
 	return !slices.ContainsFunc(s.crashes, func(c Crash) bool { return at.Sub(c.At).Abs() < crashSeparation })
 }
 
-// requests returns the number of different requests that crashed engines.
+// requests returns the number of different requests in the crashes outside the evidence.
 func (s *suspect) requests() int {
 	different := make(map[string]bool)
 	for _, crash := range s.crashes {
@@ -60,7 +98,7 @@
 	return len(different)
 }
 
-// hasEnoughCrashes reports whether the crashes are enough for a quarantine.
+// hasEnoughCrashes reports whether the crashes outside the evidence are enough for a quarantine.
 func (s *suspect) hasEnoughCrashes() bool {
 	times := make([]time.Time, len(s.crashes))
 	for i, crash := range s.crashes {
@@ -77,10 +115,10 @@
 	return separate >= minCrashes && s.requests() >= minRequests
 }
 
-// common returns the parts that all crashes have in common. It includes the part itself.
+// common returns the parts that all crashes of the evidence have in common. It includes the part itself.
 func (s *suspect) common() []string {
-	common := slices.Clone(s.crashes[0].Parts)
-	for _, crash := range s.crashes[1:] {
+	common := slices.Clone(s.evidence[0].Parts)
+	for _, crash := range s.evidence[1:] {
 		common = slices.DeleteFunc(common, func(part string) bool { return !slices.Contains(crash.Parts, part) })
 	}
 	return common
@@ -97,10 +135,13 @@
 }
 
 func (s *suspect) yieldsBefore(other *suspect) bool {
-	if quarantined, otherQuarantined := !s.blockedUntil.IsZero(), !other.blockedUntil.IsZero(); quarantined != otherQuarantined {
-		return otherQuarantined
+	if s.quarantined() != other.quarantined() {
+		return other.quarantined()
 	}
 	return s.lastCrash().Before(other.lastCrash())
 }
 
-func (s *suspect) lastCrash() time.Time { return s.crashes[len(s.crashes)-1].At }
+func (s *suspect) lastCrash() time.Time {
+	all := slices.Concat(s.evidence, s.crashes)
+	return all[len(all)-1].At
+}
