router: keep quarantined prompts in the store

The process that begins, renews or lifts a quarantine writes the quarantined parts to one key with a lease of three minutes, three calls each time; a process that starts reads the key once. Reports of the mesh and the store have one message form.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -57,6 +57,10 @@
 	memberTTL    = 9 * time.Second
 	// leaderKey is the key of the leader, the process that may send orders to engines.
 	leaderKey = "fulmardoor/leader"
+	// quarantineKey is the key of the quarantined prompt parts. quarantineTTL covers the first quarantine of a part, up to two
+	// minutes.
+	quarantineKey = "fulmardoor/quarantine"
+	quarantineTTL = 3 * time.Minute
 	// memberLossDelay is how long a smaller number of members must last before it is used. It is longer than the usual outage
 	// of the store in which leases expire.
 	memberLossDelay = 15 * time.Second
@@ -108,6 +112,7 @@
 	gateway  *gateway.Gateway
 	mesh     *peering.Mesh
 	members  *follow.Members
+	prompts  *follow.Quarantine
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
 	registry      *prometheus.Registry
@@ -160,7 +165,11 @@
 		ShrinkDelay: memberLossDelay, Logger: logger,
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
+	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
+		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, Logger: logger,
+	})
 	prompts.OnReport(r.mesh.SendPromptReport)
+	prompts.OnChange(r.prompts.NotifyChanged)
 	return r
 }
 
@@ -224,6 +233,7 @@
 	}, r.applyUpstreams)
 	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.logger, r.readConfig)
 	go r.members.Run(ctx)
+	go r.prompts.Run(ctx)
 	controller := &gateway.StageController{Gateway: r.gateway, Leadership: r.members.Leadership(), Holder: r.settings.Name}
 	go controller.Run(ctx)
 	for ticker := time.NewTicker(cleanupInterval); ; {
--- /dev/null
+++ b/internal/follow/quarantine.go
@@ -0,0 +1,113 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
+)
+
+// QuarantineOptions configures a Quarantine.
+type QuarantineOptions struct {
+	Store kv.Store
+	List  *quarantine.List
+	// Key is the key of the quarantined prompt parts. TTL is how long it lasts after it was written.
+	Key    string
+	TTL    time.Duration
+	Logger *zap.Logger
+}
+
+// Quarantine keeps the quarantined prompt parts in the store, for processes that start while no other process knows them. The
+// process that begins or lifts a quarantine writes all that it knows. Create it with NewQuarantine.
+type Quarantine struct {
+	options QuarantineOptions
+	changes chan struct{}
+}
+
+// NewQuarantine returns a Quarantine that has not read the store yet.
+func NewQuarantine(options QuarantineOptions) *Quarantine {
+	return &Quarantine{options: options, changes: make(chan struct{}, 1)}
+}
+
+// NotifyChanged schedules a write. It does not block.
+func (q *Quarantine) NotifyChanged() {
+	select {
+	case q.changes <- struct{}{}:
+	default:
+	}
+}
+
+// Run restores the list from the store, and then writes the list after each change until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	const name = "store: quarantine"
+	dep := &dependency{logger: q.options.Logger, name: name}
+	for ctx.Err() == nil {
+		err := q.restore(ctx)
+		if err == nil {
+			dep.succeeded()
+			break
+		}
+		wait.For(ctx, dep.failed(err))
+	}
+	Refresh(ctx, q.changes, name, q.options.Logger, func(ctx context.Context) error {
+		err := q.save(ctx)
+		if err != nil {
+			q.NotifyChanged()
+		}
+		return err
+	})
+}
+
+// restore reads the quarantined parts.
+func (q *Quarantine) restore(ctx context.Context) error {
+	pair, err := q.options.Store.Get(ctx, q.options.Key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	message := new(wirev1.PromptReport)
+	if err := proto.Unmarshal(pair.Value, message); err != nil {
+		q.options.Logger.Error("cannot read the quarantined prompt parts", zap.String("error", err.Error()))
+		return nil
+	}
+	now := time.Now()
+	parts := q.options.List.Apply(quarantine.ReportFromMessage(message, now), now)
+	q.options.Logger.Info("quarantined prompt parts restored", zap.Strings("parts", parts))
+	return nil
+}
+
+// save writes the quarantined parts, or deletes the key if there are none.
+func (q *Quarantine) save(ctx context.Context) error {
+	store := q.options.Store
+	pair, err := store.Get(ctx, q.options.Key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
+	report := q.options.List.Quarantined()
+	if len(report.Crashes) == 0 {
+		if pair.ModRevision == 0 {
+			return nil
+		}
+		_, err := store.Delete(ctx, q.options.Key, pair.ModRevision)
+		return err
+	}
+	value, err := proto.Marshal(report.Message(time.Now()))
+	if err != nil {
+		return errors.Wrap(err, "encode the quarantined prompt parts")
+	}
+	lease, err := store.GrantLease(ctx, q.options.TTL)
+	if err != nil {
+		return err
+	}
+	_, err = store.CompareAndSwap(ctx, q.options.Key, value, pair.ModRevision, lease)
+	return err
+}
--- a/internal/peering/prompts.go
+++ b/internal/peering/prompts.go
@@ -22,13 +22,7 @@
 }
 
 func (m *Mesh) sendPromptReport(session *transport.Session, report quarantine.Report) {
-	message := &wirev1.PromptReport{ClearedParts: report.Cleared}
-	for _, crash := range report.Crashes {
-		message.Crashes = append(message.Crashes, &wirev1.PromptCrash{
-			Upstream: crash.Upstream, Incarnation: crash.Incarnation, Request: crash.Request, Parts: crash.Parts,
-			AgeMs: time.Since(crash.At).Milliseconds(),
-		})
-	}
+	message := report.Message(time.Now())
 	stream, err := session.Open(&wirev1.StreamOpen{Kind: &wirev1.StreamOpen_PromptReport{PromptReport: message}})
 	if err != nil {
 		m.options.Logger.Info("prompt report not sent", zap.String("peer", session.Remote().GetProcess()), zap.String("error", err.Error()))
@@ -45,14 +39,9 @@
 	if message == nil {
 		return
 	}
-	report := quarantine.Report{Cleared: message.GetClearedParts()}
-	for _, crash := range message.GetCrashes() {
-		report.Crashes = append(report.Crashes, quarantine.Crash{
-			Upstream: crash.GetUpstream(), Incarnation: crash.GetIncarnation(), Request: crash.GetRequest(), Parts: crash.GetParts(),
-			At: time.Now().Add(-time.Duration(crash.GetAgeMs()) * time.Millisecond),
-		})
-	}
-	if quarantined := m.options.Quarantine.Apply(report, time.Now()); len(quarantined) > 0 {
+	now := time.Now()
+	report := quarantine.ReportFromMessage(message, now)
+	if quarantined := m.options.Quarantine.Apply(report, now); len(quarantined) > 0 {
 		m.options.Logger.Info("prompt parts quarantined", zap.Strings("parts", quarantined), zap.String("peer", session.Remote().GetProcess()))
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -71,8 +71,10 @@
 
 // List holds the suspected parts. Its methods may be called concurrently.
 type List struct {
-	// send passes a report to the other processes. It is called without mu held and must not block.
-	send func(Report)
+	// send passes a report to the other processes, and changed is called after this process began, renewed or lifted a
+	// quarantine. They are called without mu held and must not block.
+	send    func(Report)
+	changed func()
 
 	mu       sync.Mutex // guards the fields below
 	suspects map[string]*suspect
@@ -84,12 +86,16 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{send: func(Report) {}, suspects: make(map[string]*suspect), survivals: make(map[string]time.Time)}
+	return &List{send: func(Report) {}, changed: func() {}, suspects: make(map[string]*suspect), survivals: make(map[string]time.Time)}
 }
 
 // OnReport sets the function that passes reports to the other processes. It must be called before the list is used.
 func (l *List) OnReport(send func(Report)) { l.send = send }
 
+// OnChange sets the function that is called after this process began, renewed or lifted a quarantine. It must be called before the
+// list is used.
+func (l *List) OnChange(changed func()) { l.changed = changed }
+
 // RecordCrash adds a crash that this process saw and returns the parts that are quarantined because of it.
 func (l *List) RecordCrash(crash Crash) (quarantined []string) {
 	if len(crash.Parts) == 0 {
@@ -98,6 +104,9 @@
 	crash.Parts = lastParts(crash.Parts)
 	quarantined = l.addCrash(crash)
 	l.send(Report{Crashes: []Crash{crash}})
+	if len(quarantined) > 0 {
+		l.changed()
+	}
 	return quarantined
 }
 
@@ -136,29 +145,35 @@
 
 // RecordFirstEvent clears the parts of a request that reached its first event at now, and returns those that were suspected.
 func (l *List) RecordFirstEvent(parts []string, now time.Time) (cleared []string) {
-	if cleared = l.clear(lastParts(parts), now); len(cleared) > 0 {
+	cleared, lifted := l.clear(lastParts(parts), now)
+	if len(cleared) > 0 {
 		l.send(Report{Cleared: cleared})
 	}
+	if lifted {
+		l.changed()
+	}
 	return cleared
 }
 
-func (l *List) clear(parts []string, now time.Time) (cleared []string) {
+// clear clears parts. It returns those that were suspected, and whether any was quarantined.
+func (l *List) clear(parts []string, now time.Time) (cleared []string, lifted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, part := range parts {
 		l.addSurvival(part, now)
-		if l.suspects[part] != nil {
+		if s := l.suspects[part]; s != nil {
+			lifted = lifted || s.quarantined()
 			delete(l.suspects, part)
 			cleared = append(cleared, part)
 		}
 	}
 	if len(cleared) == 0 {
-		return nil
+		return nil, false
 	}
 	for _, s := range l.suspects {
 		s.clear(cleared)
 	}
-	return cleared
+	return cleared, lifted
 }
 
 // addSurvival records a first event. If the memory is full, it drops those that have expired, or else any.
@@ -239,11 +254,19 @@
 
 // Known returns a report of all suspected parts, for a process that does not know them.
 func (l *List) Known() Report {
+	return l.report(func(s *suspect) []Crash { return slices.Concat(s.evidence, s.crashes) })
+}
+
+// Quarantined returns a report of the quarantined parts alone.
+func (l *List) Quarantined() Report { return l.report(func(s *suspect) []Crash { return s.evidence }) }
+
+// report returns a report of the selected crashes of all suspects, each crash once, in the order of time.
+func (l *List) report(selected func(*suspect) []Crash) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var report Report
 	for _, s := range l.suspects {
-		for _, crash := range slices.Concat(s.evidence, s.crashes) {
+		for _, crash := range selected(s) {
 			i := slices.IndexFunc(report.Crashes, func(known Crash) bool { return known.atSameEngine(&crash) && known.Request == crash.Request })
 			if i >= 0 {
 				report.Crashes[i].Parts = union(report.Crashes[i].Parts, crash.Parts)
