processtest: one harness for a stopping router

TestRouterDoesNotStartRequestJustBeforeItEnds had a service, a configuration and a router of its own, which router_stop_test.go had already; the raw bookings were written twice. No product code changes.

--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -1,10 +1,14 @@
 package processtest
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -45,6 +49,37 @@
 	ended           chan time.Duration // receives the time from SIGTERM to the end of the process
 }
 
+// startRouter starts a router process with a store, and waits until it is ready.
+func startRouter(t *testing.T, store *memory.Store, stopGrace time.Duration) *soakRouter {
+	t.Helper()
+	trackSources()
+	server := httptest.NewServer(platformtest.NewStore(store))
+	t.Cleanup(server.Close)
+	c := &soakCluster{t: t, dir: t.TempDir()}
+	r := &soakRouter{name: "router-1", callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, "router-1.conf")}
+	host, port := splitAddress(t, freeAddress(t))
+	settings := platformtest.RouterSettings{
+		Name: r.name, Host: host, Zone: "here", Store: server.Listener.Addr().String(), Callers: r.callerAddress, Ready: r.readyAddress,
+		Ports: port + "," + port, StopGraceS: int(stopGrace.Seconds()), RateSlack: soakRateSlack,
+	}
+	if err := os.WriteFile(r.settingsFile, settings.Text(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.start(c)
+	t.Cleanup(func() {
+		if t.Failed() {
+			showLogs(t, c.dir)
+		}
+	})
+	eventually(t, "the router is ready", func() string {
+		if !r.isReady() {
+			return "not ready"
+		}
+		return ""
+	})
+	return r
+}
+
 // startStoppingRouter starts a router and waits until it serves requests.
 func startStoppingRouter(t *testing.T) *stoppingRouter {
 	t.Helper()
@@ -125,6 +160,49 @@
 	return result.receive(&http.Client{Transport: transport, Timeout: stopRequestTimeout}, request)
 }
 
+// bookingHead returns the request line and the headers of a booking.
+func (r *stoppingRouter) bookingHead(bodyLength int) string {
+	header := make(http.Header)
+	platformtest.SetCallerHeaders(header, fmt.Sprintf("%016x", r.lastID.Add(1)), "key-usual", int(stopRequestTimeout.Milliseconds()), false)
+	var text strings.Builder
+	fmt.Fprintf(&text, "POST /book/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", bodyLength)
+	_ = header.Write(&text) // writes to a strings.Builder never fail
+	return text.String() + "\r\n"
+}
+
+// dial opens a connection to the router.
+func (r *stoppingRouter) dial() net.Conn {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", r.callerAddress)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// stopAnswer is the answer to a booking. err is set if there was none or it was incomplete.
+type stopAnswer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (a stopAnswer) String() string {
+	return fmt.Sprintf("status %d, %q, error %v", a.status, a.body, a.err)
+}
+
+// readAnswer reads one answer.
+func readAnswer(conn net.Conn) stopAnswer {
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return stopAnswer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return stopAnswer{response.StatusCode, string(text), err}
+}
+
 // isWhole reports whether the caller received a runner's complete response.
 func (r *soakResult) isWhole() bool {
 	return r.err == nil && r.status == http.StatusOK && r.stamp != "" && r.body == r.wantBody()
@@ -290,12 +368,7 @@
 	r := startStoppingRouter(t)
 	var open []net.Conn
 	for range connections {
-		conn, err := net.Dial("tcp", r.callerAddress)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = conn.Close() })
-		open = append(open, conn)
+		open = append(open, r.dial())
 	}
 	r.stop()
 	for ; ; time.Sleep(time.Millisecond) { // eventually polls too slowly for the time in which requests are still answered
@@ -306,12 +379,7 @@
 		_ = conn.Close()
 	}
 	for i, conn := range open {
-		header := make(http.Header)
-		platformtest.SetCallerHeaders(header, fmt.Sprintf("%016x", 1000+i), "key-usual", int(stopRequestTimeout.Milliseconds()), false)
-		var request strings.Builder
-		request.WriteString("POST /book/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n")
-		_ = header.Write(&request) // writes to a strings.Builder never fail
-		if _, err := io.WriteString(conn, request.String()+"\r\n"); err != nil {
+		if _, err := io.WriteString(conn, r.bookingHead(0)); err != nil {
 			t.Fatalf("connection %d: %v", i, err)
 		}
 	}
@@ -322,3 +390,32 @@
 	}
 	r.checkEnd(routerStopGrace)
 }
+
+// Guards against a booking that starts at the service when the router is about to end, because the time left is compared when the
+// headers arrive and not again when the body is complete.
+func TestRouterDoesNotStartRequestJustBeforeItEnds(t *testing.T) {
+	t.Parallel()
+	const bookingTime = 500 * time.Millisecond
+	r := startStoppingRouter(t)
+	r.service.SetDelay(bookingTime)
+	runsBefore := r.service.Runs()
+	conn := r.dial()
+	if _, err := io.WriteString(conn, r.bookingHead(2)+"1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // the router reads the headers
+	r.stop()
+	answers := make(chan stopAnswer, 1)
+	go func() { answers <- readAnswer(conn) }() // a refusal may come before the booking is complete
+	time.Sleep(time.Until(r.signalled.Add(routerStopGrace - routerExitMargin - 100*time.Millisecond)))
+	sentAt := time.Now()
+	_, _ = io.WriteString(conn, "2") // fails if the router has refused the booking already
+	got := <-answers
+	runs := r.service.Runs() - runsBefore
+	served := got.err == nil && got.status == http.StatusOK && runs == 1
+	refused := got.err == nil && got.status == http.StatusServiceUnavailable && runs == 0
+	if !served && !refused {
+		t.Errorf("booking complete %v after SIGTERM: %v after %d runs", r.afterStop(sentAt), got, runs)
+	}
+	r.checkEnd(routerStopGrace)
+}
