gateway: log the limits that upstreams name

A runner in need names the requests per second that it takes from all routers together. No router read that header, so the logs could not show when a limit was known. Each change of an upstream's limit is now a log line; requests are placed as before.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -30,6 +30,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 	"github.com/fulmardoor/fulmardoor/platform"
 )
 
@@ -148,7 +149,7 @@
 	})
 	prompts := quarantine.NewList()
 	r.gateway = gateway.New(gateway.Options{
-		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts,
+		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: upstreamrate.New(),
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.mesh = peering.New(peering.Options{
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
 // Call is a caller's request as parsed on arrival.
@@ -75,6 +76,8 @@
 	Signed  bool
 	Load    placement.Load
 	HasLoad bool
+	// Limit is what the answer says about the upstream's limit for requests.
+	Limit upstreamrate.Statement
 }
 
 // Protocol translates between HTTP messages and the types of this package. It contains no routing or retry logic.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 	"github.com/fulmardoor/fulmardoor/internal/waitqueue"
 )
@@ -48,8 +49,10 @@
 	Pool     *upstreamconn.Pool
 	// Quarantine has the prompts that crash engines.
 	Quarantine *quarantine.List
-	Metrics    *Metrics
-	Logger     *zap.Logger
+	// Limits has the rates to which upstreams limit their requests.
+	Limits  *upstreamrate.Limits
+	Metrics *Metrics
+	Logger  *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers. Create it with New.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,6 +19,7 @@
 func (r *request) send(ctx context.Context, attempt *Attempt) (*upstreamconn.Response, error) {
 	attempt.Account, attempt.TimeLeft = r.accountName(), r.timeLeft()
 	id := attempt.Upstream.ID
+	sentAt := time.Now()
 	response, err := r.g.Pool.Do(ctx, &upstreamconn.Request{
 		Address: attempt.Upstream.Address, Method: r.call.Method, Target: r.call.Target, Host: r.call.Host,
 		Header: r.g.Protocol.RequestHeader(r.call, attempt), Body: r.call.Body,
@@ -32,6 +33,7 @@
 		return nil, sendError(attempt.Upstream, err)
 	}
 	answer := r.g.Protocol.ReadAnswer(response.Status, response.Header)
+	r.g.observeLimit(attempt.Upstream, response.Status, answer.Limit, sentAt, now)
 	if answer.HasLoad {
 		r.g.Board.RecordLoad(id, now, answer.Load)
 	}
