gateway: keep the limits that upstreams name, over all routers together

Callers saw nothing at once; an upstream in need got 108 requests in 4 s where 11 were allowed, and one that is overrun fails requests. Cause: nothing read the limit, and the choice of an upstream rests on requests in flight, of which an upstream in need that answers quickly or refuses has few. Evidence: from 8.0 s on, when two upstreams of three named limits, all five routers went on sending to them as before; 9 of the sends between 11 and 15 s were repeats.

One connected router issues the permits for an upstream, and the others ask it before each request, as a rate below one a second cannot be divided and counts that are exchanged afterwards come too late. Every send of the gateway passes the check: first sends, repeats, prefills and requests after a misdirected one. The router's own calls (reservations, releases, orders) are not made to an upstream that names a limit. What no upstream may get is refused at once with Retry-After. Routers tell each other what answers to themselves say, withdrawals too.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -109,6 +109,7 @@
 	board    *placement.Board
 	limiter  *quota.Limiter
 	budgets  *gateway.Budgets
+	limits   *upstreamrate.Limits
 	pool     *upstreamconn.Pool
 	gateway  *gateway.Gateway
 	mesh     *peering.Mesh
@@ -141,7 +142,7 @@
 		settingsPath: path, settings: s, logger: logger, pool: pool,
 		board: placement.NewBoard(s.DataCentre, nil), limiter: quota.NewLimiter(rateTolerance(s), time.Now()),
 		budgets: gateway.NewBudgets(retryLimits(s)), registry: prometheus.NewRegistry(),
-		refreshConfig: make(chan struct{}, 1),
+		refreshConfig: make(chan struct{}, 1), limits: upstreamrate.New(s.Name, time.Now()),
 	}
 	r.setProcesses(assumedProcesses)
 	r.store = platform.NewStore(platform.StoreOptions{
@@ -149,11 +150,11 @@
 	})
 	prompts := quarantine.NewList()
 	r.gateway = gateway.New(gateway.Options{
-		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: upstreamrate.New(),
+		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.mesh = peering.New(peering.Options{
-		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Quarantine: prompts, Logger: logger,
+		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
 		Version: r.configVersion, OnNewerVersion: func(string, int64) {
 			select {
 			case r.refreshConfig <- struct{}{}:
@@ -169,15 +170,17 @@
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
 		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, Logger: logger,
 	})
+	r.limits.Connect(r.mesh)
 	prompts.OnReport(r.mesh.SendPromptReport)
 	prompts.OnChange(r.prompts.NotifyChanged)
 	return r
 }
 
-// setProcesses sets the number of processes among which the rate limits and retry budgets are divided.
+// setProcesses sets the number of processes among which rate limits, retry budgets and the limits of upstreams are divided.
 func (r *router) setProcesses(count int) {
 	r.limiter.SetProcesses(count)
 	r.budgets.SetProcesses(count)
+	r.limits.SetProcesses(count)
 }
 
 // watchWait returns how long a watch call for the configuration waits for a change.
@@ -245,6 +248,7 @@
 		case <-ticker.C:
 			r.pool.CloseExpired()
 			r.board.Sweep()
+			r.limits.Sweep(time.Now())
 		}
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,8 @@
 	KVHandle *Handle
 	// ResumeAfter is the id of the event after which a stream continues; empty for its start.
 	ResumeAfter string
+	// Permitted is set if the limit that the upstream named already permits this attempt.
+	Permitted bool
 	// Reservation identifies memory reserved at the upstream for this call; empty for none.
 	Reservation string
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,8 @@
 	sends     *prometheus.CounterVec
 	// promptCrashes counts the attempts that an engine broke before their first event.
 	promptCrashes prometheus.Counter
+	// limitedSends counts the attempts for which the limit of an upstream gave no permission.
+	limitedSends prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -31,8 +33,11 @@
 		promptCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_broken_before_first_event_total", Help: "Attempts that an engine broke before their first event.",
 		}),
+		limitedSends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_limited_sends_total", Help: "Attempts that were not sent because of the limit that an upstream named.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -57,7 +57,7 @@
 			alloc.release()
 			return out.streamError(err)
 		}
-		if !r.reserve(alloc) {
+		if r.acquirePermit(r.ctx, alloc.Decode) != nil || !r.reserve(alloc) {
 			alloc.release()
 			if err := r.ctx.Err(); err != nil {
 				return out.streamError(r.finalRefusal(verdict.Refuse(wirev1.Reason_REASON_DEADLINE, "%v while waiting for an engine", err)))
@@ -148,11 +148,14 @@
 		found = r.allocate(localPrefillOnly)
 		return found != nil
 	}
+	if until, limited := r.limitedUntil(time.Now()); limited && until.After(item.Deadline) {
+		return nil, r.noCapacity()
+	}
 	queue := r.g.queue(r.service.Name)
 	if queue.Wait(r.ctx, item) {
 		return found, nil
 	}
-	return nil, noUpstream()
+	return nil, r.noCapacity()
 }
 
 // allocate chooses engines for the request and counts its work there; nil if no engine has capacity now.
@@ -192,7 +195,7 @@
 // dropHandle frees a prefilled KV cache that will not be fetched.
 func (r *request) dropHandle() {
 	if r.handle != nil {
-		r.g.releaseAsync(r.g.Protocol.Release(r.handle))
+		r.g.releaseAsync(r.prefillEngine, r.g.Protocol.Release(r.handle))
 		r.handle = nil
 	}
 }
@@ -200,7 +203,7 @@
 // tryModel makes one attempt with an allocation. The verdict of its error says whether the decode engine may have run the
 // request.
 func (r *request) tryModel(alloc *allocation, out *eventWriter) error {
-	attempt := &Attempt{Upstream: alloc.Decode, ResumeAfter: out.lastID, KVHandle: r.handle}
+	attempt := &Attempt{Upstream: alloc.Decode, ResumeAfter: out.lastID, KVHandle: r.handle, Permitted: true}
 	if alloc.Prefill != nil && !r.mayPrefill() {
 		alloc.dropPrefill(r.call.PromptTokens)
 	}
@@ -215,8 +218,7 @@
 			if r.ctx.Err() != nil {
 				return err
 			}
-			reached := verdict.As(err).Reason != wirev1.Reason_REASON_UPSTREAM_UNREACHABLE
-			if reached && !r.g.Budgets.forService(r.service.Name).Allow() {
+			if wasSent(err) && !r.g.Budgets.forService(r.service.Name).Allow() {
 				// A prefill that was refused or lost has reached an upstream, so going on counts as a retry.
 				return verdict.Refuse(wirev1.Reason_REASON_RETRY_BUDGET, "prefill failed and the retry budget is spent")
 			}
@@ -257,7 +259,7 @@
 	began := time.Now()
 	attempt := &Attempt{Upstream: alloc.Prefill, PrefillOnly: true}
 	response, err := r.send(ctx, attempt)
-	if err == nil || verdict.As(err).Reason != wirev1.Reason_REASON_UPSTREAM_UNREACHABLE {
+	if err == nil || wasSent(err) {
 		r.prefills++
 	}
 	if err != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -35,7 +35,10 @@
 			return r.deliver(answer)
 		}
 		if !ok {
-			return r.finalRefusal(noUpstream())
+			return r.finalRefusal(r.noCapacity())
+		}
+		if r.acquirePermit(r.ctx, upstream) != nil {
+			continue
 		}
 		if answer != nil {
 			answer.close()
@@ -126,7 +129,7 @@
 	began := time.Now()
 	r.sends++
 	r.recordStep("send", upstream.ID)
-	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter})
+	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter, Permitted: true})
 	if err != nil {
 		r.g.Metrics.CountSend("plain", "failed")
 		return nil, err
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -30,7 +30,7 @@
 // prompt is processed for an engine that would not take the request.
 func (r *request) reserve(alloc *allocation) bool {
 	engine := r.service.Engine
-	if !alloc.CapacityUncertain || engine.MaxReservationTTL <= 0 {
+	if !alloc.CapacityUncertain || engine.MaxReservationTTL <= 0 || r.g.Limits.Limited(alloc.Decode) {
 		return true
 	}
 	ttl := min(engine.MaxReservationTTL, max(minReserveTTL, alloc.Expected+reserveMargin))
@@ -59,7 +59,7 @@
 func (g *Gateway) requestReservation(ctx context.Context, engine *fleet.Upstream, tokens int, ttl time.Duration) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	response, err := g.Pool.Do(ctx, g.Protocol.Reserve(engine, tokens, ttl))
+	response, err := g.callUpstream(ctx, engine, g.Protocol.Reserve(engine, tokens, ttl))
 	if err != nil {
 		return "", err
 	}
@@ -83,17 +83,17 @@
 	if a.reservation == "" {
 		return
 	}
-	g.releaseAsync(g.Protocol.DropReservation(a.Decode, a.reservation))
+	g.releaseAsync(a.Decode, g.Protocol.DropReservation(a.Decode, a.reservation))
 	a.reservation = ""
 }
 
 // releaseAsync sends a call that frees a KV cache or a reservation, without delaying the request. If the call fails, the engine
 // frees it when its time to live ends.
-func (g *Gateway) releaseAsync(request *upstreamconn.Request) {
+func (g *Gateway) releaseAsync(engine *fleet.Upstream, request *upstreamconn.Request) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		response, err := g.Pool.Do(ctx, request)
+		response, err := g.callUpstream(ctx, engine, request)
 		if err != nil {
 			g.Logger.Info("release call failed; the engine frees the resource when its time to live ends",
 				zap.String("address", request.Address), zap.String("error", err.Error()))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,6 +17,11 @@
 // send sends the call to one upstream and returns its answer. Answers that must not reach the caller become errors. The
 // verdict of an error says whether the upstream may have run the call.
 func (r *request) send(ctx context.Context, attempt *Attempt) (*upstreamconn.Response, error) {
+	if !attempt.Permitted {
+		if err := r.acquirePermit(ctx, attempt.Upstream); err != nil {
+			return nil, err
+		}
+	}
 	attempt.Account, attempt.TimeLeft = r.accountName(), r.timeLeft()
 	id := attempt.Upstream.ID
 	sentAt := time.Now()
@@ -74,6 +79,15 @@
 	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: upstream.ID + ": " + err.Error()}
 }
 
+// wasSent reports whether the request of a failed call may have reached its upstream.
+func wasSent(err error) bool {
+	switch verdict.As(err).Reason {
+	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, wirev1.Reason_REASON_UPSTREAM_LIMITED:
+		return false
+	}
+	return true
+}
+
 // failureReason returns the reason for an answer that could not be read. After REASON_UPSTREAM_BROKE serveModel may try the same
 // engine again; an engine that sends malformed answers must not get the request again.
 func failureReason(err error) wirev1.Reason {
@@ -90,6 +104,8 @@
 		return false
 	}
 	switch failure.Reason {
+	case wirev1.Reason_REASON_UPSTREAM_LIMITED: // nothing was sent
+		return true
 	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE:
 		return failure.Verdict == verdict.NotRun && len(r.excluded) < maxUnreachable
 	case wirev1.Reason_REASON_NO_PLACE, wirev1.Reason_REASON_UPSTREAM_BROKE, wirev1.Reason_REASON_UPSTREAM_ERROR:
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -127,11 +127,11 @@
 // call sends a call to an engine and reads the answer. An engine without a complete answer becomes suspect.
 func (c *StageController) call(ctx context.Context, engine *fleet.Upstream, request *upstreamconn.Request) (status int, body []byte, err error) {
 	defer func() {
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && !errors.Is(err, errUpstreamLimited) {
 			c.Gateway.Board.MarkSuspect(engine.ID, time.Now())
 		}
 	}()
-	response, err := c.Gateway.Pool.Do(ctx, request)
+	response, err := c.Gateway.callUpstream(ctx, engine, request)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -4,7 +4,9 @@
 package peering
 
 import (
+	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
 const (
@@ -36,6 +39,7 @@
 	Board                           *placement.Board
 	Limiter                         *quota.Limiter
 	Quarantine                      *quarantine.List
+	Limits                          *upstreamrate.Limits
 	// Version returns the version of the configuration in force; 0 for none.
 	Version func() int64
 	// OnNewerVersion is called when another process has a newer configuration. It must not block.
@@ -113,6 +117,19 @@
 	return len(m.sessions)
 }
 
+// ConnectedNames returns the names of the other processes that are connected.
+func (m *Mesh) ConnectedNames() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.sessions))
+	for session := range m.sessions {
+		if name := session.Remote().GetProcess(); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // NotifyWorkChanged schedules heartbeats to the other processes after the running work of this process has changed.
 func (m *Mesh) NotifyWorkChanged() {
 	select {
@@ -157,6 +174,9 @@
 			ReadTokens: uint64(share.PrefillTokens), MemoryTokens: uint64(share.Memory),
 		})
 	}
+	for _, limit := range m.options.Limits.Own(time.Now()) {
+		heartbeat.UpstreamLimits = append(heartbeat.UpstreamLimits, limit.Message(time.Now()))
+	}
 	return heartbeat
 }
 
@@ -171,6 +191,7 @@
 		}
 		m.options.Limiter.SetOthers(session.Remote().GetProcess(), spent)
 	}
+	m.applyLimits(session, heartbeat.GetUpstreamLimits())
 	shares := make(map[string]placement.Share, len(heartbeat.GetWork()))
 	for _, work := range heartbeat.GetWork() {
 		shares[work.GetUpstream()] = placement.Share{
@@ -181,6 +202,16 @@
 	m.options.Board.SetOthers(session.Remote().GetProcess(), shares)
 }
 
+// serveStream handles a stream that another process opened.
+func (m *Mesh) serveStream(_ context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream) {
+	switch kind := open.GetKind().(type) {
+	case *wirev1.StreamOpen_PromptReport:
+		m.applyPromptReport(session, kind.PromptReport)
+	case *wirev1.StreamOpen_Permit:
+		m.servePermit(session, kind.Permit, stream)
+	}
+}
+
 func (m *Mesh) onOpen(session *transport.Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -12,6 +12,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
 // node is one process in a test.
@@ -35,7 +36,7 @@
 	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), prompts: quarantine.NewList(), address: listener.Addr().String()}
 	_ = listener.Close()
 	n.mesh = New(Options{
-		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Logger: zap.NewNop(),
+		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
 		Version: n.version.Load, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
 	})
 	n.prompts.OnReport(n.mesh.SendPromptReport)
--- a/internal/peering/prompts.go
+++ b/internal/peering/prompts.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,12 +32,8 @@
 	}
 }
 
-// serveStream handles a stream that another process opened.
-func (m *Mesh) serveStream(_ context.Context, session *transport.Session, open *wirev1.StreamOpen, _ *transport.Stream) {
-	message := open.GetPromptReport()
-	if message == nil {
-		return
-	}
+// applyPromptReport records what another process learned about prompts that crash engines.
+func (m *Mesh) applyPromptReport(session *transport.Session, message *wirev1.PromptReport) {
 	now := time.Now()
 	report := quarantine.ReportFromMessage(message, now)
 	if quarantined := m.options.Quarantine.Apply(report, now); len(quarantined) > 0 {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -28,6 +28,9 @@
 	// is available. The time doubles with each further failure.
 	suspectMin = time.Second
 	suspectMax = 8 * time.Second
+	// limitedTime is the longest time for which an upstream gets no request without another request for a permit. Its limit, or
+	// the process that issues the permits, may change meanwhile.
+	limitedTime = time.Second
 	// activeWindow is how recently an upstream must have sent data to count as busy instead of unresponsive.
 	activeWindow = 500 * time.Millisecond
 	// reportedLoadAge is how long the load that an upstream reported is compared with the in-flight counts; the larger of the
@@ -56,6 +59,9 @@
 	failures   float64 // moving average of failed answers, 0 to 1
 	failuresAt time.Time
 
+	// limitedUntil is when the upstream may get the next request under the limit that it named, as known at limitedAt.
+	limitedAt, limitedUntil time.Time
+
 	// refusedAt is when the engine last refused a request or reservation for lack of capacity.
 	refusedAt time.Time
 	// lastSentAt is when the upstream last sent anything.
@@ -300,6 +306,16 @@
 	b.withState(id, func(s *state) { s.refusedAt = now })
 }
 
+// RecordLimited records that the limit of an upstream permits no request for a time. Zero removes that.
+func (b *Board) RecordLimited(id string, now time.Time, wait time.Duration) {
+	b.withState(id, func(s *state) { s.limitedAt, s.limitedUntil = now, now.Add(wait) })
+}
+
+// isLimited reports whether the limit of the upstream permits no request now.
+func (s *state) isLimited(now time.Time) bool {
+	return now.Before(s.limitedUntil) && now.Sub(s.limitedAt) < limitedTime
+}
+
 // RecordActivity records that an upstream sent data.
 func (b *Board) RecordActivity(id string, now time.Time) {
 	b.withState(id, func(s *state) {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -73,6 +73,7 @@
 	for id, s := range b.states {
 		switch {
 		case !s.usable() || s.info.Service != q.Service.Name || s.info.Stage != stage || q.Excluded[id]:
+		case s.isLimited(q.Now):
 		case s.info.Unconfirmed:
 			unconfirmed = append(unconfirmed, s)
 		default:
@@ -85,6 +86,25 @@
 	return confirmed
 }
 
+// LimitedUntil returns the earliest time at which an upstream of the service may get the request, if the limits that the upstreams
+// named are the only reason why none may get it now; ok is false otherwise.
+func (b *Board) LimitedUntil(q Query) (until time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if !s.usable() || s.info.Service != q.Service.Name || s.info.Stage == fleet.StagePrefill || q.Excluded[id] {
+			continue
+		}
+		if !s.isLimited(q.Now) {
+			return time.Time{}, false
+		}
+		if !ok || s.limitedUntil.Before(until) {
+			until, ok = s.limitedUntil, true
+		}
+	}
+	return until, ok
+}
+
 // running returns the number of requests of all processes at the upstream.
 func (s *state) running() int { return s.own.Running + s.others.Running }
 
--- a/internal/upstreamrate/limits.go
+++ b/internal/upstreamrate/limits.go
@@ -1,7 +1,14 @@
-// Package upstreamrate keeps the request rates to which upstreams limit all entry processes together.
+// Package upstreamrate keeps the request rates to which upstreams limit all entry processes together, and issues the permits
+// for single requests to such upstreams.
+//
+// It is built for upstreams in need that take from far less than one to some tens of requests per second, which many processes want
+// to send to at the same moment. A rate below one per second cannot be divided among processes, and counts that are exchanged afterwards
+// let every process send before it knows of the others. So one connected process issues all permits for an upstream, and
+// the others ask it before each request. Processes that cannot ask use time slots of an equal share of the rate.
 package upstreamrate
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,6 +17,17 @@
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 )
 
+const (
+	// reportTime is how long other processes are told of an answer. It covers the longest time between two answers of an upstream
+	// that gets minPerSecond.
+	reportTime = 12 * time.Second
+	// forgetTime is the time without any answer after which the limit of an upstream is forgotten: the upstream is gone.
+	forgetTime = 10 * time.Minute
+	// minPerSecond is the least rate at which requests are sent. Without any request nobody would learn that a limit of zero
+	// was withdrawn.
+	minPerSecond = 0.1
+)
+
 // ErrInvalid means that an upstream named a limit that is not a number of requests per second.
 var ErrInvalid = errors.New("invalid limit")
 
@@ -23,29 +41,71 @@
 	Err error
 }
 
-// key identifies one start of an upstream. A restarted one has no limit until it names one.
-type key struct {
-	id          string
-	incarnation int64
+// Key identifies one start of an upstream. A restarted one has no limit until it names one.
+type Key struct {
+	Upstream    string
+	Incarnation int64
 }
 
-func keyOf(upstream *fleet.Upstream) key { return key{upstream.ID, upstream.Incarnation} }
+func keyOf(upstream *fleet.Upstream) Key { return Key{upstream.ID, upstream.Incarnation} }
+
+// Limit is what a process knows of the limit of an upstream.
+type Limit struct {
+	Key
+	Statement
+	// HeardAt is when the answer with the statement arrived.
+	HeardAt time.Time
+}
 
-// entry is what is known of the limit of one upstream.
+// rate returns the requests per second that may be sent.
+func (l *Limit) rate() float64 { return max(minPerSecond, l.PerSecond) }
+
+// entry is what is known of one upstream, and the permits issued for it.
 type entry struct {
-	limited   bool
-	perSecond float64
-	heardAt   time.Time
+	// known is the latest statement that any process heard, own the latest one that this process heard itself.
+	known, own Limit
+	// issued has the permits of all processes, for the time in which this process issues them. share has those of this process alone.
+	issued bucket
+	share  slots
 }
 
 // Limits holds the limits of all upstreams. Its methods may be called concurrently.
 type Limits struct {
-	mu      sync.Mutex // guards entries
-	entries map[key]*entry
+	name      string
+	startedAt time.Time
+	peers     Peers
+
+	mu        sync.Mutex // guards the fields below
+	entries   map[Key]*entry
+	processes int
+	// noRequestsUntil is when a process is asked again that did not answer or does not issue permits.
+	noRequestsUntil map[string]time.Time
+}
+
+// New returns Limits of the process with a name that started at startedAt, without any limit. Permits also need Connect.
+func New(name string, startedAt time.Time) *Limits {
+	return &Limits{name: name, startedAt: startedAt, peers: noPeers{}, entries: make(map[Key]*entry), processes: 1, noRequestsUntil: make(map[string]time.Time)}
+}
+
+// Connect sets the other processes. It must be called before the limits are used.
+func (l *Limits) Connect(peers Peers) { l.peers = peers }
+
+// SetProcesses sets the number of entry processes, this one included.
+func (l *Limits) SetProcesses(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.processes = max(1, count)
 }
 
-// New returns Limits without any limit.
-func New() *Limits { return &Limits{entries: make(map[key]*entry)} }
+// entryLocked returns the entry of an upstream, and creates it if needed.
+func (l *Limits) entryLocked(key Key, now time.Time) *entry {
+	e := l.entries[key]
+	if e == nil {
+		e = &entry{issued: bucket{updatedAt: now}, share: slots{phase: rand.Float64(), origin: now}}
+		l.entries[key] = e
+	}
+	return e
+}
 
 // Observe records what an answer says. sentAt is when its request was sent: answers may overtake each other, so one whose request
 // was sent before the last statement arrived neither raises nor withdraws the limit. It reports whether the limit changed.
@@ -53,21 +113,83 @@
 	if statement.Err != nil {
 		return false
 	}
+	key := keyOf(upstream)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entries[keyOf(upstream)]
-	if e == nil {
-		if !statement.Named {
-			return false
+	if l.entries[key] == nil && !statement.Named {
+		return false
+	}
+	e := l.entryLocked(key, now)
+	looser := e.known.Named && (!statement.Named || statement.PerSecond > e.known.PerSecond)
+	if looser && sentAt.Before(e.known.HeardAt) {
+		return false
+	}
+	changed := e.known.Statement != statement
+	e.own = Limit{key, statement, now}
+	e.known = e.own
+	return changed
+}
+
+// Apply records the statements that another process heard, if they are later than the known ones. It returns those that changed
+// a limit.
+func (l *Limits) Apply(limits []Limit, now time.Time) (changed []Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, limit := range limits {
+		if l.applyLocked(limit, now) {
+			changed = append(changed, limit)
 		}
-		e = new(entry)
-		l.entries[keyOf(upstream)] = e
 	}
-	looser := e.limited && (!statement.Named || statement.PerSecond > e.perSecond)
-	if looser && sentAt.Before(e.heardAt) {
+	return changed
+}
+
+func (l *Limits) applyLocked(limit Limit, now time.Time) (changed bool) {
+	if l.entries[limit.Key] == nil && !limit.Named {
 		return false
 	}
-	changed := e.limited != statement.Named || e.perSecond != statement.PerSecond
-	e.limited, e.perSecond, e.heardAt = statement.Named, statement.PerSecond, now
+	e := l.entryLocked(limit.Key, now)
+	if !limit.HeardAt.After(e.known.HeardAt) {
+		return false
+	}
+	changed = e.known.Statement != limit.Statement
+	e.known = limit
 	return changed
 }
+
+// Own returns the statements that this process heard itself within the last reportTime. Those of other processes are not passed
+// on, because their age would be lost on the way.
+func (l *Limits) Own(now time.Time) []Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var limits []Limit
+	for _, e := range l.entries {
+		if !e.own.HeardAt.IsZero() && now.Sub(e.own.HeardAt) < reportTime {
+			limits = append(limits, e.own)
+		}
+	}
+	return limits
+}
+
+// Limited reports whether an upstream names a limit.
+func (l *Limits) Limited(upstream *fleet.Upstream) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[keyOf(upstream)]
+	return e != nil && e.known.Named
+}
+
+// Sweep forgets the upstreams that are gone, and withdrawn limits of which all processes have heard.
+func (l *Limits) Sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, e := range l.entries {
+		if age := now.Sub(e.known.HeardAt); age > forgetTime || age > reportTime && !e.known.Named {
+			delete(l.entries, key)
+		}
+	}
+	for process, until := range l.noRequestsUntil {
+		if until.Before(now) {
+			delete(l.noRequestsUntil, process)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstreamrate/message.go
@@ -0,0 +1,23 @@
+package upstreamrate
+
+import (
+	"time"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+)
+
+// Message returns the message form of a limit at now.
+func (l Limit) Message(now time.Time) *wirev1.UpstreamLimit {
+	return &wirev1.UpstreamLimit{
+		Upstream: l.Upstream, Incarnation: l.Incarnation, PerSecond: l.PerSecond, Withdrawn: !l.Named, AgeMs: now.Sub(l.HeardAt).Milliseconds(),
+	}
+}
+
+// LimitFromMessage returns the limit of a message that was received at now.
+func LimitFromMessage(message *wirev1.UpstreamLimit, now time.Time) Limit {
+	return Limit{
+		Key:       Key{message.GetUpstream(), message.GetIncarnation()},
+		Statement: Statement{Named: !message.GetWithdrawn(), PerSecond: message.GetPerSecond()},
+		HeardAt:   now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
+	}
+}
