kv/memory: let the stand-in of the store go back to a copy

Writes and leases after the copy are lost, and their revisions and lease ids are given out again. The platform's stand-in says in each answer how often that happened, and answers 410 to a watch from a revision that it does not have.

--- a/internal/kv/memory/lease.go
+++ b/internal/kv/memory/lease.go
@@ -25,17 +25,20 @@
 	}
 	return call(ctx, s, callWrite, func() (int64, error) {
 		s.lastLeaseID++
-		id := s.lastLeaseID
-		s.leases[id] = &lease{
-			ttl:       ttl,
-			renewedAt: time.Now(),
-			timer:     time.AfterFunc(ttl, func() { s.expireLease(id) }),
-			keys:      make(map[string]struct{}),
-		}
-		return id, nil
+		s.addLeaseLocked(s.lastLeaseID, ttl)
+		return s.lastLeaseID, nil
 	})
 }
 
+func (s *Store) addLeaseLocked(id int64, ttl time.Duration) {
+	s.leases[id] = &lease{
+		ttl:       ttl,
+		renewedAt: time.Now(),
+		timer:     time.AfterFunc(ttl, func() { s.expireLease(id) }),
+		keys:      make(map[string]struct{}),
+	}
+}
+
 // RenewLease implements kv.Store.
 func (s *Store) RenewLease(ctx context.Context, id int64) error {
 	_, err := s.Renew(ctx, id)
--- a/internal/kv/memory/store.go
+++ b/internal/kv/memory/store.go
@@ -60,6 +60,8 @@
 	leases   map[int64]*lease
 	// lastLeaseID is the highest lease ID granted.
 	lastLeaseID int64
+	// restores counts how often the store went back to a copy.
+	restores int64
 
 	// log holds the latest events in the order of their revisions.
 	log []kv.Event
