platform: log when the store went back to a copy

The store counts in each answer how often that happened. No log line showed it, so a change that was lost by it could not be told from one that was never made.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -147,6 +147,9 @@
 	r.setProcesses(assumedProcesses)
 	r.store = platform.NewStore(platform.StoreOptions{
 		Address: s.StoreAddress, Pool: pool, CallTimeout: storeCallTimeout, WatchWait: r.watchWait,
+		OnHistoryChange: func(before, now int64) {
+			logger.Warn("store went back to a copy", zap.Int64("history_before", before), zap.Int64("history", now))
+		},
 	})
 	prompts := quarantine.NewList()
 	r.gateway = gateway.New(gateway.Options{
