follow: register again as soon as the store went back to a copy

A router that had started after the copy was made was not listed for up to 3 s, until it renewed its lease: the others closed their sessions to it, placed requests without knowing its work, and reserved a share of each account's rate and each upstream's limit for it. It now renews at once when any answer of the store shows that it went back.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -167,7 +167,7 @@
 	})
 	r.members = follow.NewMembers(follow.MemberOptions{
 		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
-		ShrinkDelay: memberLossDelay, Logger: logger,
+		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Logger: logger,
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -30,7 +30,9 @@
 	// during an outage of the service, and this must not enlarge the share of the fleet-wide limits that a running
 	// process uses.
 	ShrinkDelay time.Duration
-	Logger      *zap.Logger
+	// HistoryChanged returns a channel that is closed when the store went back to a copy. It then lost the keys of this process.
+	HistoryChanged func() <-chan struct{}
+	Logger         *zap.Logger
 }
 
 // Members registers this process as a member and tracks all members. Create it with NewMembers.
@@ -61,12 +63,13 @@
 // Run keeps this process registered until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		historyChanged := m.options.HistoryChanged()
 		if err := m.renew(ctx); err != nil {
 			wait.For(ctx, m.storeStatus.failed(err))
 			continue
 		}
 		m.storeStatus.succeeded()
-		wait.For(ctx, m.options.TTL/3)
+		wait.ForOr(ctx, m.options.TTL/3, historyChanged)
 	}
 	m.leader.release()
 	if m.leaseID != 0 {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -17,3 +17,14 @@
 		return true
 	}
 }
+
+// ForOr waits until d has passed, ctx ends or event is closed, whichever comes first.
+func ForOr(ctx context.Context, d time.Duration, event <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-event:
+	}
+}
