follow: keep missing upstreams for a while when the store went back to a copy

Callers would be refused: upstreams whose entries were written after the copy are missing until they write them again, and were taken for gone at the next read, unless a read had failed before. An outage between two reads is not seen, a second apart.

TestUpstreamsStayWhenStoreWentBackToCopy failed before: the entry was neither there nor missing.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -236,7 +236,7 @@
 			pairs, _, err := r.store.List(ctx, platform.PrefixUpstreams)
 			return pairs, err
 		},
-		Name: "store: upstreams", Interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(r.settings.DrainTime))), MissingGrace: upstreamGrace, Logger: r.logger,
+		Name: "store: upstreams", Interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(r.settings.DrainTime))), MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Logger: r.logger,
 	}, r.applyUpstreams)
 	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.logger, r.readConfig)
 	go r.members.Run(ctx)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -100,7 +100,9 @@
 	// MissingGrace is the time after an outage in which missing pairs are still passed to apply: their writers may not
 	// have reconnected to the service yet.
 	MissingGrace time.Duration
-	Logger       *zap.Logger
+	// HistoryChanged returns a channel that is closed when the store went back to a copy; nil if it cannot. That counts as an outage.
+	HistoryChanged func() <-chan struct{}
+	Logger         *zap.Logger
 }
 
 // PollList reads the pairs every Interval until ctx ends and calls apply with them. For MissingGrace after an outage, it
@@ -109,14 +111,18 @@
 	dep := &dependency{logger: options.Logger, name: options.Name}
 	known := make(map[string]kv.Pair)
 	var recoveredAt time.Time
+	var historyChanged <-chan struct{}
 	for ctx.Err() == nil {
+		if historyChanged == nil && options.HistoryChanged != nil {
+			historyChanged = options.HistoryChanged()
+		}
 		pairs, err := options.List(ctx)
 		if err != nil {
 			wait.For(ctx, dep.failed(err))
 			continue
 		}
-		if dep.unavailable {
-			recoveredAt = time.Now()
+		if dep.unavailable || wait.IsClosed(historyChanged) {
+			recoveredAt, historyChanged = time.Now(), nil
 		}
 		dep.succeeded()
 		apply(pairs, updateKnown(known, pairs, time.Since(recoveredAt) < options.MissingGrace))
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -18,6 +18,16 @@
 	}
 }
 
+// IsClosed reports whether a channel on which nothing is sent is closed. A nil channel is not.
+func IsClosed(event <-chan struct{}) bool {
+	select {
+	case <-event:
+		return true
+	default:
+		return false
+	}
+}
+
 // ForOr waits until d has passed, ctx ends or event is closed, whichever comes first.
 func ForOr(ctx context.Context, d time.Duration, event <-chan struct{}) {
 	timer := time.NewTimer(d)
