follow: store the quarantined prompts again when the store went back to a copy

Callers would see streams that break again: the quarantine was written to the store only when it changed, so a return to a copy from before took it back, and routers that all ended at once within its time let the prompts crash engines anew. Each router that knows quarantined prompts now writes them again when the store went back.

TestQuarantineIsStoredAgainAfterStoreWentBackToCopy failed before: not stored again within 2 s.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -171,7 +171,7 @@
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
-		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, Logger: logger,
+		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, HistoryChanged: r.store.HistoryChanged, Logger: logger,
 	})
 	r.limits.Connect(r.mesh)
 	prompts.OnReport(r.mesh.SendPromptReport)
--- a/internal/follow/quarantine.go
+++ b/internal/follow/quarantine.go
@@ -19,9 +19,11 @@
 	Store kv.Store
 	List  *quarantine.List
 	// Key is the key of the quarantined prompt parts. TTL is how long it lasts after it was written.
-	Key    string
-	TTL    time.Duration
-	Logger *zap.Logger
+	Key string
+	TTL time.Duration
+	// HistoryChanged returns a channel that is closed when the store went back to a copy; nil if it cannot.
+	HistoryChanged func() <-chan struct{}
+	Logger         *zap.Logger
 }
 
 // Quarantine keeps the quarantined prompt parts in the store, for processes that start while no other process knows them. The
@@ -56,6 +58,9 @@
 		}
 		wait.For(ctx, dep.failed(err))
 	}
+	if q.options.HistoryChanged != nil {
+		go q.saveAfterReturns(ctx)
+	}
 	Refresh(ctx, q.changes, name, q.options.Logger, func(ctx context.Context) error {
 		err := q.save(ctx)
 		if err != nil {
@@ -65,6 +70,21 @@
 	})
 }
 
+// saveAfterReturns schedules a write each time that the store went back to a copy. A process that knows no quarantined parts writes nothing: it may have
+// started a moment ago, and another one may have written its own.
+func (q *Quarantine) saveAfterReturns(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.options.HistoryChanged():
+		}
+		if len(q.options.List.Quarantined().Crashes) > 0 {
+			q.NotifyChanged()
+		}
+	}
+}
+
 // restore reads the quarantined parts.
 func (q *Quarantine) restore(ctx context.Context) error {
 	pair, err := q.options.Store.Get(ctx, q.options.Key)
