router: take a newer configuration from the process that has it

Callers would get 404 for a route that was in force, or answers of a removed one: a router that started after the store went back to a copy, and before the operator had written the newer version again, served the older one. Its peers told it that a newer one exists, but it read only the store. The same held for a router that is cut off from the store alone. If the store does not have the version that a peer reports, the document is now pulled from that peer. Versions only rise, and each was accepted by the store once.

TestRouterStartsOnOlderCopyOfTheStore failed before: 404 for the new route.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -9,6 +9,8 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +44,8 @@
 	// others notices a dead connection only after configWatchWaitAlone plus storeCallTimeout.
 	configWatchWait      = 10 * time.Second
 	configWatchWaitAlone = 1500 * time.Millisecond
+	// configPullTimeout limits the transfer of a configuration from another process.
+	configPullTimeout = time.Second
 	// upstreamReadFraction times Settings.DrainTime, the time for which a leaving upstream may still be sent requests, is the
 	// interval between two reads of the upstreams. The rest of DrainTime covers a prompt that was placed on the upstream just
 	// before a read, which takes about 0.3 s.
@@ -117,7 +121,11 @@
 	prompts  *follow.Quarantine
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
-	registry      *prometheus.Registry
+	// newerConfig is the last version that another process reported as newer, and document the document of the current one.
+	newerConfig atomic.Pointer[newerConfig]
+	applyMu     sync.Mutex // serializes applyConfig, so that document fits the configuration
+	document    atomic.Pointer[[]byte]
+	registry    *prometheus.Registry
 }
 
 func newLogger(out zapcore.WriteSyncer, s *platform.Settings) *zap.Logger {
@@ -158,7 +166,8 @@
 	})
 	r.mesh = peering.New(peering.Options{
 		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
-		Version: r.configVersion, OnNewerVersion: func(string, int64) {
+		Version: r.configVersion, Document: r.configDocument, OnNewerVersion: func(process string, version int64) {
+			r.newerConfig.Store(&newerConfig{process, version})
 			select {
 			case r.refreshConfig <- struct{}{}:
 			default:
@@ -202,14 +211,43 @@
 	return 0
 }
 
+// newerConfig is a version of the configuration that another process reported.
+type newerConfig struct {
+	process string
+	version int64
+}
+
+// configDocument returns the document of the current configuration; nil for none.
+func (r *router) configDocument() []byte {
+	if document := r.document.Load(); document != nil {
+		return *document
+	}
+	return nil
+}
+
 // readConfig reads and applies the configuration. It is called when another process reports a newer version, because this
-// process's watch may hang on a dead connection.
+// process's watch may hang on a dead connection. If the store does not have that version, as it cannot be reached or went back to a copy
+// from before, the document of the other process is applied.
 func (r *router) readConfig(ctx context.Context) error {
 	pair, err := r.store.Get(ctx, platform.KeyConfig)
-	if err != nil {
+	if err == nil {
+		r.applyConfig(pair)
+	}
+	newer := r.newerConfig.Load()
+	if newer == nil || r.configVersion() >= newer.version {
 		return err
 	}
-	r.applyConfig(pair)
+	pullCtx, cancel := context.WithTimeout(ctx, configPullTimeout)
+	defer cancel()
+	document, pullErr := r.mesh.PullConfig(pullCtx, newer.process)
+	if pullErr != nil {
+		return errors.Wrapf(pullErr, "version %d is not in the store (%v)", newer.version, err)
+	}
+	r.logger.Info("configuration pulled from another process", zap.String("peer", newer.process), zap.Int64("config", newer.version), zap.NamedError("store_error", err))
+	r.applyConfig(kv.Pair{Key: platform.KeyConfig, Value: document})
+	if version := r.configVersion(); version < newer.version {
+		return errors.Errorf("%s sent no configuration of version %d, the current one is %d", newer.process, newer.version, version)
+	}
 	return nil
 }
 
@@ -257,12 +295,15 @@
 }
 
 func (r *router) applyConfig(pair kv.Pair) {
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
 	config, err := platform.ParseConfig(pair.Value)
 	if err != nil {
 		r.logger.Error("cannot parse configuration; keeping the current one", zap.Int64("revision", pair.ModRevision), zap.String("error", err.Error()))
 		return
 	}
 	if r.gateway.Apply(config) {
+		r.document.Store(&pair.Value)
 		r.logger.Info("configuration applied", zap.Int64("config", config.Version), zap.Int64("revision", pair.ModRevision))
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -42,6 +42,8 @@
 	Limits                          *upstreamrate.Limits
 	// Version returns the version of the configuration in force; 0 for none.
 	Version func() int64
+	// Document returns the document of the configuration in force; nil for none.
+	Document func() []byte
 	// OnNewerVersion is called when another process has a newer configuration. It must not block.
 	OnNewerVersion func(process string, version int64)
 	Logger         *zap.Logger
@@ -209,6 +211,8 @@
 		m.applyPromptReport(session, kind.PromptReport)
 	case *wirev1.StreamOpen_Permit:
 		m.servePermit(session, kind.Permit, stream)
+	case *wirev1.StreamOpen_ConfigPull:
+		m.serveConfig(session, stream)
 	}
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -37,7 +37,7 @@
 	_ = listener.Close()
 	n.mesh = New(Options{
 		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
-		Version: n.version.Load, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
+		Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
 	})
 	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
--- /dev/null
+++ b/internal/processtest/router_config_test.go
@@ -0,0 +1,68 @@
+package processtest
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+	"github.com/fulmardoor/fulmardoor/platform/platformtest"
+)
+
+// configApplyTime is the time within which a change of the configuration must be in force, and peerTime that in which routers connect to each other.
+const (
+	configApplyTime = 2 * time.Second
+	peerTime        = 5 * time.Second
+)
+
+// statusOf returns the status of a booking at a path.
+func (r *soakRouter) statusOf(t *testing.T, path string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.callerAddress+path, strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h.example"
+	platformtest.SetCallerHeaders(request.Header, "00000000000000a1", "key-usual", 1400, false)
+	response, err := newConnection().RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body) // only the status counts
+	return response.StatusCode
+}
+
+// Guards against a router that serves an older configuration than its peers, because it started after the store went back to a copy and before the newer one
+// was written again.
+func TestRouterStartsOnOlderCopyOfTheStore(t *testing.T) {
+	t.Parallel()
+	service := platformtest.NewRunner(t, "i-service", "")
+	store := memory.New(memory.Options{})
+	store.Put("op/config", []byte(platformtest.StopConfig))
+	store.Put("servers/"+service.ID, platformtest.Entry{Service: "shop", Address: service.Address, Zone: "here", Slots: 6}.Text())
+	c := store.Copy()
+	newer := strings.NewReplacer(`"version":1`, `"version":2`, `"/book/"`, `"/order/"`).Replace(platformtest.StopConfig)
+	store.Put("op/config", []byte(newer))
+	first := startNamedRouter(t, "router-1", store, routerStopGrace)
+	eventually(t, "the first router serves the new route", func() string {
+		if status := first.statusOf(t, "/order/x"); status != http.StatusOK {
+			return http.StatusText(status)
+		}
+		return ""
+	})
+	store.Restore(c)
+	second := startNamedRouter(t, "router-2", store, routerStopGrace)
+	status := 0
+	for deadline := time.Now().Add(peerTime + configApplyTime); status != http.StatusOK && time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		status = second.statusOf(t, "/order/x")
+	}
+	if status != http.StatusOK {
+		t.Errorf("the new route at the second router: status %d", status)
+	}
+	if status := second.statusOf(t, "/book/x"); status != http.StatusNotFound {
+		t.Errorf("the removed route at the second router: status %d, want 404", status)
+	}
+}
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -51,12 +51,17 @@
 
 // startRouter starts a router process with a store, and waits until it is ready.
 func startRouter(t *testing.T, store *memory.Store, stopGrace time.Duration) *soakRouter {
+	t.Helper()
+	return startNamedRouter(t, "router-1", store, stopGrace)
+}
+
+func startNamedRouter(t *testing.T, name string, store *memory.Store, stopGrace time.Duration) *soakRouter {
 	t.Helper()
 	trackSources()
 	server := httptest.NewServer(platformtest.NewStore(store))
 	t.Cleanup(server.Close)
 	c := &soakCluster{t: t, dir: t.TempDir()}
-	r := &soakRouter{name: "router-1", callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, "router-1.conf")}
+	r := &soakRouter{name: name, callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, name+".conf")}
 	host, port := splitAddress(t, freeAddress(t))
 	settings := platformtest.RouterSettings{
 		Name: r.name, Host: host, Zone: "here", Store: server.Listener.Addr().String(), Callers: r.callerAddress, Ready: r.readyAddress,
