--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -195,6 +195,7 @@
 		newest = max(newest, d.GetRevision())
 	}
 	if !w.node.isCurrent(uint64(revision)) {
+		w.node.cfg.Logger.Warn("store returned an older revision than the known one; it lags, or went back to a copy", zap.Int64("revision", revision))
 		return errors.Errorf("list documents: store returned outdated revision %d", revision)
 	}
 	// A list does not contain the revision at which a document was removed; it is at most that of the list.
