gateway: take a limit for withdrawn only by answers of the upstream itself

An unsigned answer, as a failing upstream or another process at its address sends it, has no limit, and withdrew the one that the upstream had named: all routers then sent without a limit until its next answer. The same held for answers to the router's own calls. Such answers may still name a limit, but withdraw none.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -60,7 +60,7 @@
 	return r.g.Board.LimitedUntil(placement.Query{Service: r.service, Now: now, Excluded: r.excluded})
 }
 
-// callUpstream makes a call of the router itself to an upstream, and records what the answer says about its limit. Such calls are
+// callUpstream makes a call of the router itself to an upstream, and records a limit that the answer names. Such calls are
 // not made while the upstream names a limit, so that all requests that it permits are those of callers.
 func (g *Gateway) callUpstream(ctx context.Context, upstream *fleet.Upstream, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	if g.Limits.Limited(upstream) {
@@ -71,19 +71,24 @@
 	if err != nil {
 		return nil, err
 	}
-	g.observeLimit(upstream, response.Status, g.Protocol.ReadAnswer(response.Status, response.Header).Limit, sentAt, time.Now())
+	if limit := g.Protocol.ReadAnswer(response.Status, response.Header).Limit; limit.Named {
+		g.observeLimit(upstream, response.Status, limit, sentAt, time.Now())
+	}
 	return response, nil
 }
 
+// isByUpstream reports whether the upstream itself made an answer with a status: a signed one, or a refusal. A misdirected request was refused by another
+// process at the upstream's address.
+func (a Answer) isByUpstream(status int) bool {
+	return a.Signed || a.NotRun && status != http.StatusMisdirectedRequest
+}
+
 // observeLimit records what an answer says about the limit of an upstream, and logs each change.
 func (g *Gateway) observeLimit(upstream *fleet.Upstream, status int, statement upstreamrate.Statement, sentAt, now time.Time) {
 	if statement.Err != nil {
 		g.Logger.Warn("cannot read the limit of an upstream; keeping the known one", zap.String("upstream", upstream.ID), zap.String("error", statement.Err.Error()))
 		return
 	}
-	if status == http.StatusMisdirectedRequest && !statement.Named {
-		return // the answer may be from another process at the upstream's address
-	}
 	if g.Limits.Observe(upstream, statement, sentAt, now) {
 		g.Board.RecordLimited(upstream.ID, now, 0)
 		g.Logger.Info("upstream limit changed", zap.String("upstream", upstream.ID), zap.Int64("incarnation", upstream.Incarnation),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,7 +38,10 @@
 		return nil, sendError(attempt.Upstream, err)
 	}
 	answer := r.g.Protocol.ReadAnswer(response.Status, response.Header)
-	r.g.observeLimit(attempt.Upstream, response.Status, answer.Limit, sentAt, now)
+	success := response.Status >= 200 && response.Status < 300
+	if answer.Limit.Named || answer.isByUpstream(response.Status) || attempt.PrefillOnly && success {
+		r.g.observeLimit(attempt.Upstream, response.Status, answer.Limit, sentAt, now)
+	}
 	if answer.HasLoad {
 		r.g.Board.RecordLoad(id, now, answer.Load)
 	}
@@ -51,7 +54,6 @@
 		}
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "%s refused with status %d", id, response.Status)
 	}
-	success := response.Status >= 200 && response.Status < 300
 	r.g.Board.RecordAnswer(id, now, !success)
 	if attempt.PrefillOnly && success || answer.Signed && !impliesNotRun(response.Status) {
 		return response, nil
--- a/internal/upstreamrate/limits.go
+++ b/internal/upstreamrate/limits.go
@@ -33,7 +33,7 @@
 
 // Statement is what one answer of an upstream says about its limit.
 type Statement struct {
-	// Named is set if the answer names a limit. An answer that names none withdraws the limit.
+	// Named is set if the answer names a limit, even one that could not be read. An answer that names none withdraws the limit.
 	Named bool
 	// PerSecond is the number of requests per second that the upstream takes from all processes together.
 	PerSecond float64
