--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -27,7 +27,7 @@
 	address         string
 }
 
-func startNode(t *testing.T, name string) *node {
+func startNode(t testing.TB, name string) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +46,7 @@
 	return n
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if condition() {
@@ -109,3 +109,18 @@
 	late.prompts.RecordFirstEvent([]string{"bad"}, time.Now())
 	eventually(t, "a first event at one process clears the part at all", func() bool { return !blocked(a) && !blocked(b) && !blocked(late) })
 }
+
+// BenchmarkPermit measures a request for a permit of another process, both ends.
+func BenchmarkPermit(b *testing.B) {
+	first, second := startNode(b, "a"), startNode(b, "b")
+	members := map[string]string{"a": first.address, "b": second.address}
+	first.mesh.SetMembers(members)
+	second.mesh.SetMembers(members)
+	eventually(b, "both connected", func() bool { return first.mesh.Connected() == 1 && second.mesh.Connected() == 1 })
+	limit := upstreamrate.Limit{Key: upstreamrate.Key{Upstream: "i-limited"}, Statement: upstreamrate.Statement{Named: true, PerSecond: 2.7}, HeardAt: time.Now()}
+	for b.Loop() {
+		if _, err := first.mesh.RequestPermit(b.Context(), "b", limit); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
