gateway: wake waiting requests when a limited engine is considered again

A limit whose next permit is minutes away left a timer for that time, although the engine is considered again after a second. The retry of a request that was not sent for lack of a permit does not pass mayRetry, so its case there is removed.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -34,9 +34,9 @@
 	r.recordStep(fmt.Sprintf("limited per_second %g wait_ms %d issuer %q", permit.PerSecond, permit.Wait.Milliseconds(), permit.Issuer), upstream.ID)
 	r.g.Metrics.limitedSends.Inc()
 	wait := max(permit.Wait, minLimitedTime)
-	r.g.Board.RecordLimited(upstream.ID, time.Now(), wait)
+	pause := r.g.Board.RecordLimited(upstream.ID, time.Now(), wait)
 	if upstream.Stage != fleet.StageNone {
-		time.AfterFunc(wait, r.g.CapacityChanged)
+		time.AfterFunc(pause, r.g.CapacityChanged)
 	}
 	refusal := verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "%s takes %g requests per second", upstream.ID, permit.PerSecond)
 	refusal.RetryAfter = wait
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -106,8 +106,6 @@
 		return false
 	}
 	switch failure.Reason {
-	case wirev1.Reason_REASON_UPSTREAM_LIMITED: // nothing was sent
-		return true
 	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE:
 		return failure.Verdict == verdict.NotRun && len(r.excluded) < maxUnreachable
 	case wirev1.Reason_REASON_NO_PLACE, wirev1.Reason_REASON_UPSTREAM_BROKE, wirev1.Reason_REASON_UPSTREAM_ERROR:
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -306,9 +306,11 @@
 	b.withState(id, func(s *state) { s.refusedAt = now })
 }
 
-// RecordLimited records that the limit of an upstream permits no request for a time. Zero removes that.
-func (b *Board) RecordLimited(id string, now time.Time, wait time.Duration) {
+// RecordLimited records that the limit of an upstream permits no request for a time. Zero removes that. It returns how long the upstream
+// gets no request.
+func (b *Board) RecordLimited(id string, now time.Time, wait time.Duration) time.Duration {
 	b.withState(id, func(s *state) { s.limitedAt, s.limitedUntil = now, now.Add(wait) })
+	return min(wait, limitedTime)
 }
 
 // isLimited reports whether the limit of the upstream permits no request now.
