peering: log permit requests without an answer

A router that gets no answer of the issuer uses its own share of an upstream's limit; nothing showed why.

--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -39,8 +39,12 @@
 	request := &wirev1.PermitRequest{Limit: limit.Message(time.Now())}
 	reply := new(wirev1.PermitReply)
 	if err := session.Call(ctx, &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Permit{Permit: request}}, reply); err != nil {
+		m.options.Logger.Info("no answer to a permit request", zap.String("upstream", limit.Upstream), zap.String("peer", process), zap.String("error", err.Error()))
 		return upstreamrate.Reply{}, err
 	}
+	if !reply.GetIssuer() {
+		m.options.Logger.Info("peer does not issue the permits", zap.String("upstream", limit.Upstream), zap.String("peer", process))
+	}
 	return upstreamrate.Reply{Issuer: reply.GetIssuer(), Granted: reply.GetGranted(), Wait: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond}, nil
 }
 
