router: pull a configuration only into a process that has read the store

A router that started while the store was away got the configuration of a peer, said that it was ready and refused all requests, since it knew no upstream. Before, it was not ready, and clients went to other routers. A process without any configuration waits for the store again. TestRouterThatStartsWithoutTheStoreIsNotReady failed before.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -233,8 +233,9 @@
 	if err == nil {
 		r.applyConfig(pair)
 	}
-	newer := r.newerConfig.Load()
-	if newer == nil || r.configVersion() >= newer.version {
+	newer, current := r.newerConfig.Load(), r.configVersion()
+	// A process without any configuration waits for the store, which also tells it the upstreams.
+	if newer == nil || current == 0 || current >= newer.version {
 		return err
 	}
 	pullCtx, cancel := context.WithTimeout(ctx, configPullTimeout)
--- a/internal/processtest/router_config_test.go
+++ b/internal/processtest/router_config_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +67,27 @@
 		t.Errorf("the removed route at the second router: status %d, want 404", status)
 	}
 }
+
+// Guards against a router that says that it is ready although it knows no upstream: it started while the store was away, and got the configuration of another
+// process.
+func TestRouterThatStartsWithoutTheStoreIsNotReady(t *testing.T) {
+	t.Parallel()
+	c := newSoakCluster(t)
+	for _, r := range c.routers {
+		eventually(t, r.name+" is ready", func() string {
+			if !r.isReady() {
+				return "not ready"
+			}
+			return ""
+		})
+	}
+	time.Sleep(peerTime) // until they are connected
+	c.store.SetFaults(memory.Faults{Down: true})
+	restarted := c.routers[0]
+	restarted.restart(c, syscall.SIGKILL, 0)
+	for deadline := time.Now().Add(peerTime); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		if restarted.isReady() {
+			t.Fatal("ready without the store")
+		}
+	}
+}
