test: one count of the requests to a limited runner

The sliding window and the bounds of a runner's limit stood in three tests, the wait for ready routers and the booking of the process tests in two. They are in platformtest and in the soak cluster now; the bounds are the same. No program changes.

--- a/internal/processtest/router_config_test.go
+++ b/internal/processtest/router_config_test.go
@@ -18,22 +18,31 @@
 	peerTime        = 5 * time.Second
 )
 
-// statusOf returns the status of a booking at a path.
-func (r *soakRouter) statusOf(t *testing.T, path string) int {
-	t.Helper()
+// book sends a booking with a request id and returns the status of the answer.
+func (r *soakRouter) book(t *testing.T, path, id string) (int, error) {
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.callerAddress+path, strings.NewReader("x"))
 	if err != nil {
-		t.Fatal(err)
+		return 0, err
 	}
 	request.Host = "h.example"
-	platformtest.SetCallerHeaders(request.Header, "00000000000000a1", "key-usual", 1400, false)
+	platformtest.SetCallerHeaders(request.Header, id, "key-usual", 1400, false)
 	response, err := newConnection().RoundTrip(request)
 	if err != nil {
-		t.Fatal(err)
+		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body) // only the status counts
-	return response.StatusCode
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// statusOf returns the status of the answer to a booking.
+func (r *soakRouter) statusOf(t *testing.T, path string) int {
+	t.Helper()
+	status, err := r.book(t, path, "00000000000000a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status
 }
 
 // Guards against a router that serves an older configuration than its peers, because it started after the store went back to a copy and before the newer one
@@ -73,14 +82,7 @@
 func TestRouterThatStartsWithoutTheStoreIsNotReady(t *testing.T) {
 	t.Parallel()
 	c := newSoakCluster(t)
-	for _, r := range c.routers {
-		eventually(t, r.name+" is ready", func() string {
-			if !r.isReady() {
-				return "not ready"
-			}
-			return ""
-		})
-	}
+	c.waitReady()
 	time.Sleep(peerTime) // until they are connected
 	c.store.SetFaults(memory.Faults{Down: true})
 	restarted := c.routers[0]
--- a/internal/processtest/router_limit_test.go
+++ b/internal/processtest/router_limit_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,11 +12,8 @@
 )
 
 const (
-	// A runner that names a limit may get limitExcess times the requests that it allows and limitSlack more within limitWindow, from
-	// limitGrace after it first named it on. A router that restarts is excused until excuseTime after that.
-	limitWindow     = 4 * time.Second
-	limitExcess     = 1.5
-	limitSlack      = 5
+	// The requests to a runner are counted from limitGrace after it first named its limit. A router that restarts is excused until
+	// excuseTime after that.
 	limitGrace      = 3 * time.Second
 	excuseTime      = 3 * time.Second
 	limitPerSecond  = 2.0
@@ -31,24 +26,7 @@
 	from, until time.Time
 }
 
-// book sends a booking whose id names the router, and ignores the answer.
-func (r *soakRouter) book(t *testing.T, router, number int) {
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.callerAddress+"/book/x", strings.NewReader("x"))
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	request.Host = "h.example"
-	platformtest.SetCallerHeaders(request.Header, fmt.Sprintf("%04x%012x", router, number), "key-usual", 1400, false)
-	response, err := newConnection().RoundTrip(request)
-	if err != nil {
-		return // the router is being restarted
-	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
-}
-
-// mostCounted returns the largest number of requests within limitWindow, without those of excused routers.
+// mostCounted returns the largest number of requests within platformtest.LimitWindow, without those of excused routers.
 func mostCounted(requests []platformtest.ReceivedRequest, from time.Time, excuses []excuse) int {
 	var times []time.Time
 	for _, request := range requests {
@@ -61,14 +39,7 @@
 			times = append(times, request.At)
 		}
 	}
-	most, first := 0, 0
-	for last, at := range times {
-		for at.Sub(times[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
+	return platformtest.MostWithin(times, platformtest.LimitWindow)
 }
 
 // Guards against router processes that together send a runner more requests than the limit that it named, while some of them are killed, stopped, suspended
@@ -81,20 +52,14 @@
 		runner.SetDelay(60 * time.Millisecond) // longer than assumed for a runner that was not measured, so that each is tried
 	}
 	limited.SetLimit(fmt.Sprint(limitPerSecond))
-	for _, r := range c.routers {
-		eventually(t, r.name+" is ready", func() string {
-			if !r.isReady() {
-				return "not ready"
-			}
-			return ""
-		})
-	}
+	c.waitReady()
 	began := time.Now()
 	var running sync.WaitGroup
 	load := func(until time.Duration) {
 		for number := 0; time.Since(began) < until; number++ {
 			router := number % len(c.routers)
-			running.Go(func() { c.routers[router].book(t, router, number) })
+			id := fmt.Sprintf("%04x%012x", router, number)
+			running.Go(func() { _, _ = c.routers[router].book(t, "/book/x", id) }) // fails while the router is being restarted
 			time.Sleep(bookingInterval)
 		}
 	}
@@ -119,9 +84,9 @@
 	if len(requests) < 10 {
 		t.Fatalf("the limited runner got %d requests", len(requests))
 	}
-	allowed := int(limitExcess*limitPerSecond*limitWindow.Seconds() + limitSlack)
+	allowed := platformtest.AllowedByLimit(limitPerSecond)
 	if most := mostCounted(requests, requests[0].At.Add(limitGrace), excuses); most > allowed {
-		t.Errorf("%d requests within %v, allowed %d", most, limitWindow, allowed)
+		t.Errorf("%d requests within %v, allowed %d", most, platformtest.LimitWindow, allowed)
 	}
-	t.Logf("%d requests in all, %d within %v", len(requests), mostCounted(requests, requests[0].At.Add(limitGrace), nil), limitWindow)
+	t.Logf("%d requests in all, %d within %v", len(requests), mostCounted(requests, requests[0].At.Add(limitGrace), nil), platformtest.LimitWindow)
 }
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -123,6 +123,19 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// waitReady waits until all routers are ready.
+func (c *soakCluster) waitReady() {
+	c.t.Helper()
+	for _, r := range c.routers {
+		eventually(c.t, r.name+" is ready", func() string {
+			if !r.isReady() {
+				return "not ready"
+			}
+			return ""
+		})
+	}
+}
+
 // putNextConfig stores the configuration with the next version number.
 func (c *soakCluster) putNextConfig() {
 	c.mu.Lock()
--- a/internal/upstreamrate/permits_test.go
+++ b/internal/upstreamrate/permits_test.go
@@ -12,13 +12,10 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/platform/platformtest"
 )
 
 const (
-	// An upstream that named a limit may get excess times the requests that it allows and slack more within window.
-	window = 4 * time.Second
-	excess = 1.5
-	slack  = 5
 	// latency is the time between two processes.
 	latency = 2 * time.Millisecond
 	// wantedPerSecond is the number of requests per second that all processes together want to send to the upstream.
@@ -142,18 +139,6 @@
 	return len(n.granted)
 }
 
-// most returns the largest number of permits within a window.
-func (n *network) most() int {
-	most, first := 0, 0
-	for last, at := range n.granted {
-		for at.Sub(n.granted[first]) >= window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
-
 // issuer returns the number of the process that issues the permits while all are connected.
 func (n *network) issuer() int { return n.issuerWithout(-1) }
 
@@ -259,8 +244,9 @@
 						cancel()
 						running.Wait()
 						time.Sleep(requestTimeout) // requests that were left behind
-						if allowed := excess*perSecond*window.Seconds() + slack; float64(n.most()) > allowed {
-							t.Errorf("%d permits within %v, allowed %.0f", n.most(), window, allowed)
+						most, allowed := platformtest.MostWithin(n.granted, platformtest.LimitWindow), platformtest.AllowedByLimit(perSecond)
+						if most > allowed {
+							t.Errorf("%d permits within %v, allowed %d", most, platformtest.LimitWindow, allowed)
 						}
 						if least := 0.6*perSecond*quietTime.Seconds() - 1; float64(before) < least {
 							t.Errorf("%d permits within the first %v, want at least %.0f", before, quietTime, least)
