gateway: log the attempts that a response timer cancelled

The log line showed upstream_error for an upstream that answered with an error status and for one that the router itself gave up because it was silent. The step no_response tells them apart.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -311,7 +311,7 @@
 	response, err := r.send(ctx, attempt)
 	if err != nil {
 		r.g.Metrics.CountSend(purpose, "failed")
-		if err = timeoutRefusal(ctx, err); r.mayBeCrash(err) {
+		if err = r.timeoutRefusal(ctx, attempt.Upstream, err); r.mayBeCrash(err) {
 			r.recordCrash(attempt.Upstream)
 		}
 		if attempt.KVHandle != nil && !keepsHandle(err) {
@@ -324,7 +324,7 @@
 	if response.Status != http.StatusOK {
 		answer, err := r.readAnswer(response, attempt.Upstream, work, purpose)
 		if err != nil {
-			return timeoutRefusal(ctx, err)
+			return r.timeoutRefusal(ctx, attempt.Upstream, err)
 		}
 		return r.forwardEngineError(answer, out)
 	}
@@ -352,7 +352,7 @@
 		if r.ctx.Err() == nil {
 			r.g.Board.MarkSuspect(attempt.Upstream.ID, time.Now())
 		}
-		if err = timeoutRefusal(ctx, err); firstAt.IsZero() && r.mayBeCrash(err) {
+		if err = r.timeoutRefusal(ctx, attempt.Upstream, err); firstAt.IsZero() && r.mayBeCrash(err) {
 			r.recordCrash(attempt.Upstream)
 		}
 		return err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -132,12 +132,12 @@
 	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter, Permitted: true})
 	if err != nil {
 		r.g.Metrics.CountSend("plain", "failed")
-		return nil, err
+		return nil, r.timeoutRefusal(ctx, upstream, err)
 	}
 	answer, err := r.readAnswer(response, upstream, work, "plain")
 	if err != nil {
 		response.Close()
-		return nil, err
+		return nil, r.timeoutRefusal(ctx, upstream, err)
 	}
 	if answer.rest != nil {
 		streamRest = true
--- a/internal/gateway/responsetimer.go
+++ b/internal/gateway/responsetimer.go
@@ -82,11 +82,13 @@
 	}
 }
 
-// timeoutRefusal replaces the error of an attempt that a response timer cancelled. The upstream may still be running, but must
-// not get the request again, so the reason is not REASON_UPSTREAM_BROKE, after which serveModel may try the same engine.
-func timeoutRefusal(ctx context.Context, err error) error {
+// timeoutRefusal replaces the error of an attempt that a response timer cancelled, and adds a step to the log line of the request. The
+// upstream may still be running, but must not get the request again, so the reason is not REASON_UPSTREAM_BROKE, after which serveModel
+// may try the same engine.
+func (r *request) timeoutRefusal(ctx context.Context, upstream *fleet.Upstream, err error) error {
 	if err == nil || !errors.Is(context.Cause(ctx), errNoResponse) {
 		return err
 	}
+	r.recordStep("no_response", upstream.ID)
 	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: errNoResponse.Error()}
 }
