gateway: give up a silent upstream only for a replacement

Callers saw a stream cut, or a 502 in place of an answer, when an upstream was silent for longer than the response timers allow and the request could not go on elsewhere: the timer cancelled the attempt first, and only then was it known that the retry budget was spent or that no other upstream had capacity. A sound upstream that pauses for 1.2 s did this; at a stop or beside a change of the configuration it is a lost request.

Now the timer charges the budget and takes an allocation at an engine that answers, and cancels the attempt only if it got both. Otherwise the attempt goes on, and the timer looks again every 250 ms. The allocation is kept for the next attempt, so that no other request takes it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,11 @@
 	probe bool
 	// cachedAt is a decode engine whose answer was cut off; if it is still running, it has the prompt's KV cache.
 	cachedAt *fleet.Upstream
-	status   int
+	// replacement is the allocation to which the request moves from a silent engine; nil for none. retryCharged is set while a charge
+	// to the retry budget for the next attempt has not been used.
+	replacement  *allocation
+	retryCharged bool
+	status       int
 	// written is set once the status or body of an answer was sent to the caller.
 	written bool
 	// events is the number of events sent to the caller, and lastEventAt the time of the last one.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -47,9 +47,10 @@
 func (r *request) serveModel() error {
 	out := &eventWriter{r: r, lastID: r.call.ResumeAfter}
 	defer r.dropHandle()
+	defer r.dropReplacement()
 	localPrefillOnly := out.lastID != ""
 	for {
-		alloc, err := r.waitForAllocation(localPrefillOnly, out)
+		alloc, err := r.nextAllocation(localPrefillOnly, out)
 		if err != nil {
 			return out.streamError(r.finalRefusal(verdict.As(err)))
 		}
@@ -124,6 +125,14 @@
 	return r.call.Timeout > 0 && r.route.Timeout > 0 && r.call.Timeout < r.route.Timeout-retryDetectionMargin
 }
 
+// nextAllocation returns the replacement of a silent engine if there is one, and waits for an allocation otherwise.
+func (r *request) nextAllocation(localPrefillOnly bool, out *eventWriter) (*allocation, error) {
+	if alloc := r.takeReplacement(); alloc != nil {
+		return alloc, nil
+	}
+	return r.waitForAllocation(localPrefillOnly, out)
+}
+
 // waitForAllocation waits in the service's queue until the engines have capacity, while the answer can still be in time.
 func (r *request) waitForAllocation(localPrefillOnly bool, out *eventWriter) (*allocation, error) {
 	var found *allocation
@@ -160,22 +169,33 @@
 
 // allocate chooses engines for the request and counts its work there; nil if no engine has capacity now.
 func (r *request) allocate(localPrefillOnly bool) *allocation {
-	output := int(outputMemoryShare * float64(r.call.ExpectedOutput()))
-	plan, ok := r.g.Board.PlanModel(placement.Query{
+	query := placement.Query{
 		Service: r.service, Now: time.Now(), Excluded: r.excluded, LocalPrefillOnly: localPrefillOnly,
-		PromptTokens: r.call.PromptTokens, OutputTokens: output, PauseTarget: r.route.PauseTarget,
 		PrefilledBy: r.handleEngine(), CachedAt: r.cachedAt,
-	})
+	}
+	r.addSizes(&query)
+	return r.allocateFor(query)
+}
+
+// addSizes sets the fields of a query that depend on the sizes and targets of the request.
+func (r *request) addSizes(query *placement.Query) {
+	query.PromptTokens, query.OutputTokens = r.call.PromptTokens, int(outputMemoryShare*float64(r.call.ExpectedOutput()))
+	query.PauseTarget = r.route.PauseTarget
+}
+
+// allocateFor does the same as allocate with a query.
+func (r *request) allocateFor(query placement.Query) *allocation {
+	plan, ok := r.g.Board.PlanModel(query)
 	if !ok {
 		return nil
 	}
-	alloc := &allocation{Plan: plan, memory: r.call.PromptTokens + output}
+	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens}
 	alloc.decodeWork = r.g.Board.BeginRun(plan.Decode.ID, alloc.memory)
 	if plan.Prefill != nil {
 		alloc.prefillWork = r.g.Board.BeginRun(plan.Prefill.ID, 0)
-		alloc.prefillWork.BeginPrefill(r.call.PromptTokens)
-	} else if r.handle == nil {
-		alloc.decodeWork.BeginPrefill(r.call.PromptTokens)
+		alloc.prefillWork.BeginPrefill(query.PromptTokens)
+	} else if query.PrefilledBy == nil {
+		alloc.decodeWork.BeginPrefill(query.PromptTokens)
 	}
 	return alloc
 }
@@ -299,9 +319,9 @@
 func (r *request) decode(attempt *Attempt, work *placement.Work, out *eventWriter) error {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
+	r.sends++
 	answerTimer := r.startAnswerTimer(attempt.Upstream, cancel)
 	defer answerTimer.stop()
-	r.sends++
 	purpose := "decode"
 	if attempt.KVHandle == nil {
 		purpose = "decode_self"
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -125,9 +125,9 @@
 			cancel(nil)
 		}
 	}()
+	r.sends++
 	defer r.startAnswerTimer(upstream, cancel).stop()
 	began := time.Now()
-	r.sends++
 	r.recordStep("send", upstream.ID)
 	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter, Permitted: true})
 	if err != nil {
--- a/internal/gateway/responsetimer.go
+++ b/internal/gateway/responsetimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,10 +26,27 @@
 // errNoResponse cancels an attempt at an upstream that did not answer in time.
 var errNoResponse = errors.New("no response from the upstream in time")
 
+// replacementPollInterval is how often a silent attempt looks for a replacement again after it found none.
+const replacementPollInterval = 250 * time.Millisecond
+
 // responseTimer runs an action if an upstream sends nothing for a time. A nil timer does nothing.
 type responseTimer struct {
-	timer *time.Timer
 	limit time.Duration
+	// action reports whether it is to run again after replacementPollInterval if the upstream is still silent. It does not run
+	// after stop has returned.
+	action func() bool
+
+	mu      sync.Mutex // guards the fields below
+	timer   *time.Timer
+	stopped bool
+}
+
+func (t *responseTimer) fire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped && t.action() {
+		t.timer.Reset(replacementPollInterval)
+	}
 }
 
 // reset restarts the timer.
@@ -39,47 +57,46 @@
 }
 
 func (t *responseTimer) stop() {
-	if t != nil {
-		t.timer.Stop()
+	if t == nil {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
 }
 
 // startAnswerTimer limits the time to the answer of an upstream, or to the first event of a stream. When the time is over, it
-// records the timeout, so that other requests avoid the upstream, and cancels the attempt if the request may run elsewhere.
+// records the timeout, so that other requests avoid the upstream, and moves the request if it may run elsewhere.
 func (r *request) startAnswerTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
 	limit := answerTimeoutTargets * r.route.LatencyTarget
 	if r.route.Kind == fleet.Stream {
 		limit = firstEventTimeoutTargets * r.route.LatencyTarget
 	}
-	return r.startTimer(limit, func() {
+	return startTimer(limit, func() bool {
 		r.g.Board.RecordTimeout(upstream.ID, time.Now())
-		r.cancelIfRetryable(cancel)
+		return r.moveFromSilent(upstream, cancel)
 	})
 }
 
 // startEventTimer limits the time between two events of a stream in the same way. If the engine still sends data on other
-// streams, it is only busy, and the attempt is not cancelled.
+// streams, it is only busy, and the request is not moved.
 func (r *request) startEventTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
-	return r.startTimer(eventTimeoutPauses*r.route.PauseTarget, func() {
-		if r.g.Board.RecordTimeout(upstream.ID, time.Now()) {
-			r.cancelIfRetryable(cancel)
-		}
+	return startTimer(eventTimeoutPauses*r.route.PauseTarget, func() bool {
+		return !r.g.Board.RecordTimeout(upstream.ID, time.Now()) || r.moveFromSilent(upstream, cancel)
 	})
 }
 
 // startTimer returns a running timer; nil if there is no limit.
-func (r *request) startTimer(limit time.Duration, action func()) *responseTimer {
+func startTimer(limit time.Duration, action func() bool) *responseTimer {
 	if limit <= 0 {
 		return nil
 	}
-	return &responseTimer{timer: time.AfterFunc(limit, action), limit: limit}
-}
-
-// cancelIfRetryable cancels an attempt if the request may run at another upstream.
-func (r *request) cancelIfRetryable(cancel context.CancelCauseFunc) {
-	if r.route.Repeatable() && r.possibleRuns+1 < r.route.Attempts {
-		cancel(errNoResponse)
-	}
+	t := &responseTimer{limit: limit, action: action}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(limit, t.fire)
+	return t
 }
 
 // timeoutRefusal replaces the error of an attempt that a response timer cancelled, and adds a step to the log line of the request. The
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -118,6 +118,10 @@
 			return false
 		}
 	}
+	if r.retryCharged {
+		r.retryCharged = false
+		return r.sends < maxSends
+	}
 	return r.sends < maxSends && r.g.Budgets.forService(r.service.Name).Allow()
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -64,6 +64,8 @@
 	CachedAt *fleet.Upstream
 	// LocalPrefillOnly excludes prefill engines: the decode engine processes the prompt itself.
 	LocalPrefillOnly bool
+	// WithoutSuspects excludes upstreams that recently did not answer, even if there are no others.
+	WithoutSuspects bool
 }
 
 // candidates returns the upstreams of the service that may get the request. Unconfirmed ones, whose entry is missing from
@@ -73,7 +75,7 @@
 	for id, s := range b.states {
 		switch {
 		case !s.usable() || s.info.Service != q.Service.Name || s.info.Stage != stage || q.Excluded[id]:
-		case s.isLimited(q.Now):
+		case s.isLimited(q.Now) || q.WithoutSuspects && s.isSuspect(q.Now):
 		case s.info.Unconfirmed:
 			unconfirmed = append(unconfirmed, s)
 		default:
