gateway: a stopping process moves a stream only to an engine at which it ends in time

A stopping process moved a stream from an engine that was silent for 1.2 s to another one, whatever its speed, and cut it there at its end, although the first engine would have gone on and finished. The move now needs the time for the prompt and the expected output at the replacement. TestSilentEngineInStoppingProcess failed before: "status 200, unexpected EOF, 1 runs at the slow engine".

--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -10,7 +10,7 @@
 )
 
 // moveFromSilent cancels the attempt at a silent upstream if the request can go on at another one at once: the route permits another
-// attempt, an upstream that answers has capacity, and the retry budget has been charged. Otherwise the attempt goes on, because a
+// attempt, an upstream that answers has capacity, a stopping process does not end before, and the retry budget has been charged. Otherwise the attempt goes on, because a
 // sound upstream may be silent for a while and the request would only fail sooner. It reports whether to try again later. It runs
 // while the request waits for the silent upstream, and reads only fields that do not change during an attempt.
 func (r *request) moveFromSilent(silent *fleet.Upstream, cancel context.CancelCauseFunc) (tryAgain bool) {
@@ -21,6 +21,10 @@
 		if r.replacement = r.allocateReplacement(silent); r.replacement == nil {
 			return true
 		}
+		if r.endsTooLate(r.replacement) {
+			r.dropReplacement()
+			return true
+		}
 	} else if _, ok := r.g.Board.PickPlain(r.replacementQuery(silent)); !ok {
 		return true
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -118,6 +118,20 @@
 	return r.route.PauseTarget / time.Duration(r.service.Engine.TokensPerEvent)
 }
 
+// endsTooLate reports whether a stopping process is expected to end before a stream at the engines that were chosen for it.
+func (r *request) endsTooLate(alloc *allocation) bool {
+	s := r.g.shutdown.Load()
+	if s == nil {
+		return false
+	}
+	perToken := r.g.Board.TokenTime(alloc.Decode.ID)
+	if perToken == 0 {
+		perToken = r.tokenTime()
+	}
+	needed := alloc.Expected + time.Duration(streamTimeFactor*float64(r.call.ExpectedOutput())*float64(perToken))
+	return time.Now().Add(needed).After(s.end)
+}
+
 // endedRefusal returns the refusal, and the outcome, of a request that was cancelled because the process ends.
 func (r *request) endedRefusal(refusal verdict.Refusal) (verdict.Refusal, string) {
 	if refusal.Verdict == verdict.NotRun {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -389,6 +389,17 @@
 	b.withState(id, func(s *state) { s.msPerToken = movingAverage(s.msPerToken, elapsed.Seconds()*1000/float64(tokens)) })
 }
 
+// TokenTime returns the time per output token of an engine; zero if none was measured.
+func (b *Board) TokenTime(id string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[id]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.msPerToken * float64(time.Millisecond))
+}
+
 // MedianTokenTime returns the median of the times per output token of a service's decode engines; zero if none was measured.
 func (b *Board) MedianTokenTime(service string) time.Duration {
 	b.mu.Lock()
