gateway: a stopping process checks the time again at the engine that is chosen

A stopping process estimated the time of a stream once, when the request arrived, with the median speed of the engines. The engine is chosen later and may be slower, and a wait for capacity or a prefill may have used up the time: the stream was accepted and cut at the end of the process. The estimate is now made again with the engine that was chosen, before the prefill and before the decode engine gets the request. If the stream would not end in time there, other engines are tried, and else the caller is refused at once.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -54,6 +54,12 @@
 		if err != nil {
 			return out.streamError(r.finalRefusal(verdict.As(err)))
 		}
+		if !out.headerSent && r.endsTooLate(alloc) {
+			alloc.release()
+			r.recordStep("ends_too_late", alloc.Decode.ID)
+			r.excluded[alloc.Decode.ID], r.unfinishable = true, true
+			continue
+		}
 		if err := r.enterQuarantine(); err != nil {
 			alloc.release()
 			return out.streamError(err)
@@ -125,11 +131,18 @@
 	return r.call.Timeout > 0 && r.route.Timeout > 0 && r.call.Timeout < r.route.Timeout-retryDetectionMargin
 }
 
-// nextAllocation returns the replacement of a silent engine if there is one, and waits for an allocation otherwise.
+// nextAllocation returns the replacement of a silent engine if there is one, and waits for an allocation otherwise. It does not wait in
+// a stopping process that had time for a faster engine only.
 func (r *request) nextAllocation(localPrefillOnly bool, out *eventWriter) (*allocation, error) {
 	if alloc := r.takeReplacement(); alloc != nil {
 		return alloc, nil
 	}
+	if r.unfinishable {
+		if alloc := r.allocate(localPrefillOnly); alloc != nil {
+			return alloc, nil
+		}
+		return nil, stoppingRefusal()
+	}
 	return r.waitForAllocation(localPrefillOnly, out)
 }
 
@@ -250,6 +263,9 @@
 			return err
 		}
 	}
+	if !out.headerSent && r.endsTooLate(alloc) { // the prefill took long
+		return stoppingRefusal()
+	}
 	if !r.g.Board.Accepts(alloc.Decode) { // it may have left during the prefill
 		return verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", alloc.Decode.ID)
 	}
