processtest: silent engines at a router's stop and in the soak

TestStreamOfSilentEngineCutByRouterStop: the only engine is silent for 1.5 s while its router stops. The soak makes runners silent for 1 to 1.5 s one after the other, with a random sequence of its own, so that the other faults of a seed stay the same.

--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -161,7 +161,7 @@
 		return result
 	}
 	request.Host = "h.example"
-	platformtest.SetCallerHeaders(request.Header, result.id, "key-"+account, int(stopRequestTimeout.Milliseconds()), kind == "note")
+	platformtest.SetCallerHeaders(request.Header, result.id, "key-"+account, int(stopRequestTimeout.Milliseconds()), kind == "note" || kind == "reply")
 	return result.receive(&http.Client{Transport: transport, Timeout: stopRequestTimeout}, request)
 }
 
@@ -296,6 +296,23 @@
 	r.checkEnd(routerStopGrace)
 }
 
+// Guards against a stopping router that cuts a stream because its engine is silent for a while, although the engine goes on and no
+// other one can take the stream.
+func TestStreamOfSilentEngineCutByRouterStop(t *testing.T) {
+	t.Parallel()
+	const silence = 1500 * time.Millisecond
+	r := startStoppingRouter(t)
+	requests := r.onBothConnections("reply", 100*time.Millisecond, 2*time.Second)
+	r.engine.SetSilence(silence, 3)
+	r.stop()
+	for _, result := range r.sendScheduled(requests) {
+		if !result.isWhole() && !r.isTrueRefusal(&result) {
+			r.report("stream neither complete nor refused", &result)
+		}
+	}
+	r.checkEnd(routerStopGrace)
+}
+
 // Guards against a plain request whose connection is closed without an answer, because it still runs when a stopping router ends.
 func TestPlainRequestsCutByRouterStop(t *testing.T) {
 	t.Parallel()
--- a/internal/processtest/soak_faults_test.go
+++ b/internal/processtest/soak_faults_test.go
@@ -136,6 +136,30 @@
 	}
 }
 
+// injectSilences makes runners silent for a time, one after the other, until stop is closed. It has a random sequence of its own, so that
+// the other faults of a seed stay the same.
+func (c *soakCluster) injectSilences(seed uint64, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for {
+		live := c.liveRunners()
+		runner := live[random.IntN(len(live))]
+		silence := time.Second + time.Duration(random.Int64N(int64(500*time.Millisecond)))
+		event := random.IntN(platformtest.StreamEvents)
+		c.recordEvent("%s (%s): silent for %v in each response, before event %d", runner.ID, runner.Stage, silence, event)
+		runner.SetSilence(silence, event)
+		select {
+		case <-stop:
+		case <-time.After(silence):
+		}
+		runner.SetSilence(0, 0)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.Int64N(int64(time.Second)))):
+		}
+	}
+}
+
 // clearFaults ends all faults that may still be active.
 func (c *soakCluster) clearFaults() {
 	c.store.SetFaults(memory.Faults{})
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -228,11 +228,14 @@
 	load := startSoakLoad(c)
 	c.began = time.Now()
 	random := rand.New(rand.NewPCG(seed, 0))
+	endSilences := make(chan struct{})
+	go c.injectSilences(seed, endSilences)
 	for time.Since(c.began) < soakFaultTime {
 		c.injectFault(random)
 		time.Sleep(time.Duration(random.Int64N(int64(800 * time.Millisecond))))
 	}
 	time.Sleep(soakMaxFaultDuration)
+	close(endSilences)
 	c.clearFaults()
 	c.waitRecovery()
 	results := load.stop()
