gateway: name the identity of a request that may have run at a failed upstream in its log line

The log could not tell which of several requests that broke at an ended runner were the same. The identity is a hash of service, account, method, target and body, so that neither target, body nor key is visible.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,8 @@
 	prefillEngine *fleet.Upstream
 	// promptParts are Call.SharedParts with the name of the service.
 	promptParts []string
+	// cachedIdentity is the result of identity; empty before its first call.
+	cachedIdentity string
 	// probe is set while the request finds out whether its prompt, after a quarantine, still crashes engines.
 	probe bool
 	// cachedAt is a decode engine whose answer was cut off; if it is still running, it has the prompt's KV cache.
@@ -434,6 +436,9 @@
 	if r.events > 0 {
 		fields = append(fields, zap.Int("events", r.events), zap.Duration("last_event_age", time.Since(r.lastEventAt)), zap.Int("output_tokens", r.call.OutputTokens))
 	}
+	if r.possibleRuns > 0 {
+		fields = append(fields, zap.String("identity", r.identity()))
+	}
 	if refusal != nil && refusal.Reason == wirev1.Reason_REASON_PROMPT_QUARANTINED {
 		fields = append(fields, zap.Strings("parts", r.promptParts))
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// identity returns the identity of the request, which is the same for all requests with the same service, account, method, target
+// and body. It is computed only when it is needed.
+func (r *request) identity() string {
+	if r.cachedIdentity == "" {
+		r.cachedIdentity = quarantine.Identity(r.service.Name, r.accountName(), r.call.Method, r.call.Target, r.call.Body)
+	}
+	return r.cachedIdentity
+}
+
 // promptID identifies the request and the retries of its caller, which repeat the last part of the prompt.
 func (r *request) promptID() string {
 	if r.call.OwnPart != "" {
