gateway: keep requests that crashed three upstreams from the others

Callers saw: one request, which came again with the same path, caller and body, crashed runner after runner; every sound request at a runner broke with it.

Cause: only parts of prompts had a memory of crashes. servePlain neither asked the quarantine nor told it, and a request without shared parts had nothing that is remembered. The quarantine's rules would not have helped: one request that comes again counts once, and so do its two attempts within 250 ms.

The identity of a request (a hash of service, account, method, target and body) is now one more of its parts, of which three processes that crashed with it, at any spacing, quarantine it at all routers. An answer below 500, or the first event of a stream, clears it. Sound requests that were at the same three upstreams have the same evidence; one of them is let through after 5 to 10 s, in place of one to two minutes, and a router that lets one through tells the others at once.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
 )
 
 // Metrics counts requests by outcome. No label contains an account, a key or a request id.
@@ -11,8 +13,9 @@
 	requests  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	sends     *prometheus.CounterVec
-	// promptCrashes counts the attempts that an engine broke before their first event.
-	promptCrashes prometheus.Counter
+	// promptCrashes counts the attempts that an engine broke before their first event, and plainCrashes those that an upstream of a
+	// plain service broke before their answer was complete.
+	promptCrashes, plainCrashes prometheus.Counter
 	// limitedSends counts the attempts for which the limit of an upstream gave no permission.
 	limitedSends prometheus.Counter
 }
@@ -33,11 +36,14 @@
 		promptCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_broken_before_first_event_total", Help: "Attempts that an engine broke before their first event.",
 		}),
+		plainCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_broken_before_answer_total", Help: "Attempts that an upstream of a plain service broke before their answer was complete.",
+		}),
 		limitedSends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_limited_sends_total", Help: "Attempts that were not sent because of the limit that an upstream named.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends)
 	return m
 }
 
@@ -51,5 +57,14 @@
 	m.durations.WithLabelValues(kind).Observe(time.Since(r.began).Seconds())
 }
 
+// countCrash counts an attempt that an upstream of a service broke before its answer.
+func (m *Metrics) countCrash(service *fleet.Service) {
+	if service.Engine != nil {
+		m.promptCrashes.Inc()
+	} else {
+		m.plainCrashes.Inc()
+	}
+}
+
 // CountSend counts a call that was sent to an upstream.
 func (m *Metrics) CountSend(purpose, result string) { m.sends.WithLabelValues(purpose, result).Inc() }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -311,9 +311,10 @@
 	response, err := r.send(ctx, attempt)
 	if err != nil {
 		r.g.Metrics.CountSend(purpose, "failed")
-		if err = timeoutRefusal(ctx, err); r.mayBeCrash(err) {
+		if r.mayBeCrash(ctx, err) {
 			r.recordCrash(attempt.Upstream)
 		}
+		err = timeoutRefusal(ctx, err)
 		if attempt.KVHandle != nil && !keepsHandle(err) {
 			r.dropHandle()
 		}
@@ -324,6 +325,9 @@
 	if response.Status != http.StatusOK {
 		answer, err := r.readAnswer(response, attempt.Upstream, work, purpose)
 		if err != nil {
+			if r.mayBeCrash(ctx, err) {
+				r.recordCrash(attempt.Upstream)
+			}
 			return timeoutRefusal(ctx, err)
 		}
 		return r.forwardEngineError(answer, out)
@@ -336,7 +340,7 @@
 		answerTimer.stop()
 		eventTimer = r.startEventTimer(attempt.Upstream, cancel)
 		firstAt = time.Now()
-		r.recordFirstEvent()
+		r.recordSurvival()
 		if attempt.KVHandle == nil && work.SolePrefill && attempt.ResumeAfter == "" {
 			r.g.Board.RecordPrefillTime(attempt.Upstream.ID, r.call.PromptTokens, time.Since(began))
 		}
@@ -352,10 +356,10 @@
 		if r.ctx.Err() == nil {
 			r.g.Board.MarkSuspect(attempt.Upstream.ID, time.Now())
 		}
-		if err = timeoutRefusal(ctx, err); firstAt.IsZero() && r.mayBeCrash(err) {
+		if firstAt.IsZero() && r.mayBeCrash(ctx, err) {
 			r.recordCrash(attempt.Upstream)
 		}
-		return err
+		return timeoutRefusal(ctx, err)
 	}
 	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, (r.events-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.CountSend(purpose, "answered")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,6 +40,12 @@
 		if r.acquirePermit(r.ctx, upstream) != nil {
 			continue
 		}
+		if err := r.enterQuarantine(); err != nil {
+			if answer != nil {
+				return r.deliver(answer)
+			}
+			return err
+		}
 		if answer != nil {
 			answer.close()
 		}
@@ -132,10 +138,16 @@
 	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter, Permitted: true})
 	if err != nil {
 		r.g.Metrics.CountSend("plain", "failed")
+		if r.mayBeCrash(ctx, err) {
+			r.recordCrash(upstream)
+		}
 		return nil, err
 	}
 	answer, err := r.readAnswer(response, upstream, work, "plain")
 	if err != nil {
+		if r.mayBeCrash(ctx, err) {
+			r.recordCrash(upstream)
+		}
 		response.Close()
 		return nil, err
 	}
@@ -145,6 +157,7 @@
 		response.Close()
 		r.g.Board.RecordAnswerTime(upstream.ID, time.Since(began))
 		r.g.Metrics.CountSend("plain", "answered")
+		r.recordAnswer(response.Status)
 	}
 	if response.Status >= 500 {
 		return answer, &verdict.Refusal{Verdict: verdict.Ran, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "status " + strconv.Itoa(response.Status)}
@@ -175,13 +188,20 @@
 	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body), rest))
 	if rest.err == nil {
 		r.g.Metrics.CountSend(answer.purpose, "answered")
+		if err == nil {
+			r.recordAnswer(answer.status)
+		}
 		return wrapForwardError(0, err)
 	}
 	if r.ctx.Err() == nil {
 		r.g.Board.MarkSuspect(answer.upstream.ID, time.Now())
 	}
 	r.g.Metrics.CountSend(answer.purpose, "cut")
-	return truncatedAnswer(rest.err)
+	failure := truncatedAnswer(rest.err)
+	if r.mayBeCrash(r.ctx, failure) {
+		r.recordCrash(answer.upstream)
+	}
+	return failure
 }
 
 // restReader reads the rest of an answer. It keeps an error that it returned, which distinguishes a failure of the upstream from
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
 	"strings"
 	"time"
 
@@ -13,23 +15,24 @@
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
-// checkQuarantine refuses a request with a prompt that crashes engines.
+// checkQuarantine refuses a request that crashes upstreams, by itself or because of its prompt.
 func (r *request) checkQuarantine() error {
 	if r.probe || r.events > 0 { // an engine has survived the start of its output
 		return nil
 	}
-	return r.quarantineError(r.g.Quarantine.Check(r.promptParts, time.Now()))
+	return r.quarantineError(r.g.Quarantine.Check(r.suspectedParts(), time.Now()))
 }
 
-// enterQuarantine makes the same check right before the request is sent to an engine. The request may be let through to find out
-// whether its prompt still crashes engines.
+// enterQuarantine makes the same check right before the request is sent to an upstream. The request may be let through to find out
+// whether it still crashes upstreams.
 func (r *request) enterQuarantine() error {
 	if r.probe || r.events > 0 {
 		return nil
 	}
-	decision := r.g.Quarantine.Enter(r.promptParts, time.Now())
+	parts := r.suspectedParts()
+	decision := r.g.Quarantine.Enter(parts, time.Now())
 	if r.probe = decision.Probe; r.probe {
-		r.recordStep("quarantine_probe", strings.Join(r.promptParts, ","))
+		r.recordStep("quarantine_probe", strings.Join(parts, ","))
 	}
 	return r.quarantineError(decision)
 }
@@ -38,7 +41,7 @@
 	if !decision.Blocked {
 		return nil
 	}
-	refusal := verdict.Refuse(wirev1.Reason_REASON_PROMPT_QUARANTINED, "requests with the prompt parts %s crashed several engines", strings.Join(decision.Parts, ","))
+	refusal := verdict.Refuse(wirev1.Reason_REASON_PROMPT_QUARANTINED, "requests with the parts %s crashed several upstreams", strings.Join(decision.Parts, ","))
 	if r.possibleRuns > 0 {
 		refusal.Verdict = verdict.MayHaveRun
 		return refusal
@@ -47,23 +50,44 @@
 	return refusal
 }
 
-// recordCrash records that an engine broke the connection while the request waited for its first event. The engine may also have
-// only lost the answer; a later first event of a request with the same parts clears them.
-func (r *request) recordCrash(engine *fleet.Upstream) {
+// suspectedParts returns the parts of the request that may be suspected: those of its prompt, and its identity.
+func (r *request) suspectedParts() []string {
+	if !r.g.Quarantine.SuspectsRequests() {
+		return r.promptParts
+	}
+	return r.allParts()
+}
+
+func (r *request) allParts() []string {
+	return append(r.promptParts[:len(r.promptParts):len(r.promptParts)], r.identity())
+}
+
+// recordCrash records that an upstream broke the connection while the request waited for its answer, or for its first event. The
+// upstream may also have only lost the answer; a later answer or first event clears the parts that the requests share.
+func (r *request) recordCrash(upstream *fleet.Upstream) {
 	r.probe = false
+	parts := r.allParts()
 	quarantined := r.g.Quarantine.RecordCrash(quarantine.Crash{
-		Upstream: engine.ID, Incarnation: engine.Incarnation, Request: r.promptID(), Parts: r.promptParts, At: time.Now(),
+		Upstream: upstream.ID, Incarnation: upstream.Incarnation, Request: r.promptID(), Parts: parts, At: time.Now(),
 	})
-	r.g.Metrics.promptCrashes.Inc()
-	r.g.Logger.Info("engine broke before the first event", zap.String("request", r.call.ID), zap.String("upstream", engine.ID),
-		zap.Strings("parts", r.promptParts), zap.Strings("quarantined", quarantined))
+	r.g.Metrics.countCrash(r.service)
+	r.g.Logger.Info("upstream broke before the answer", zap.String("request", r.call.ID), zap.String("upstream", upstream.ID),
+		zap.Strings("parts", parts), zap.Strings("quarantined", quarantined))
 }
 
-// recordFirstEvent records that an engine survived the start of the request's output.
-func (r *request) recordFirstEvent() {
+// recordSurvival records that an upstream survived the start of the request's output.
+func (r *request) recordSurvival() {
 	r.probe = false
-	if cleared := r.g.Quarantine.RecordFirstEvent(r.promptParts, time.Now()); len(cleared) > 0 {
-		r.g.Logger.Info("prompt parts cleared by a first event", zap.String("request", r.call.ID), zap.Strings("parts", cleared))
+	if cleared := r.g.Quarantine.RecordFirstEvent(r.suspectedParts(), time.Now()); len(cleared) > 0 {
+		r.g.Logger.Info("parts cleared by an answer", zap.String("request", r.call.ID), zap.Strings("parts", cleared))
+	}
+}
+
+// recordAnswer records that an upstream sent a complete answer to the request. One with an error status clears nothing: an upstream in
+// trouble may send it before it comes to what crashes it.
+func (r *request) recordAnswer(status int) {
+	if status < http.StatusInternalServerError {
+		r.recordSurvival()
 	}
 }
 
@@ -84,12 +108,12 @@
 	return r.call.ID
 }
 
-// mayBeCrash reports whether an attempt that failed before its first event failed like one at an engine that crashed. A timeout does
-// not count, because an engine that hangs does so for all requests. A stream that continues after its first events does not either,
-// because an engine has survived the start of its output.
-func (r *request) mayBeCrash(err error) bool {
+// mayBeCrash reports whether an attempt that failed before its answer or first event failed like one at an upstream that crashed. ctx is
+// the context of the attempt. A timeout does not count, because an upstream that hangs does so for all requests. A stream that continues
+// after its first events does not either, because an engine has survived the start of its output.
+func (r *request) mayBeCrash(ctx context.Context, err error) bool {
 	var refusal *verdict.Refusal
-	return r.ctx.Err() == nil && r.events == 0 && errors.As(err, &refusal) && refusal.Reason == wirev1.Reason_REASON_UPSTREAM_BROKE
+	return ctx.Err() == nil && r.events == 0 && errors.As(err, &refusal) && refusal.Reason == wirev1.Reason_REASON_UPSTREAM_BROKE
 }
 
 // qualifyParts adds the name of the service to the parts of a prompt, because another service may have another model.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,5 +1,10 @@
-// Package quarantine finds the parts of prompts that crash engines, and decides which requests are kept from the engines because
-// of them. It does no I/O; callers pass in the current time.
+// Package quarantine finds the parts of prompts that crash engines, and the requests that crash upstreams of any kind each time
+// that they come, and decides which requests are kept from the upstreams because of them. It does no I/O; callers pass in the current
+// time.
+//
+// The identity of a request (Identity) is treated as one more of its parts, which only the same request has. Three upstreams that
+// crashed with it and no answer in between quarantine it; the rules for parts of prompts below are stricter, because a wrong
+// quarantine of a part concerns many requests.
 //
 // A part is suspected when an engine crashed while a request with it waited for its first event. A first event for any request
 // with the part clears it, because a part that crashes engines never gets that far. A part that caused crashes at several
@@ -12,6 +17,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,16 +49,26 @@
 	maxCrashesPerSuspect = 8
 	// maxParts limits the parts of one prompt that are considered. They are the last ones, which fewer requests share.
 	maxParts = 64
+	// maxPartsPerCrash limits the parts of all requests that waited at the engine of one crash.
+	maxPartsPerCrash = 256
+	// maxIdentities limits the memory for identities. A crash adds one for each request that was at the upstream, so there are more
+	// of them than parts.
+	maxIdentities = 2048
+	// ambiguousBlockTime is how long the first quarantine of an identity lasts at least while another identity has the same
+	// crashes. One of the two is sound then and must not be refused for long. It covers the restart of the upstreams.
+	ambiguousBlockTime = 5 * time.Second
+	// maxReportedCrashes limits the size of a report.
+	maxReportedCrashes = 1024
 )
 
-// Crash says that an engine crashed while a request waited for its first event.
+// Crash says that an upstream crashed while a request waited for its answer, or for the first event of a stream.
 type Crash struct {
 	// Upstream and Incarnation identify the process that crashed. It counts once for a part.
 	Upstream    string
 	Incarnation int64
 	// Request identifies the request; the retries of its caller have the same value.
 	Request string
-	// Parts are the identifiers of the parts of the prompt that other requests may share.
+	// Parts are the identifiers of the parts of the prompt that other requests may share, and the identity of the request.
 	Parts []string
 	At    time.Time
 }
@@ -65,7 +81,10 @@
 // Report is what a process tells the others when it learns something.
 type Report struct {
 	Crashes []Crash
-	// Cleared are the parts that a first event has cleared.
+	// Probes are the quarantined parts for which the sender has just let a request through; the others then let none through. Each
+	// has Parts and At, and no upstream.
+	Probes []Crash
+	// Cleared are the parts that a first event or an answer has cleared.
 	Cleared []string
 }
 
@@ -78,6 +97,10 @@
 
 	mu       sync.Mutex // guards the fields below
 	suspects map[string]*suspect
+	// identities is the number of suspects that are identities. It is also read without mu.
+	identities atomic.Int64
+	// expiredAt is when the expired suspects were last dropped.
+	expiredAt time.Time
 	// survivals has the time of the last first event of a request with a part. Crashes before it say nothing of the part.
 	survivals map[string]time.Time
 	// sweptAt is when the expired survivals were last dropped.
@@ -116,6 +139,7 @@
 // Apply adds the report of another process, received at now, and returns the parts that are quarantined because of it.
 func (l *List) Apply(report Report, now time.Time) (quarantined []string) {
 	l.clear(report.Cleared, now)
+	l.addProbes(report.Probes)
 	for _, crash := range report.Crashes {
 		quarantined = append(quarantined, l.addCrash(crash)...)
 	}
@@ -132,9 +156,7 @@
 		}
 		s := l.suspects[part]
 		if s == nil {
-			l.makeRoom()
-			s = new(suspect)
-			l.suspects[part] = s
+			s = l.insert(part)
 		}
 		if s.add(crash) {
 			quarantined = append(quarantined, part)
@@ -143,8 +165,29 @@
 	return quarantined
 }
 
-// RecordFirstEvent clears the parts of a request that reached its first event at now, and returns those that were suspected.
+// addProbes records that other processes let requests through.
+func (l *List) addProbes(probes []Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, probe := range probes {
+		for _, part := range probe.Parts {
+			if s := l.suspects[part]; s != nil && s.quarantined() {
+				s.probeUntil = later(s.probeUntil, probe.At.Add(probeTime))
+			}
+		}
+	}
+}
+
+// SuspectsRequests reports whether any identity is suspected. While none is, callers need not compute that of a request that is sent
+// or answered.
+func (l *List) SuspectsRequests() bool { return l.identities.Load() > 0 }
+
+// RecordFirstEvent clears the parts of a request that was answered, or reached its first event, at now. It returns those that were
+// suspected.
 func (l *List) RecordFirstEvent(parts []string, now time.Time) (cleared []string) {
+	if len(parts) == 0 {
+		return nil
+	}
 	cleared, lifted := l.clear(lastParts(parts), now)
 	if len(cleared) > 0 {
 		l.send(Report{Cleared: cleared})
@@ -160,10 +203,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, part := range parts {
-		l.addSurvival(part, now)
+		if !isIdentity(part) { // there are too many of them to remember each
+			l.addSurvival(part, now)
+		}
 		if s := l.suspects[part]; s != nil {
 			lifted = lifted || s.quarantined()
-			delete(l.suspects, part)
+			l.remove(part, s)
 			cleared = append(cleared, part)
 		}
 	}
@@ -216,8 +261,21 @@
 func (l *List) Enter(parts []string, now time.Time) Decision { return l.decide(parts, now, true) }
 
 func (l *List) decide(parts []string, now time.Time, enter bool) Decision {
+	if len(parts) == 0 {
+		return Decision{}
+	}
+	decision, probed := l.decideLocked(parts, now, enter)
+	if len(probed) > 0 {
+		l.send(Report{Probes: []Crash{{Parts: probed, At: now}}})
+	}
+	return decision
+}
+
+// decideLocked also returns the parts for which the request is let through.
+func (l *List) decideLocked(parts []string, now time.Time, enter bool) (decision Decision, probed []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expire(now)
 	var due []*suspect
 	for _, part := range parts {
 		s := l.suspects[part]
@@ -228,17 +286,33 @@
 		if !containsAll(parts, common) {
 			continue
 		}
-		if until := later(s.blockedUntil, s.probeUntil); now.Before(until) {
-			return Decision{Blocked: true, Parts: common, RetryAfter: until.Sub(now)}
+		if until := later(l.blockedUntil(s), s.probeUntil); now.Before(until) {
+			return Decision{Blocked: true, Parts: common, RetryAfter: until.Sub(now)}, nil
 		}
-		due = append(due, s)
+		due, probed = append(due, s), append(probed, part)
+	}
+	if !enter {
+		probed = nil
 	}
-	if enter {
-		for _, s := range due {
+	for _, s := range due {
+		if enter {
 			s.probeUntil = now.Add(probeTime)
 		}
 	}
-	return Decision{Probe: len(due) > 0}
+	return Decision{Probe: len(due) > 0}, probed
+}
+
+// blockedUntil returns when the next request with a quarantined part is let through.
+func (l *List) blockedUntil(s *suspect) time.Time {
+	if s.identity == "" || s.blocks > 1 {
+		return s.blockedUntil
+	}
+	for _, other := range l.suspects {
+		if other != s && other.identity != "" && other.explains(s) {
+			return s.ambiguousUntil
+		}
+	}
+	return s.blockedUntil
 }
 
 func containsAll(parts, wanted []string) bool {
@@ -277,29 +351,55 @@
 		}
 	}
 	slices.SortFunc(report.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	report.Crashes = report.Crashes[max(0, len(report.Crashes)-maxReportedCrashes):]
 	return report
 }
 
-// expire removes the parts that were not quarantined and had no crash within suspicionTime.
+// insert adds a suspect for a part.
+func (l *List) insert(part string) *suspect {
+	s := new(suspect)
+	if isIdentity(part) {
+		s.identity = part
+		l.makeRoom(int(l.identities.Load()), maxIdentities, func(s *suspect) bool { return s.identity != "" })
+		l.identities.Add(1)
+	} else {
+		l.makeRoom(len(l.suspects)-int(l.identities.Load()), maxSuspects, func(s *suspect) bool { return s.identity == "" })
+	}
+	l.suspects[part] = s
+	return s
+}
+
+func (l *List) remove(part string, s *suspect) {
+	delete(l.suspects, part)
+	if s.identity != "" {
+		l.identities.Add(-1)
+	}
+}
+
+// expire removes the suspects that have expired.
 func (l *List) expire(now time.Time) {
+	if now.Sub(l.expiredAt).Abs() < sweepInterval {
+		return
+	}
+	l.expiredAt = now
 	for part, s := range l.suspects {
-		if !s.quarantined() && now.Sub(s.lastCrash()) > suspicionTime {
-			delete(l.suspects, part)
+		if s.expired(now) {
+			l.remove(part, s)
 		}
 	}
 }
 
-// makeRoom removes a suspect if the list is full: of those that are not quarantined, if there are any, the one whose last crash is
-// the oldest.
-func (l *List) makeRoom() {
-	if len(l.suspects) < maxSuspects {
+// makeRoom removes one of the selected suspects if they are limit or more: of those that are not quarantined, if there are any, the one
+// whose last crash is the oldest, and of identities rather one with fewer crashes.
+func (l *List) makeRoom(count, limit int, selected func(*suspect) bool) {
+	if count < limit {
 		return
 	}
 	oldest := ""
 	for part, s := range l.suspects {
-		if oldest == "" || s.yieldsBefore(l.suspects[oldest]) {
+		if selected(s) && (oldest == "" || s.yieldsBefore(l.suspects[oldest])) {
 			oldest = part
 		}
 	}
-	delete(l.suspects, oldest)
+	l.remove(oldest, l.suspects[oldest])
 }
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -8,6 +8,8 @@
 
 // suspect is what is known of one part.
 type suspect struct {
+	// identity is the identity of the request if the part is one; empty for a part of a prompt.
+	identity string
 	// evidence are the crashes for which the part is quarantined; empty while it is not. crashes are those that they do not
 	// explain, because the requests lacked a part that the evidence has in common. They become the evidence when they are enough.
 	//
@@ -18,6 +20,9 @@
 	// through, and blocks the number of quarantines so far.
 	blockedUntil, probesFrom time.Time
 	blocks                   int
+	// ambiguousUntil takes the place of blockedUntil in the first quarantine of an identity while another one explains all its
+	// crashes as well.
+	ambiguousUntil time.Time
 	// probeUntil is until when a request that was let through may still reach its first event.
 	probeUntil time.Time
 }
@@ -27,6 +32,9 @@
 	if s.addToKnown(&crash) {
 		return false
 	}
+	if s.identity != "" {
+		return s.addRepeated(crash)
+	}
 	if s.quarantined() && containsAll(crash.Parts, s.common()) {
 		if crash.At.Before(s.probesFrom) {
 			return false
@@ -49,13 +57,48 @@
 	return true
 }
 
+// addRepeated adds a crash to an identity. Each process that ended counts, however soon after another, because the attempts of one
+// request follow each other at once. Crashes that renewed the quarantine stay in the evidence, so that a process that gets it from
+// another one also continues with the doubled time.
+func (s *suspect) addRepeated(crash Crash) bool {
+	crash.Parts = []string{s.identity}
+	if s.quarantined() {
+		if crash.At.Before(s.probesFrom) { // sent before the quarantine
+			return false
+		}
+		s.evidence = append(s.evidence, crash)
+		if len(s.evidence) > maxCrashesPerSuspect {
+			s.evidence = s.evidence[1:]
+		}
+		s.block(crash.At)
+		return true
+	}
+	s.crashes = append(s.crashes, crash)
+	if len(s.crashes) < minCrashes {
+		return false
+	}
+	s.evidence, s.crashes = s.crashes, nil
+	s.block(crash.At)
+	return true
+}
+
+// explains reports whether the suspect has a crash of each process in the evidence of other.
+func (s *suspect) explains(other *suspect) bool {
+	return !slices.ContainsFunc(other.evidence, func(crash Crash) bool {
+		return !slices.ContainsFunc(s.evidence, func(c Crash) bool { return c.atSameEngine(&crash) }) &&
+			!slices.ContainsFunc(s.crashes, func(c Crash) bool { return c.atSameEngine(&crash) })
+	})
+}
+
 // addToKnown adds the parts of a request to the crash of the same engine, if it is known. Any of the requests that waited there may be
 // the cause.
 func (s *suspect) addToKnown(crash *Crash) bool {
 	for _, crashes := range [][]Crash{s.evidence, s.crashes} {
 		for i := range crashes {
 			if known := &crashes[i]; known.atSameEngine(crash) {
-				known.Parts = union(known.Parts, crash.Parts)
+				if s.identity == "" {
+					known.Parts = union(known.Parts, crash.Parts)
+				}
 				return true
 			}
 		}
@@ -72,11 +115,18 @@
 	s.probesFrom = at.Add(block)
 	// With the random part, mostly one process lets a request through first, and its crash renews the quarantine at all.
 	s.blockedUntil = s.probesFrom.Add(rand.N(block))
-	s.probeUntil = s.blockedUntil
+	s.probeUntil = time.Time{}
+	if s.identity != "" && s.blocks == 1 {
+		s.probesFrom = at.Add(ambiguousBlockTime)
+		s.ambiguousUntil = s.probesFrom.Add(rand.N(ambiguousBlockTime))
+	}
 }
 
 // clear removes parts that a first event has cleared from all crashes.
 func (s *suspect) clear(parts []string) {
+	if s.identity != "" {
+		return
+	}
 	for _, crashes := range [][]Crash{s.evidence, s.crashes} {
 		for i := range crashes {
 			crashes[i].Parts = slices.DeleteFunc(crashes[i].Parts, func(part string) bool { return slices.Contains(parts, part) })
@@ -117,6 +167,9 @@
 
 // common returns the parts that all crashes of the evidence have in common. It includes the part itself.
 func (s *suspect) common() []string {
+	if s.identity != "" {
+		return []string{s.identity}
+	}
 	common := slices.Clone(s.evidence[0].Parts)
 	for _, crash := range s.evidence[1:] {
 		common = slices.DeleteFunc(common, func(part string) bool { return !slices.Contains(crash.Parts, part) })
@@ -124,20 +177,32 @@
 	return common
 }
 
-// union returns the parts of a and those of b that are not in a.
+// union returns the parts of a and those of b that are not in a, up to maxPartsPerCrash.
 func union(a, b []string) []string {
 	for _, part := range b {
-		if !slices.Contains(a, part) {
+		if len(a) < maxPartsPerCrash && !slices.Contains(a, part) {
 			a = append(a, part)
 		}
 	}
 	return a
 }
 
+// expired reports whether nothing is lost without the suspect. A quarantined part of a prompt stays until it is cleared.
+func (s *suspect) expired(now time.Time) bool {
+	if s.quarantined() {
+		return s.identity != "" && now.Sub(s.blockedUntil) > maxBlockTime
+	}
+	return now.Sub(s.lastCrash()) > suspicionTime
+}
+
+// yieldsBefore reports whether the suspect makes room before another one.
 func (s *suspect) yieldsBefore(other *suspect) bool {
 	if s.quarantined() != other.quarantined() {
 		return other.quarantined()
 	}
+	if s.identity != "" && len(s.crashes) != len(other.crashes) {
+		return len(s.crashes) < len(other.crashes)
+	}
 	return s.lastCrash().Before(other.lastCrash())
 }
 
