quarantine: report quarantined requests from a full memory

A process that connects gets all that another one knows, but only the last 1,024 crashes, so that the crashes of a quarantined request could be left out behind those of many others, and the new process would have sent it on. The limit now holds for the store alone, whose values are bounded. 2,048 crashes of 67 bytes are a message of 0.14 MB, and a stream takes 16 MiB. Tests: failed before (TestQuarantinedIdentityIsReportedFromFullList, TestStoredQuarantinesAreBounded).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -59,8 +59,8 @@
 	// ambiguousBlockTime is how long the first quarantine of an identity lasts at least while another identity has the same
 	// crashes. One of the two is sound then and must not be refused for long. It covers the restart of the upstreams.
 	ambiguousBlockTime = 5 * time.Second
-	// maxReportedCrashes limits the size of a report.
-	maxReportedCrashes = 1024
+	// maxStoredCrashes limits the size of the report that is kept in the store. The latest crashes are kept.
+	maxStoredCrashes = 512
 )
 
 // Crash says that an upstream crashed while a request waited for its answer, or for the first event of a stream.
@@ -333,8 +333,12 @@
 	return l.report(func(s *suspect) []Crash { return slices.Concat(s.evidence, s.crashes) })
 }
 
-// Quarantined returns a report of the quarantined parts alone.
-func (l *List) Quarantined() Report { return l.report(func(s *suspect) []Crash { return s.evidence }) }
+// Quarantined returns a report of the quarantined parts alone, for the store.
+func (l *List) Quarantined() Report {
+	report := l.report(func(s *suspect) []Crash { return s.evidence })
+	report.Crashes = report.Crashes[max(0, len(report.Crashes)-maxStoredCrashes):]
+	return report
+}
 
 // report returns a report of the selected crashes of all suspects, each crash once, in the order of time.
 func (l *List) report(selected func(*suspect) []Crash) Report {
@@ -360,7 +364,6 @@
 		}
 	}
 	slices.SortFunc(report.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	report.Crashes = report.Crashes[max(0, len(report.Crashes)-maxReportedCrashes):]
 	return report
 }
 
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// Guards against a process that connects and does not learn of a quarantined request, because many suspects were added after it.
+func TestQuarantinedIdentityIsReportedFromFullList(t *testing.T) {
+	l, connected := NewList(), NewList()
+	last := crashes(l, start, 3, deadly)
+	for i := range 2 * maxIdentities {
+		l.RecordCrash(Crash{Upstream: "v", Request: fmt.Sprint(i), Parts: []string{fmt.Sprint("request:", i)}, At: last.Add(time.Duration(i) * time.Millisecond)})
+	}
+	now := last.Add(2 * maxIdentities * time.Millisecond)
+	if connected.Apply(l.Known(), now); !isBlocked(connected, now, deadly) {
+		t.Error("not blocked at a process that has just connected")
+	}
+}
+
+// Guards against a record in the store that grows without limit.
+func TestStoredQuarantinesAreBounded(t *testing.T) {
+	l := NewList()
+	for i := range maxIdentities {
+		crashes(l, start.Add(time.Duration(i)*time.Millisecond), 3, fmt.Sprint("request:", i))
+	}
+	if n := len(l.Quarantined().Crashes); n > maxStoredCrashes {
+		t.Errorf("%d crashes in the report for the store", n)
+	}
+}
+
 // Guards against probes of many processes at the same moment, each of which crashes an upstream, and against a sound request that
 // stays refused because it was at the same three upstreams. Reports take reportTime, and an upstream crashes crashTime after it gets the
 // request.
