--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -110,6 +110,39 @@
 	eventually(t, "a first event at one process clears the part at all", func() bool { return !blocked(a) && !blocked(b) && !blocked(late) })
 }
 
+// Guards against processes that each let the same request through after its quarantine, and against one that connects later and does not
+// know the request.
+func TestProbesReachAllProcesses(t *testing.T) {
+	a, b, late := startNode(t, "a"), startNode(t, "b"), startNode(t, "late")
+	members := map[string]string{"a": a.address, "b": b.address}
+	a.mesh.SetMembers(members)
+	b.mesh.SetMembers(members)
+	eventually(t, "a and b connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
+	parts := []string{quarantine.Identity("shop", "acme", "GET", "/look", nil)}
+	for i := range 3 {
+		// The quarantine lasts for at most two minutes.
+		a.prompts.RecordCrash(quarantine.Crash{Upstream: string(rune('u' + i)), Request: string(rune('r' + i)), Parts: parts, At: time.Now().Add(-3 * time.Minute)})
+	}
+	eventually(t, "b knows the request", func() bool { return b.prompts.Check(parts, time.Now()).Probe })
+	if decision := a.prompts.Enter(parts, time.Now()); !decision.Probe {
+		t.Fatalf("the request is not let through: %+v", decision)
+	}
+	eventually(t, "b lets no other one through", func() bool { return b.prompts.Check(parts, time.Now()).Blocked })
+	a.prompts.RecordCrash(quarantine.Crash{Upstream: "x", Request: "x", Parts: parts, At: time.Now()})
+	members["late"] = late.address
+	for _, n := range []*node{a, b, late} {
+		n.mesh.SetMembers(members)
+	}
+	eventually(t, "all block for longer than before", func() bool {
+		for _, n := range []*node{a, b, late} {
+			if n.prompts.Check(parts, time.Now()).RetryAfter < 2*time.Minute-10*time.Second {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // BenchmarkPermit measures a request for a permit of another process, both ends.
 func BenchmarkPermit(b *testing.B) {
 	first, second := startNode(b, "a"), startNode(b, "b")
