quarantine: take a report as a whole

A router that connects gets the crashes of a quarantine one by one. Between two of them, a request at that router dropped suspects without a crash in the last two minutes, and an old quarantine was lost with its first crash, since suspects also expire when requests are checked. Reports are now added under one lock, and suspects expire before. Test: failed before (TestOldQuarantineArrivesBesideRequests, at the first of 500 tries).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	crash.Parts = lastParts(crash.Parts)
-	quarantined = l.addCrash(crash)
+	quarantined = l.addCrashes([]Crash{crash}, crash.At)
 	l.send(Report{Crashes: []Crash{crash}})
 	if len(quarantined) > 0 {
 		l.changed()
@@ -142,16 +142,22 @@
 func (l *List) Apply(report Report, now time.Time) (quarantined []string) {
 	l.clear(report.Cleared, now)
 	l.addProbes(report.Probes)
-	for _, crash := range report.Crashes {
+	return l.addCrashes(report.Crashes, now)
+}
+
+// addCrashes adds crashes that became known at now. Suspects expire only before, because the first crashes of a report may be older than
+// suspicionTime and still be part of a quarantine.
+func (l *List) addCrashes(crashes []Crash, now time.Time) (quarantined []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	for _, crash := range crashes {
 		quarantined = append(quarantined, l.addCrash(crash)...)
 	}
 	return quarantined
 }
 
 func (l *List) addCrash(crash Crash) (quarantined []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expire(crash.At)
 	for _, part := range crash.Parts {
 		if !crash.At.After(l.survivals[part]) {
 			continue
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -117,6 +117,36 @@
 	}
 }
 
+// Guards against the loss of an old quarantine that arrives from another process while requests are checked.
+func TestOldQuarantineArrivesBesideRequests(t *testing.T) {
+	l := NewList()
+	last := crashes(l, start, 3, deadly)
+	now := last.Add(2 * suspicionTime)
+	again := crashes(l, now, 1, deadly)
+	known, now := l.Known(), again.Add(time.Second)
+	for range 500 {
+		connected := NewList()
+		stop, stopped := make(chan bool), make(chan bool)
+		go func() {
+			defer close(stopped)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					connected.Check([]string{sound}, now)
+				}
+			}
+		}()
+		connected.Apply(known, now)
+		close(stop)
+		<-stopped
+		if !isBlocked(connected, now, deadly) {
+			t.Fatal("the request is not blocked")
+		}
+	}
+}
+
 // Guards against a record in the store that grows without limit.
 func TestStoredQuarantinesAreBounded(t *testing.T) {
 	l := NewList()
