quarantine: make room after a whole report

A quarantine that arrived at a router whose memory was full was lost: its first crash, the oldest of all, made room for the next ones. Room is made when all crashes of the report are in. Test: failed before (TestQuarantineArrivesAtFullList).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -154,6 +154,10 @@
 	for _, crash := range crashes {
 		quarantined = append(quarantined, l.addCrash(crash)...)
 	}
+	// Room is made afterwards, so that no suspect is displaced between two of its crashes.
+	identities := int(l.identities.Load())
+	l.makeRoom(identities, maxIdentities, func(s *suspect) bool { return s.identity != "" })
+	l.makeRoom(len(l.suspects)-identities, maxSuspects, func(s *suspect) bool { return s.identity == "" })
 	return quarantined
 }
 
@@ -378,10 +382,7 @@
 	s := new(suspect)
 	if isIdentity(part) {
 		s.identity = part
-		l.makeRoom(int(l.identities.Load()), maxIdentities, func(s *suspect) bool { return s.identity != "" })
 		l.identities.Add(1)
-	} else {
-		l.makeRoom(len(l.suspects)-int(l.identities.Load()), maxSuspects, func(s *suspect) bool { return s.identity == "" })
 	}
 	l.suspects[part] = s
 	return s
@@ -407,11 +408,11 @@
 	}
 }
 
-// makeRoom removes some of the selected suspects if they are limit or more: of those that are not quarantined, if there are any, the
+// makeRoom removes some of the selected suspects if they are more than limit: of those that are not quarantined, if there are any, the
 // ones whose last crash is the oldest, and of identities rather those with fewer crashes. It removes several at once, because it looks
 // at all of them.
 func (l *List) makeRoom(count, limit int, selected func(*suspect) bool) {
-	if count < limit {
+	if count <= limit {
 		return
 	}
 	type entry struct {
@@ -429,7 +430,8 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b entry) int { return a.suspect.compare(b.suspect) })
-	for _, e := range entries[:max(1, min(removable, limit/removedShare))] {
+	excess := count - limit
+	for _, e := range entries[:max(excess, min(removable, excess+limit/removedShare))] {
 		l.remove(e.part, e.suspect)
 	}
 }
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -147,6 +147,26 @@
 	}
 }
 
+// Guards against the loss of a quarantine that arrives at a process whose memory is full.
+func TestQuarantineArrivesAtFullList(t *testing.T) {
+	for _, fill := range []int{maxIdentities - 1, maxIdentities, maxIdentities + 1, maxIdentities + maxIdentities/removedShare - 1} {
+		l, full := NewList(), NewList()
+		last := crashes(l, start, 3, deadly)
+		for i := range maxIdentities / 2 {
+			l.RecordCrash(Crash{Upstream: "v", Request: fmt.Sprint(i), Parts: []string{fmt.Sprint("request:", i)}, At: start.Add(time.Duration(i) * time.Millisecond)})
+		}
+		for i := range fill {
+			full.RecordCrash(Crash{Upstream: "w", Request: fmt.Sprint(i), Parts: []string{fmt.Sprint("request:full", i)}, At: last.Add(time.Second)})
+		}
+		if full.Apply(l.Known(), last.Add(time.Second)); !isBlocked(full, last.Add(time.Second), deadly) {
+			t.Errorf("%d identities before: the request is not blocked", fill)
+		}
+		if n := full.identities.Load(); n > maxIdentities {
+			t.Errorf("%d identities before: %d after", fill, n)
+		}
+	}
+}
+
 // Guards against a record in the store that grows without limit.
 func TestStoredQuarantinesAreBounded(t *testing.T) {
 	l := NewList()
