platform: don't take an answer without an id for the request's on a kept connection

What callers saw: a runner that wrote a refusal without Fulmardoor-Request-Id on a kept connection, before the answer to the request, made the router tell "not run" for a booking that the runner ran (REFUSED), or send it to a second runner (TWICE). An answer of status 200 without an id reached another client (MIXED).

Cause: Protocol.IsAnswerTo took every answer without an id for the answer to the request that was sent last, because a refusal "may lack it". Bytes that wait before the send close the connection (idleAndOpen), but those that arrive after it were not told apart.

Fix: an answer without an id is taken only if it is the first on its connection; no earlier request can have caused it there. Otherwise it is skipped like one with another id: the wait for the request's own answer goes on, at most four answers are skipped, and a connection that ends or stays silent gives "may have run". A lookup goes to another runner then; a booking is answered 502 or 504.

Cost: a runner that omits the id in refusals on kept connections would now hold a request until its timer.

The same id on the same connection: a connection is closed after each refusal of a request (its body is not read), and the runner is excluded, so a refusal with the request's own id cannot be one of an earlier attempt.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,8 +89,9 @@
 	ParseCall(r *http.Request) (*Call, error)
 	// RequestHeader returns the headers with which a call is sent to an upstream.
 	RequestHeader(call *Call, attempt *Attempt) http.Header
-	// IsAnswerTo reports whether an answer with these headers is the answer to the call.
-	IsAnswerTo(call *Call, header http.Header) bool
+	// IsAnswerTo reports whether an answer with these headers is the answer to the call. first is set for the first answer on a
+	// connection.
+	IsAnswerTo(call *Call, header http.Header, first bool) bool
 	// ReadAnswer reads the headers of an answer.
 	ReadAnswer(status int, header http.Header) Answer
 	// ReadHandle reads the body of an answer to a PrefillOnly attempt.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,7 +28,7 @@
 	response, err := r.g.Pool.Do(ctx, &upstreamconn.Request{
 		Address: attempt.Upstream.Address, Method: r.call.Method, Target: r.call.Target, Host: r.call.Host,
 		Header: r.g.Protocol.RequestHeader(r.call, attempt), Body: r.call.Body,
-		Accept: func(header http.Header) bool { return r.g.Protocol.IsAnswerTo(r.call, header) },
+		Accept: func(header http.Header, first bool) bool { return r.g.Protocol.IsAnswerTo(r.call, header, first) },
 	})
 	now := time.Now()
 	if err != nil {
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -26,6 +26,8 @@
 	expires time.Time
 	// writeStarted is set once any byte of the current request may have been written to the connection.
 	writeStarted bool
+	// responded is set once a response was received on the connection.
+	responded bool
 }
 
 func newConn(raw net.Conn, address string) *conn {
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -38,8 +38,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Accept reports whether a response belongs to this request; others are skipped. A nil Accept accepts any response.
-	Accept func(header http.Header) bool
+	// Accept reports whether a response belongs to this request; others are skipped. first is set for the first response on a
+	// connection, which cannot be one to an earlier request. A nil Accept accepts any response.
+	Accept func(header http.Header, first bool) bool
 }
 
 // Response is the response to one request. The caller must call Close.
@@ -153,7 +154,9 @@
 			}
 			return nil, errors.Wrap(err, "read response")
 		}
-		if r.Accept == nil || r.Accept(raw.Header) {
+		first := !c.responded
+		c.responded = true
+		if r.Accept == nil || r.Accept(raw.Header, first) {
 			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, bodyWritten: bodyWritten}
 			response.Body = &bodyReader{response: response}
 			return response, nil
--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -79,7 +79,7 @@
 	defer cancel()
 	response, err := pool.Do(ctx, &Request{
 		Address: address, Method: method, Target: "/x", Host: "h", Header: http.Header{},
-		Accept: func(header http.Header) bool { return header.Get("Id") == id },
+		Accept: func(header http.Header, _ bool) bool { return header.Get("Id") == id },
 	})
 	if err != nil {
 		return "", err
