gateway: don't take an earlier answer for the one to a reservation or an order

What callers would see: the calls of the router itself carry no request id, so any answer that a faulty runner writes before the right one was taken for it. A request got the reservation of another request, a runner with room counted as full after a refusal of a client's request, an order counted as accepted by the answer to the report before it, and a leader gave up after an old 412.

Cause: upstreamconn.Request without Accept takes every response.

A reservation that the same start of a runner gave out within the last 10 s is taken for a repeated answer: the plan is dropped and the connection closed. A repeated refusal of a reservation still costs a plan; nothing false is told by it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	ended context.Context
 	end   context.CancelFunc
 
+	reservations reservationLog
+
 	mu     sync.Mutex                  // guards queues
 	queues map[string]*waitqueue.Queue // by service
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +21,8 @@
 	reserveMargin = 600 * time.Millisecond
 	// minReserveTTL is the shortest time to live of a reservation.
 	minReserveTTL = 300 * time.Millisecond
+	// reservationMemory is how long a reservation is remembered at least. Connections are idle for less.
+	reservationMemory = 10 * time.Second
 )
 
 // errNoCapacity means that an engine refused a reservation for lack of memory, or that another process now answers at the
@@ -75,7 +79,38 @@
 		g.Board.MarkReplaced(engine.ID, time.Now())
 		return "", errNoCapacity
 	}
-	return g.Protocol.ReadReservation(response.Status, body)
+	id, err := g.Protocol.ReadReservation(response.Status, body)
+	if err == nil && !g.reservations.add(engine, id, time.Now()) {
+		err = errors.Errorf("reservation %q was already given out", id)
+	}
+	if err != nil {
+		response.Discard()
+	}
+	return id, err
+}
+
+// reservationLog holds the recent reservations. An engine that sends the answer to an earlier call again names a reservation that
+// another request uses. The zero value is ready to use.
+type reservationLog struct {
+	mu sync.Mutex // guards the fields below
+	// older has the reservations of the interval before that of newer, which began at since.
+	newer, older map[string]bool
+	since        time.Time
+}
+
+// add adds a reservation. It returns false if the engine gave it out within the last reservationMemory.
+func (l *reservationLog) add(engine *fleet.Upstream, id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) > reservationMemory {
+		l.newer, l.older, l.since = make(map[string]bool), l.newer, now
+	}
+	key := engine.ID + "/" + strconv.FormatInt(engine.Incarnation, 10) + "/" + id
+	if l.newer[key] || l.older[key] {
+		return false
+	}
+	l.newer[key] = true
+	return true
 }
 
 // dropReservation frees a reservation that will not be used.
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -41,6 +41,9 @@
 	// Accept reports whether a response belongs to this request; others are skipped. first is set for the first response on a
 	// connection, which cannot be one to an earlier request. A nil Accept accepts any response.
 	Accept func(header http.Header, first bool) bool
+	// NewConnection sends the request on a connection of its own, so that no response to an earlier request is taken for its
+	// response.
+	NewConnection bool
 }
 
 // Response is the response to one request. The caller must call Close.
@@ -69,7 +72,7 @@
 // the upstream received no byte of the request. If ctx ends before Close is called, reading Body fails and the connection
 // is not reused.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Address)
+	c, err := p.get(ctx, r.Address, r.NewConnection)
 	if err != nil {
 		return nil, err
 	}
@@ -203,6 +206,14 @@
 	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
 }
 
+// Discard closes the connection. It replaces Close if the response turned out not to be the one to the request.
+func (r *Response) Discard() {
+	r.closeOnce.Do(func() {
+		r.stopCancel()
+		_ = r.conn.Close()
+	})
+}
+
 // Close returns the connection to the pool if the response was read to its end and the connection is reusable, and closes
 // it otherwise.
 func (r *Response) Close() {
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -89,12 +89,16 @@
 	}
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns an idle connection that is still usable, or a new one. With onlyNew it always returns a new one.
+func (p *Pool) get(ctx context.Context, address string, onlyNew bool) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+	for !onlyNew {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
 		if time.Now().Before(c.expires) && c.idleAndOpen() {
 			return c, nil
 		}
