gateway: don't continue a stream with an answer that is not its rest

What callers saw: a stream had begun and broke off, and the next attempt was answered with status 200 but not with the rest of the stream. The text, page or JSON object of an error, or the head of an error answer, stood in the stream (MIXED); an answer without events ended it as if it were complete, and events of another run or after a gap were joined to it (ORDER). A stream with a gap, or with the text of an error, in its first answer looked whole as well.

Cause: forwardEngineError keeps error statuses out of a begun stream, but eventWriter took the body of every 200 for events and its regular end for the end of the stream. Lines were not checked, ids only against repeats.

Fix: an answer that continues a stream must say that it is an event stream, or say nothing of its type; its first event with an id must be the next one, and it must have one unless the longest output that the request permits is reached. In every stream, a line that is no field and no comment is malformed, and so is a gap while the ids count up by one (ids in steps, or that are no numbers, only have to increase). All of this counts as malformed bytes of the engine: the stream is resumed elsewhere if allowed, and otherwise cut.

An output that ends early, is cut off exactly after its last event, and is then continued by an empty answer cannot be told from this fault; it is cut.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,6 +32,10 @@
 	headerSent bool
 	// lastID is the id of the last event that the caller has. It starts as Call.ResumeAfter.
 	lastID string
+	// continuing is set while an answer that continues the stream after lastID has not yet sent an event with an id.
+	continuing bool
+	// irregular is set if the ids do not count up by one. They then only have to increase.
+	irregular bool
 	// eventsWithoutID counts the events since the last one with an id.
 	eventsWithoutID int
 	// onEvent is called after each event with the number of events sent so far.
@@ -38,6 +44,10 @@
 
 // forward copies events until the upstream ends the stream. onFirst is called when the first event was received.
 func (e *eventWriter) forward(response *upstreamconn.Response, onFirst func()) error {
+	if e.headerSent && !mayBeEventStream(response.Header) {
+		return truncatedStream(errors.Wrap(upstreamconn.ErrMalformed, "the answer that continues it is no event stream"))
+	}
+	e.continuing = e.lastID != ""
 	reader := bufio.NewReaderSize(response.Body, 4096)
 	seen := false
 	for {
@@ -56,6 +66,9 @@
 			// The connection of an engine that ends after it sent the headers looks the same as an empty stream.
 			err = errors.New("the connection ended before the first event")
 		}
+		if errors.Is(err, io.EOF) && e.headerSent && e.continuing && !e.hasWholeOutput() {
+			err = errors.Wrap(upstreamconn.ErrMalformed, "the answer that continues it has no event")
+		}
 		if errors.Is(err, io.EOF) && len(bytes.TrimRight(event, "\r\n")) == 0 {
 			if !e.headerSent {
 				e.sendHeader(response)
@@ -96,22 +109,75 @@
 	}
 }
 
-// eventID returns the id field of an event; empty if it has none.
-func eventID(event []byte) string {
+// parseEvent returns the id field of an event; empty if it has none. valid is false if the text is no event, such as the head or the
+// text of an error answer. An event with an id may have fields of an extension.
+func parseEvent(event []byte) (id string, valid bool) {
+	known := true
 	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+		line = bytes.TrimRight(line, "\r\n")
+		name, value, hasValue := bytes.Cut(line, []byte(":"))
+		switch string(bytes.TrimPrefix(name, byteOrderMark)) {
+		case "": // an empty line or a comment
+		case "id":
+			if id == "" {
+				id = string(bytes.TrimSpace(value))
+			}
+		case "data", "event", "retry":
+		default:
+			known = false
+			if !hasValue || bytes.ContainsFunc(name, isNoFieldRune) {
+				return "", false
+			}
 		}
 	}
-	return ""
+	return id, known || id != ""
+}
+
+// byteOrderMark may come before the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// isNoFieldRune reports whether a character does not occur in the names of fields, which are those of headers.
+func isNoFieldRune(r rune) bool {
+	return !('a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || r == '-' || r == '_')
 }
 
-// alreadySent reports whether the caller already has the event with this id. It compares ids as numbers and returns false if
-// one is not a number.
-func (e *eventWriter) alreadySent(id string) bool {
+// checkID reports whether the caller already has the event with this id. It returns an error if events are missing before it, or if
+// an answer that should continue the stream starts elsewhere: it then has the events of another run. Ids are compared as numbers;
+// one that is not a number is accepted.
+func (e *eventWriter) checkID(id string) (alreadySent bool, err error) {
 	number, err := strconv.ParseInt(id, 10, 64)
-	last, lastErr := strconv.ParseInt(e.lastID, 10, 64)
-	return err == nil && lastErr == nil && number <= last
+	if err != nil {
+		e.irregular = true
+		return false, nil
+	}
+	last, err := strconv.ParseInt(e.lastID, 10, 64)
+	switch {
+	case err != nil:
+		e.irregular = e.irregular || e.lastID != "" || number > 1
+		return false, nil
+	case number <= last && e.continuing:
+		return false, errors.Wrapf(upstreamconn.ErrMalformed, "event %d where those after %d are due", number, last)
+	case number <= last:
+		return true, nil
+	case number > last+1 && e.headerSent && !e.irregular:
+		return false, errors.Wrapf(upstreamconn.ErrMalformed, "event %d follows event %d", number, last)
+	case number > last+1:
+		e.irregular = true
+	}
+	return false, nil
+}
+
+// hasWholeOutput reports whether the caller has as many events as the longest output that it permits.
+func (e *eventWriter) hasWholeOutput() bool {
+	last, err := strconv.Atoi(e.lastID)
+	return err == nil && !e.irregular && last >= 0 && last < math.MaxInt32 && last*e.r.service.Engine.TokensPerEvent >= e.r.call.OutputTokens
+}
+
+// mayBeEventStream reports whether an answer says that it is an event stream, or does not say what it is.
+func mayBeEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	mediaType, _, _ := mime.ParseMediaType(contentType)
+	return contentType == "" || mediaType == "text/event-stream"
 }
 
 // sendHeader sends the status and headers of the upstream's answer to the caller.
@@ -126,7 +192,10 @@
 
 // write sends an event to the caller, unless the caller already has it.
 func (e *eventWriter) write(response *upstreamconn.Response, event []byte) error {
-	id := eventID(event)
+	id, valid := parseEvent(event)
+	if !valid {
+		return truncatedStream(errors.Wrap(upstreamconn.ErrMalformed, "a line is no line of an event"))
+	}
 	e.eventsWithoutID++
 	if id != "" {
 		e.eventsWithoutID = 0
@@ -134,8 +203,18 @@
 	if e.eventsWithoutID > maxEventsWithoutID {
 		return truncatedStream(errors.Wrapf(upstreamconn.ErrMalformed, "more than %d events without an id", maxEventsWithoutID))
 	}
-	if id != "" && e.alreadySent(id) {
-		return nil
+	if id == "" && e.headerSent && e.continuing {
+		return nil // it belongs to the start of an answer, which the caller already has
+	}
+	if id != "" {
+		alreadySent, err := e.checkID(id)
+		if err != nil {
+			return truncatedStream(err)
+		}
+		if alreadySent {
+			return nil
+		}
+		e.continuing = false
 	}
 	if !e.headerSent {
 		e.sendHeader(response)
