httpengine: take a stream without a finish reason for broken

What callers would see: an engine that ends a stream with [DONE] after an error object that has no "error" field ({"object":"error","message":...}), or without having generated anything, ended the caller's stream as complete after some or none of its tokens.

Cause: readStream took [DONE] for the end of the output. Engines set the finish reason in the last event before it; events without a choice, such as an error in another form, were skipped.

Fix: [DONE] without a finish reason is engine.ErrBroken, like the end of the connection, so that the output goes on at another engine.

Before the fix: TestStreamWithoutFinish: only the end: [], <nil>, want 0 tokens, complete false no finish: ["a"], <nil>, want 1 tokens, complete false error object as an event: ["a"], <nil>, want 1 tokens, complete false The other cases (text, page, object, empty, no end, error event) passed.

--- /dev/null
+++ b/internal/engine/httpengine/answers_test.go
@@ -0,0 +1,84 @@
+package httpengine_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/engine/httpengine"
+)
+
+// startRawEngine starts an engine that sends responses byte by byte and keeps its connections. number counts the requests of a
+// connection from 1.
+func startRawEngine(t *testing.T, respond func(conn net.Conn, in *http.Request, number int)) *httpengine.Engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for number := 1; ; number++ {
+					in, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, in.Body)
+					respond(conn, in, number)
+				}
+			}()
+		}
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	return httpengine.New("http://"+listener.Addr().String(), client)
+}
+
+func rawResponse(status, contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)
+}
+
+// Guards against a stream that looks complete although the engine answered with an error, or sent only the mark of its end.
+func TestStreamWithoutFinish(t *testing.T) {
+	const token = `data: {"choices":[{"text":"a"}]}` + "\n\n"
+	const finish = `data: {"choices":[{"text":"","finish_reason":"stop"}]}` + "\n\n"
+	const end = "data: [DONE]\n\n"
+	for _, c := range []struct {
+		name, contentType, body string
+		wantTokens              int
+		complete                bool
+	}{
+		{"whole", "text/event-stream", token + finish + end, 1, true},
+		{"no text", "text/event-stream", finish + end, 0, true},
+		{"text", "text/plain", "overloaded\n\n", 0, false},
+		{"page", "text/html", "<html>\n\n", 0, false},
+		{"object", "application/json", `{"error":{"message":"overloaded"}}`, 0, false},
+		{"nothing", "text/event-stream", "", 0, false},
+		{"only the end", "text/event-stream", end, 0, false},
+		{"no finish", "text/event-stream", token + end, 1, false},
+		{"no end", "text/event-stream", token + finish, 1, false},
+		{"error as an event", "text/event-stream", token + `data: {"error":{"message":"overloaded"}}` + "\n\n" + end, 1, false},
+		{"error object as an event", "text/event-stream", token + `data: {"object":"error","message":"overloaded"}` + "\n\n" + end, 1, false},
+	} {
+		e := startRawEngine(t, func(conn net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(conn, rawResponse("200 OK", c.contentType, c.body))
+		})
+		var tokens []string
+		_, err := e.Decode(t.Context(), "r", &wirev1.DecodeWork{Model: model, Prompt: "p", MaxTokens: 10}, appendTo(&tokens))
+		if (err == nil) != c.complete || len(tokens) != c.wantTokens {
+			t.Errorf("%s: %q, %v, want %d tokens, complete %v", c.name, tokens, err, c.wantTokens, c.complete)
+		}
+	}
+}
--- a/internal/engine/httpengine/stream.go
+++ b/internal/engine/httpengine/stream.go
@@ -18,8 +18,8 @@
 
 var dataPrefix = []byte("data:")
 
-// readStream calls emit for each token of a stream. A stream that ends without the event vllm.StreamEnd returns
-// engine.ErrBroken.
+// readStream calls emit for each token of a stream. A stream that ends without a finish reason and the event vllm.StreamEnd
+// returns engine.ErrBroken.
 func readStream(ctx context.Context, body io.Reader, emit func(text string) error) (engine.DecodeResult, error) {
 	var result engine.DecodeResult
 	scanner := bufio.NewScanner(body)
@@ -30,6 +30,9 @@
 			continue
 		}
 		data = bytes.TrimSpace(data)
+		if string(data) == vllm.StreamEnd && result.FinishReason == "" {
+			return result, brokenError(ctx, errors.New("the stream ended without a finish reason"))
+		}
 		if string(data) == vllm.StreamEnd {
 			return result, nil
 		}
