gateway: response timers wait for the upstream only

The timer between two events also ran while the router waited for a caller that reads slowly, and it was started again by each event that was buffered meanwhile. It moved streams from engines that had never been silent, and if it fired twice, the first allocation was overwritten: its work counted for ever at the engine, and was told to the other routers. Now the timer runs while the router reads from the engine, and is of no further use after it moved the request. A stop of the timer right after a plain answer was read keeps it from cancelling the rest of a large answer that is delivered.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -38,6 +38,8 @@
 	irregular bool
 	// eventsWithoutID counts the events since the last one with an id.
 	eventsWithoutID int
+	// eventTimer limits the wait for each event after the first; nil before.
+	eventTimer *responseTimer
 	// onEvent is called after each event with the number of events sent so far.
 	onEvent func(events int)
 }
@@ -51,7 +53,9 @@
 	reader := bufio.NewReaderSize(response.Body, 4096)
 	seen := false
 	for {
+		e.eventTimer.start() // it stands while the caller is sent an event
 		event, err := readEvent(reader)
+		e.eventTimer.stop()
 		if len(event) > 0 && err == nil {
 			if !seen {
 				seen = true
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -370,11 +370,11 @@
 	}
 	var firstAt time.Time
 	eventsBefore := r.events
-	var eventTimer *responseTimer
-	defer func() { eventTimer.stop() }()
+	out.eventTimer = nil
+	defer func() { out.eventTimer.stop() }()
 	onFirst := func() {
 		answerTimer.stop()
-		eventTimer = r.startEventTimer(attempt.Upstream, cancel)
+		out.eventTimer = r.newEventTimer(attempt.Upstream, cancel)
 		firstAt = time.Now()
 		r.recordSurvival()
 		if attempt.KVHandle == nil && work.SolePrefill && attempt.ResumeAfter == "" {
@@ -383,7 +383,6 @@
 		work.EndPrefill()
 	}
 	out.onEvent = func(events int) {
-		eventTimer.reset()
 		r.g.Board.RecordActivity(attempt.Upstream.ID, time.Now())
 		work.GrowMemory(r.call.PromptTokens + int(outputGrowthFactor*float64(events*r.service.Engine.TokensPerEvent)))
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -132,7 +132,8 @@
 		}
 	}()
 	r.sends++
-	defer r.startAnswerTimer(upstream, cancel).stop()
+	answerTimer := r.startAnswerTimer(upstream, cancel)
+	defer answerTimer.stop()
 	began := time.Now()
 	r.recordStep("send", upstream.ID)
 	response, err := r.send(ctx, &Attempt{Upstream: upstream, ResumeAfter: r.call.ResumeAfter, Permitted: true})
@@ -144,6 +145,7 @@
 		return nil, r.timeoutRefusal(ctx, upstream, err)
 	}
 	answer, err := r.readAnswer(response, upstream, work, "plain")
+	answerTimer.stop()
 	if err != nil {
 		if r.mayBeCrash(ctx, err) {
 			r.recordCrash(upstream)
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -10,31 +10,32 @@
 )
 
 // moveFromSilent cancels the attempt at a silent upstream if the request can go on at another one at once: the route permits another
-// attempt, an upstream that answers has capacity, a stopping process does not end before, and the retry budget has been charged. Otherwise the attempt goes on, because a
-// sound upstream may be silent for a while and the request would only fail sooner. It reports whether to try again later. It runs
-// while the request waits for the silent upstream, and reads only fields that do not change during an attempt.
-func (r *request) moveFromSilent(silent *fleet.Upstream, cancel context.CancelCauseFunc) (tryAgain bool) {
+// attempt, an upstream that answers has capacity, a stopping process does not end before, and the retry budget has been charged.
+// Otherwise the attempt goes on, because a sound upstream may be silent for a while and the request would only fail sooner. It reports
+// whether the request moves. It runs while the request waits for the silent upstream, and reads only fields that do not change during
+// an attempt.
+func (r *request) moveFromSilent(silent *fleet.Upstream, silence time.Duration, cancel context.CancelCauseFunc) bool {
 	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.Attempts || r.sends >= maxSends {
 		return false
 	}
 	if r.service.Engine != nil && r.call.HasTokens {
 		if r.replacement = r.allocateReplacement(silent); r.replacement == nil {
-			return true
+			return false
 		}
 		if r.endsTooLate(r.replacement) {
 			r.dropReplacement()
-			return true
+			return false
 		}
 	} else if _, ok := r.g.Board.PickPlain(r.replacementQuery(silent)); !ok {
-		return true
+		return false
 	}
 	if !r.g.Budgets.forService(r.service.Name).Allow() {
 		r.dropReplacement()
-		return true
+		return false
 	}
 	r.retryCharged = true
 	cancel(errNoResponse)
-	return false
+	return true
 }
 
 // replacementQuery returns a query for upstreams that answer, without the silent one.
--- a/internal/gateway/responsetimer.go
+++ b/internal/gateway/responsetimer.go
@@ -32,38 +32,65 @@
 // responseTimer runs an action if an upstream sends nothing for a time. A nil timer does nothing.
 type responseTimer struct {
 	limit time.Duration
-	// action reports whether it is to run again after replacementPollInterval if the upstream is still silent. It does not run
-	// after stop has returned.
-	action func() bool
+	// action reports whether it is to run again after replacementPollInterval if the upstream is still silent; the timer is of no
+	// further use otherwise. silence is the time since start. It does not run after stop has returned, until the next start.
+	action func(silence time.Duration) (again bool)
 
 	mu      sync.Mutex // guards the fields below
 	timer   *time.Timer
-	stopped bool
+	since   time.Time // when the wait began
+	waiting bool
+	done    bool
+}
+
+// newResponseTimer returns a timer that is not started; nil if there is no limit.
+func newResponseTimer(limit time.Duration, action func(silence time.Duration) (again bool)) *responseTimer {
+	if limit <= 0 {
+		return nil
+	}
+	return &responseTimer{limit: limit, action: action}
 }
 
 func (t *responseTimer) fire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped && t.action() {
+	silence := time.Since(t.since)
+	if !t.waiting || t.done || silence < t.limit { // stopped, or started again, while it fired
+		return
+	}
+	if t.action(silence) {
 		t.timer.Reset(replacementPollInterval)
+		return
 	}
+	t.done = true
 }
 
-// reset restarts the timer.
-func (t *responseTimer) reset() {
-	if t != nil {
+// start begins a wait for the upstream.
+func (t *responseTimer) start() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.since, t.waiting = time.Now(), true
+	if t.timer == nil {
+		t.timer = time.AfterFunc(t.limit, t.fire)
+	} else {
 		t.timer.Reset(t.limit)
 	}
 }
 
+// stop ends a wait.
 func (t *responseTimer) stop() {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped = true
-	t.timer.Stop()
+	t.waiting = false
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 }
 
 // startAnswerTimer limits the time to the answer of an upstream, or to the first event of a stream. When the time is over, it
@@ -73,32 +100,22 @@
 	if r.route.Kind == fleet.Stream {
 		limit = firstEventTimeoutTargets * r.route.LatencyTarget
 	}
-	return startTimer(limit, func() bool {
+	timer := newResponseTimer(limit, func(silence time.Duration) bool {
 		r.g.Board.RecordTimeout(upstream.ID, time.Now())
-		return r.moveFromSilent(upstream, cancel)
+		return !r.moveFromSilent(upstream, silence, cancel)
 	})
+	timer.start()
+	return timer
 }
 
-// startEventTimer limits the time between two events of a stream in the same way. If the engine still sends data on other
+// newEventTimer limits the time between two events of a stream in the same way. If the engine still sends data on other
 // streams, it is only busy, and the request is not moved.
-func (r *request) startEventTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
-	return startTimer(eventTimeoutPauses*r.route.PauseTarget, func() bool {
-		return !r.g.Board.RecordTimeout(upstream.ID, time.Now()) || r.moveFromSilent(upstream, cancel)
+func (r *request) newEventTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
+	return newResponseTimer(eventTimeoutPauses*r.route.PauseTarget, func(silence time.Duration) bool {
+		return !r.g.Board.RecordTimeout(upstream.ID, time.Now()) || !r.moveFromSilent(upstream, silence, cancel)
 	})
 }
 
-// startTimer returns a running timer; nil if there is no limit.
-func startTimer(limit time.Duration, action func() bool) *responseTimer {
-	if limit <= 0 {
-		return nil
-	}
-	t := &responseTimer{limit: limit, action: action}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(limit, t.fire)
-	return t
-}
-
 // timeoutRefusal replaces the error of an attempt that a response timer cancelled, and adds a step to the log line of the request. The
 // upstream may still be running, but must not get the request again, so the reason is not REASON_UPSTREAM_BROKE, after which serveModel
 // may try the same engine.
