gateway: give up no silent upstream for one that names a limit

The permit of a limited upstream was asked for after the attempt at the silent one had been cancelled, and the board forgets after a second that a limit permits nothing: the request ended with 502 upstream_limited, or its stream was cut. An upstream that names a limit is no replacement now. The plan is made before the budget is charged, and its work counted after, so that a look for a replacement without a permitted retry changes no counts.

TestSilentRunnerIsNotGivenUpForLimitedOne failed before: "/look/x: status 502, upstream_limited (may have run)" and "/reply/x: status 200, unexpected EOF".

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,9 +170,9 @@
 	// to the retry budget for the next attempt has not been used.
 	replacement  *allocation
 	retryCharged bool
-	// unfinishable is set when a stopping process would have ended before the stream at an engine that had capacity.
-	unfinishable bool
-	status       int
+	// noTimeLeft is set when a stopping process would have ended before the stream at an engine that had capacity.
+	noTimeLeft bool
+	status     int
 	// written is set once the status or body of an answer was sent to the caller.
 	written bool
 	// events is the number of events sent to the caller, and lastEventAt the time of the last one.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -54,10 +54,10 @@
 		if err != nil {
 			return out.streamError(r.finalRefusal(verdict.As(err)))
 		}
-		if !out.headerSent && r.endsTooLate(alloc) {
+		if !out.headerSent && r.endsTooLate(&alloc.Plan) {
 			alloc.release()
 			r.recordStep("ends_too_late", alloc.Decode.ID)
-			r.excluded[alloc.Decode.ID], r.unfinishable = true, true
+			r.excluded[alloc.Decode.ID], r.noTimeLeft = true, true
 			continue
 		}
 		if err := r.enterQuarantine(); err != nil {
@@ -137,7 +137,7 @@
 	if alloc := r.takeReplacement(); alloc != nil {
 		return alloc, nil
 	}
-	if r.unfinishable {
+	if r.noTimeLeft {
 		if alloc := r.allocate(localPrefillOnly); alloc != nil {
 			return alloc, nil
 		}
@@ -187,7 +187,11 @@
 		PrefilledBy: r.handleEngine(), CachedAt: r.cachedAt,
 	}
 	r.addSizes(&query)
-	return r.allocateFor(query)
+	plan, ok := r.g.Board.PlanModel(query)
+	if !ok {
+		return nil
+	}
+	return r.begin(query, plan)
 }
 
 // addSizes sets the fields of a query that depend on the sizes and targets of the request.
@@ -196,12 +200,8 @@
 	query.PauseTarget = r.route.PauseTarget
 }
 
-// allocateFor does the same as allocate with a query.
-func (r *request) allocateFor(query placement.Query) *allocation {
-	plan, ok := r.g.Board.PlanModel(query)
-	if !ok {
-		return nil
-	}
+// begin counts the work of a plan for a query.
+func (r *request) begin(query placement.Query, plan placement.Plan) *allocation {
 	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens}
 	alloc.decodeWork = r.g.Board.BeginRun(plan.Decode.ID, alloc.memory)
 	if plan.Prefill != nil {
@@ -263,7 +263,7 @@
 			return err
 		}
 	}
-	if !out.headerSent && r.endsTooLate(alloc) { // the prefill took long
+	if !out.headerSent && r.endsTooLate(&alloc.Plan) { // the prefill took long
 		return stoppingRefusal()
 	}
 	if !r.g.Board.Accepts(alloc.Decode) { // it may have left during the prefill
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -18,40 +18,54 @@
 	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.Attempts || r.sends >= maxSends {
 		return false
 	}
-	if r.service.Engine != nil && r.call.HasTokens {
-		if r.replacement = r.allocateReplacement(silent); r.replacement == nil {
+	query := r.replacementQuery(silent)
+	if r.service.Engine == nil || !r.call.HasTokens {
+		if !r.hasPlainReplacement(query) || !r.g.Budgets.forService(r.service.Name).Allow() {
 			return false
 		}
-		if r.endsTooLate(r.replacement) {
-			r.dropReplacement()
+	} else {
+		plan, ok := r.planReplacement(query)
+		if !ok || !r.g.Budgets.forService(r.service.Name).Allow() {
 			return false
 		}
-	} else if _, ok := r.g.Board.PickPlain(r.replacementQuery(silent)); !ok {
-		return false
-	}
-	if !r.g.Budgets.forService(r.service.Name).Allow() {
-		r.dropReplacement()
-		return false
+		r.replacement = r.begin(query, plan)
 	}
 	r.retryCharged = true
 	cancel(errNoResponse)
 	return true
 }
 
-// replacementQuery returns a query for upstreams that answer, without the silent one.
+// replacementQuery returns a query for upstreams that answer, without the silent one. A decode engine processes the prompt itself, as that
+// takes a single call.
 func (r *request) replacementQuery(silent *fleet.Upstream) placement.Query {
-	excluded := maps.Clone(r.excluded)
-	excluded[silent.ID] = true
-	return placement.Query{Service: r.service, Now: time.Now(), Excluded: excluded, WithoutSuspects: true}
+	query := placement.Query{Service: r.service, Now: time.Now(), Excluded: maps.Clone(r.excluded), WithoutSuspects: true, LocalPrefillOnly: true}
+	query.Excluded[silent.ID] = true
+	r.addSizes(&query)
+	return query
 }
 
-// allocateReplacement returns an allocation at a decode engine that processes the prompt itself, which takes a single call; nil if no
-// engine has capacity.
-func (r *request) allocateReplacement(silent *fleet.Upstream) *allocation {
-	query := r.replacementQuery(silent)
-	r.addSizes(&query)
-	query.LocalPrefillOnly = true
-	return r.allocateFor(query)
+// hasPlainReplacement reports whether there is a plain upstream for the query that names no limit. The permit for one that names a limit
+// may be refused.
+func (r *request) hasPlainReplacement(query placement.Query) bool {
+	for {
+		upstream, ok := r.g.Board.PickPlain(query)
+		if !ok || !r.g.Limits.Limited(upstream) {
+			return ok
+		}
+		query.Excluded[upstream.ID] = true
+	}
+}
+
+// planReplacement returns a plan with an engine that names no limit and at which a stopping process does not end too early; ok is false
+// if there is none.
+func (r *request) planReplacement(query placement.Query) (plan placement.Plan, ok bool) {
+	for {
+		plan, ok = r.g.Board.PlanModel(query)
+		if !ok || !r.g.Limits.Limited(plan.Decode) && !r.endsTooLate(&plan) {
+			return plan, ok
+		}
+		query.Excluded[plan.Decode.ID] = true
+	}
 }
 
 // takeReplacement returns the replacement, if there is one, for the next attempt.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
@@ -119,16 +120,16 @@
 }
 
 // endsTooLate reports whether a stopping process is expected to end before a stream at the engines that were chosen for it.
-func (r *request) endsTooLate(alloc *allocation) bool {
+func (r *request) endsTooLate(plan *placement.Plan) bool {
 	s := r.g.shutdown.Load()
 	if s == nil {
 		return false
 	}
-	perToken := r.g.Board.TokenTime(alloc.Decode.ID)
+	perToken := r.g.Board.TokenTime(plan.Decode.ID)
 	if perToken == 0 {
 		perToken = r.tokenTime()
 	}
-	needed := alloc.Expected + time.Duration(streamTimeFactor*float64(r.call.ExpectedOutput())*float64(perToken))
+	needed := plan.Expected + time.Duration(streamTimeFactor*float64(r.call.ExpectedOutput())*float64(perToken))
 	return time.Now().Add(needed).After(s.end)
 }
 
