gateway: let requests move between upstreams whose connections went silent

When open connections go silent for good while new ones work, all upstreams count as suspects, and no request moved any more: half of them ended with 504. Each look for a replacement also counted as another timeout, so that an engine was a suspect for 2.8 s after one silence. Now one silence counts as one timeout, and after 2 s, or half of the request's time, a suspect is a replacement too.

Failed before: TestRequestsStayOnSilentConnectionsOfSuspects ("status 504, deadline (may have run)", 10 of 20 requests) and TestOneSilenceMakesShortSuspect ("0 runs at the engine that was silent").

--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -9,6 +9,10 @@
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 )
 
+// maxSoundSilence is longer than a sound upstream may be silent, which is about a second. After it, or after half of the request's time,
+// suspected upstreams are replacements too: all of them count as suspects if connections went silent for good while new ones work.
+const maxSoundSilence = 2 * time.Second
+
 // moveFromSilent cancels the attempt at a silent upstream if the request can go on at another one at once: the route permits another
 // attempt, an upstream that answers has capacity, a stopping process does not end before, and the retry budget has been charged.
 // Otherwise the attempt goes on, because a sound upstream may be silent for a while and the request would only fail sooner. It reports
@@ -19,6 +23,7 @@
 		return false
 	}
 	query := r.replacementQuery(silent)
+	query.WithoutSuspects = silence < min(maxSoundSilence, r.deadline.Sub(r.began)/2)
 	if r.service.Engine == nil || !r.call.HasTokens {
 		if !r.hasPlainReplacement(query) || !r.g.Budgets.forService(r.service.Name).Allow() {
 			return false
@@ -35,10 +40,10 @@
 	return true
 }
 
-// replacementQuery returns a query for upstreams that answer, without the silent one. A decode engine processes the prompt itself, as that
+// replacementQuery returns a query for upstreams without the silent one. A decode engine processes the prompt itself, as that
 // takes a single call.
 func (r *request) replacementQuery(silent *fleet.Upstream) placement.Query {
-	query := placement.Query{Service: r.service, Now: time.Now(), Excluded: maps.Clone(r.excluded), WithoutSuspects: true, LocalPrefillOnly: true}
+	query := placement.Query{Service: r.service, Now: time.Now(), Excluded: maps.Clone(r.excluded), LocalPrefillOnly: true}
 	query.Excluded[silent.ID] = true
 	r.addSizes(&query)
 	return query
--- a/internal/gateway/responsetimer.go
+++ b/internal/gateway/responsetimer.go
@@ -100,8 +100,12 @@
 	if r.route.Kind == fleet.Stream {
 		limit = firstEventTimeoutTargets * r.route.LatencyTarget
 	}
+	recorded := false
 	timer := newResponseTimer(limit, func(silence time.Duration) bool {
-		r.g.Board.RecordTimeout(upstream.ID, time.Now())
+		if !recorded {
+			r.g.Board.RecordTimeout(upstream.ID, time.Now())
+			recorded = true
+		}
 		return !r.moveFromSilent(upstream, silence, cancel)
 	})
 	timer.start()
@@ -111,8 +115,17 @@
 // newEventTimer limits the time between two events of a stream in the same way. If the engine still sends data on other
 // streams, it is only busy, and the request is not moved.
 func (r *request) newEventTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
+	var recordedAt time.Time
 	return newResponseTimer(eventTimeoutPauses*r.route.PauseTarget, func(silence time.Duration) bool {
-		return !r.g.Board.RecordTimeout(upstream.ID, time.Now()) || !r.moveFromSilent(upstream, silence, cancel)
+		now := time.Now()
+		if now.Sub(recordedAt) < silence { // one silence counts as one timeout
+			return !r.moveFromSilent(upstream, silence, cancel)
+		}
+		if !r.g.Board.RecordTimeout(upstream.ID, now) {
+			return true
+		}
+		recordedAt = now
+		return !r.moveFromSilent(upstream, silence, cancel)
 	})
 }
 
