gateway: compare the rest of a stream with the time of a stopping process

A stopping process left a stream at a dead engine, and cut it at its end, because it compared the whole expected output with its time, although the caller had a part of it. Failed before: TestRestOfStreamMovesInStoppingProcess ("status 200, unexpected EOF, 0 runs at i-b").

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -227,9 +227,9 @@
 	if err := wrapForwardError(e.r.w.Write(event)); err != nil {
 		return err
 	}
-	e.r.events++
+	events := int(e.r.events.Add(1))
 	e.r.lastEventAt = time.Now()
-	e.onEvent(e.r.events)
+	e.onEvent(events)
 	if id != "" {
 		e.lastID = id
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 	// written is set once the status or body of an answer was sent to the caller.
 	written bool
 	// events is the number of events sent to the caller, and lastEventAt the time of the last one.
-	events      int
+	events      atomic.Int64
 	lastEventAt time.Time
 }
 
@@ -441,8 +441,8 @@
 	if len(r.steps) > 0 {
 		fields = append(fields, zap.Strings("steps", r.steps))
 	}
-	if r.events > 0 {
-		fields = append(fields, zap.Int("events", r.events), zap.Duration("last_event_age", time.Since(r.lastEventAt)), zap.Int("output_tokens", r.call.OutputTokens))
+	if events := r.events.Load(); events > 0 {
+		fields = append(fields, zap.Int64("events", events), zap.Duration("last_event_age", time.Since(r.lastEventAt)), zap.Int("output_tokens", r.call.OutputTokens))
 	}
 	if r.possibleRuns > 0 {
 		fields = append(fields, zap.String("identity", r.identity()))
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -369,7 +369,7 @@
 		return r.forwardEngineError(answer, out)
 	}
 	var firstAt time.Time
-	eventsBefore := r.events
+	eventsBefore := r.events.Load()
 	out.eventTimer = nil
 	defer func() { out.eventTimer.stop() }()
 	onFirst := func() {
@@ -396,7 +396,7 @@
 		}
 		return r.timeoutRefusal(ctx, attempt.Upstream, err)
 	}
-	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, (r.events-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
+	r.g.Board.RecordDecodeTime(attempt.Upstream.ID, int(r.events.Load()-eventsBefore-1)*r.service.Engine.TokensPerEvent, time.Since(firstAt))
 	r.g.Metrics.CountSend(purpose, "answered")
 	return nil
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,7 +17,7 @@
 
 // checkQuarantine refuses a request that crashes upstreams, by itself or because of its prompt.
 func (r *request) checkQuarantine() error {
-	if r.probe || r.events > 0 { // an engine has survived the start of its output
+	if r.probe || r.events.Load() > 0 { // an engine has survived the start of its output
 		return nil
 	}
 	return r.quarantineError(r.g.Quarantine.Check(r.suspectedParts(), time.Now()))
@@ -26,7 +26,7 @@
 // enterQuarantine makes the same check right before the request is sent to an upstream. The request may be let through to find out
 // whether it still crashes upstreams.
 func (r *request) enterQuarantine() error {
-	if r.probe || r.events > 0 {
+	if r.probe || r.events.Load() > 0 {
 		return nil
 	}
 	parts := r.suspectedParts()
@@ -113,7 +113,7 @@
 // after its first events does not either, because an engine has survived the start of its output.
 func (r *request) mayBeCrash(ctx context.Context, err error) bool {
 	var refusal *verdict.Refusal
-	return ctx.Err() == nil && r.events == 0 && errors.As(err, &refusal) && refusal.Reason == wirev1.Reason_REASON_UPSTREAM_BROKE
+	return ctx.Err() == nil && r.events.Load() == 0 && errors.As(err, &refusal) && refusal.Reason == wirev1.Reason_REASON_UPSTREAM_BROKE
 }
 
 // qualifyParts adds the name of the service to the parts of a prompt, because another service may have another model.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -119,7 +119,7 @@
 	return r.route.PauseTarget / time.Duration(r.service.Engine.TokensPerEvent)
 }
 
-// endsTooLate reports whether a stopping process is expected to end before a stream at the engines that were chosen for it.
+// endsTooLate reports whether a stopping process is expected to end before the rest of a stream at the engines that were chosen for it.
 func (r *request) endsTooLate(plan *placement.Plan) bool {
 	s := r.g.shutdown.Load()
 	if s == nil {
@@ -129,10 +129,16 @@
 	if perToken == 0 {
 		perToken = r.tokenTime()
 	}
-	needed := plan.Expected + time.Duration(streamTimeFactor*float64(r.call.ExpectedOutput())*float64(perToken))
+	needed := plan.Expected + time.Duration(streamTimeFactor*float64(r.remainingOutput())*float64(perToken))
 	return time.Now().Add(needed).After(s.end)
 }
 
+// remainingOutput returns the expected number of output tokens that the caller does not have yet.
+func (r *request) remainingOutput() int {
+	received := int(r.events.Load()) * r.service.Engine.TokensPerEvent
+	return max(r.call.ExpectedOutput(), int(outputGrowthFactor*float64(received))) - received
+}
+
 // endedRefusal returns the refusal, and the outcome, of a request that was cancelled because the process ends.
 func (r *request) endedRefusal(refusal verdict.Refusal) (verdict.Refusal, string) {
 	if refusal.Verdict == verdict.NotRun {
