gateway: charge no retry for a connection attempt that hangs

The response timers end before the timeout of a connection attempt, so a request that was never sent was charged as a retry, or waited for a permitted one, and counted as one that may have run. Such an attempt is moved without a charge now, and keeps its verdict.

--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -25,21 +25,30 @@
 	query := r.replacementQuery(silent)
 	query.WithoutSuspects = silence < min(maxSoundSilence, r.deadline.Sub(r.began)/2)
 	if r.service.Engine == nil || !r.call.HasTokens {
-		if !r.hasPlainReplacement(query) || !r.g.Budgets.forService(r.service.Name).Allow() {
+		if !r.hasPlainReplacement(query) || !r.chargeMove() {
 			return false
 		}
 	} else {
 		plan, ok := r.planReplacement(query)
-		if !ok || !r.g.Budgets.forService(r.service.Name).Allow() {
+		if !ok || !r.chargeMove() {
 			return false
 		}
 		r.replacement = r.begin(query, plan)
 	}
-	r.retryCharged = true
 	cancel(errNoResponse)
 	return true
 }
 
+// chargeMove charges the retry budget for a move, unless nothing was sent yet, as while the upstream is dialled. It reports whether the
+// request may move.
+func (r *request) chargeMove() bool {
+	if r.sending.Load() {
+		r.retryCharged = r.g.Budgets.forService(r.service.Name).Allow()
+		return r.retryCharged
+	}
+	return true
+}
+
 // replacementQuery returns a query for upstreams without the silent one. A decode engine processes the prompt itself, as that
 // takes a single call.
 func (r *request) replacementQuery(silent *fleet.Upstream) placement.Query {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -25,9 +25,11 @@
 	attempt.Account, attempt.TimeLeft = r.accountName(), r.timeLeft()
 	id := attempt.Upstream.ID
 	sentAt := time.Now()
+	r.sending.Store(false)
 	response, err := r.g.Pool.Do(ctx, &upstreamconn.Request{
 		Address: attempt.Upstream.Address, Method: r.call.Method, Target: r.call.Target, Host: r.call.Host,
 		Header: r.g.Protocol.RequestHeader(r.call, attempt), Body: r.call.Body,
+		OnSend: func() { r.sending.Store(true) },
 		Accept: func(header http.Header, first bool) bool { return r.g.Protocol.IsAnswerTo(r.call, header, first) },
 	})
 	now := time.Now()
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -41,6 +41,8 @@
 	// Accept reports whether a response belongs to this request; others are skipped. first is set for the first response on a
 	// connection, which cannot be one to an earlier request. A nil Accept accepts any response.
 	Accept func(header http.Header, first bool) bool
+	// OnSend is called right before the first byte is written; nil for none.
+	OnSend func()
 	// NewConnection sends the request on a connection of its own, so that no response to an earlier request is taken for its
 	// response.
 	NewConnection bool
@@ -94,6 +96,9 @@
 	c.writeStarted = false
 	head := r.encodeHead()
 	bodyWritten := func() bool { return true }
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	if len(r.Body) <= maxInlineBodyBytes {
 		n, err := c.Conn.Write(append(head, r.Body...))
 		c.writeStarted = n > 0
