gateway: give up a silent prefill only with a permitted retry

A prefill that took longer than expected was cancelled, and the request then refused with retry_budget because no retry was permitted, although a sound engine goes on after a second. The retry is charged before the prefill is given up; without a permitted one it has 2 s. Failed before: TestSilentPrefillIsNotGivenUpWithoutRetryBudget ("503 retry_budget (not run): prefill failed").

Also tests of what the review could change without a failure: moves are charged once, a replacement that appears later is found, and a request that must not be repeated is not moved.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -251,7 +251,7 @@
 			if r.ctx.Err() != nil {
 				return err
 			}
-			if wasSent(err) && !r.g.Budgets.forService(r.service.Name).Allow() {
+			if wasSent(err) && !r.chargeRetry() {
 				// A prefill that was refused or lost has reached an upstream, so going on counts as a retry.
 				return verdict.Refuse(wirev1.Reason_REASON_RETRY_BUDGET, "prefill failed and the retry budget is spent")
 			}
@@ -289,8 +289,17 @@
 func (r *request) prefill(alloc *allocation) (*Handle, error) {
 	// If the prefill takes far longer than expected, the decode engine processes the prompt instead.
 	limit := max(3*alloc.Expected, r.route.LatencyTarget/2)
-	ctx, cancel := context.WithTimeout(r.ctx, limit)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	timer := newResponseTimer(limit, func(silence time.Duration) bool {
+		if !r.chargeMove() && silence < maxSoundSilence {
+			return true
+		}
+		cancel(errNoResponse)
+		return false
+	})
+	timer.start()
+	defer timer.stop()
 	r.recordStep("prefill", alloc.Prefill.ID)
 	began := time.Now()
 	attempt := &Attempt{Upstream: alloc.Prefill, PrefillOnly: true}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -120,11 +120,17 @@
 			return false
 		}
 	}
+	return r.sends < maxSends && r.chargeRetry()
+}
+
+// chargeRetry charges the retry budget for another attempt, unless that was done before the failed one was given up. It reports whether
+// the attempt is permitted.
+func (r *request) chargeRetry() bool {
 	if r.retryCharged {
 		r.retryCharged = false
-		return r.sends < maxSends
+		return true
 	}
-	return r.sends < maxSends && r.g.Budgets.forService(r.service.Name).Allow()
+	return r.g.Budgets.forService(r.service.Name).Allow()
 }
 
 const (
