peering: tests keep the listeners of their processes open

TestRunnerLimitHoldsOverAllRouters failed once beside other tests: "0 peers are connected, want 3". The tests reserved an address by opening and closing a listener, and another process may take its port before it is opened again. With a listener left open on the address of the first router, to which all others connect, the test fails with the same message. Mesh.Serve takes the open listener.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -82,9 +82,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	return transport.Serve(listener, m.transport)
+	return m.Serve(listener)
 }
 
+// Serve accepts connections of other processes on an open listener.
+func (m *Mesh) Serve(listener net.Listener) error { return transport.Serve(listener, m.transport) }
+
 // SetMembers sets the addresses of all processes by name. Of two processes, the one with the greater name connects to the
 // other.
 func (m *Mesh) SetMembers(addresses map[string]string) {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -34,7 +34,6 @@
 		t.Fatal(err)
 	}
 	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), prompts: quarantine.NewList(), address: listener.Addr().String()}
-	_ = listener.Close()
 	n.mesh = New(Options{
 		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
 		Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
@@ -42,7 +41,7 @@
 	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
 	n.board.Update([]*fleet.Upstream{{ID: "d", Service: "model", Stage: fleet.StageDecode}})
-	go func() { _ = n.mesh.Listen() }()
+	go func() { _ = n.mesh.Serve(listener) }()
 	return n
 }
 
