router: parse the entries of the upstreams once, and keep no values

Operators would see a process of 120 MB end for lack of memory, start and end again: the store takes values of 1 MB, and the list of the upstreams was kept whole, with the entries that another writer left there. They would also see a log line for each odd entry at every list, 2,667 a second for 2,000 entries with a drain time of 1.5 s.

Cause: Store.List collects all pages, PollList keeps the pairs for the time after an outage, and applyUpstreams parsed and logged each entry anew.

The pairs are now visited page by page, parsed at once, and kept without their values; an entry is parsed again when its bytes change. One whose problem is new is logged, up to ten after one list, and the number of odd entries when it changes. Parsing and logging are one fault here: both follow from an entry that isn't remembered.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,7 +20,6 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/fulmardoor/fulmardoor/internal/asynclog"
-	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/follow"
 	"github.com/fulmardoor/fulmardoor/internal/gateway"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
@@ -107,18 +105,19 @@
 	// settingsPath is the path of the settings file; it is read again by reloadSettings.
 	settingsPath string
 	// settings has the settings that the process started with.
-	settings *platform.Settings
-	logger   *zap.Logger
-	store    *platform.Store
-	board    *placement.Board
-	limiter  *quota.Limiter
-	budgets  *gateway.Budgets
-	limits   *upstreamrate.Limits
-	pool     *upstreamconn.Pool
-	gateway  *gateway.Gateway
-	mesh     *peering.Mesh
-	members  *follow.Members
-	prompts  *follow.Quarantine
+	settings  *platform.Settings
+	logger    *zap.Logger
+	store     *platform.Store
+	board     *placement.Board
+	limiter   *quota.Limiter
+	budgets   *gateway.Budgets
+	limits    *upstreamrate.Limits
+	pool      *upstreamconn.Pool
+	gateway   *gateway.Gateway
+	mesh      *peering.Mesh
+	members   *follow.Members
+	prompts   *follow.Quarantine
+	upstreams *upstreamEntries
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
 	// newerConfig is the last version that another process reported as newer, and document the document of the current one.
@@ -160,6 +159,7 @@
 		},
 	})
 	prompts := quarantine.NewList()
+	r.upstreams = newUpstreamEntries(r.store.Each, logger)
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
@@ -271,10 +271,7 @@
 func (r *router) followStore(ctx context.Context) {
 	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.logger, r.applyConfig)
 	go follow.PollList(ctx, follow.PollOptions{
-		List: func(ctx context.Context) ([]kv.Pair, error) {
-			pairs, _, err := r.store.List(ctx, platform.PrefixUpstreams)
-			return pairs, err
-		},
+		List: r.upstreams.list,
 		Name: "store: upstreams", Interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(r.settings.DrainTime))), MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Logger: r.logger,
 	}, r.applyUpstreams)
 	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.logger, r.readConfig)
@@ -309,28 +306,6 @@
 	}
 }
 
-// applyUpstreams updates the upstreams. missing has entries that have been missing since an outage of the store.
-func (r *router) applyUpstreams(present, missing []kv.Pair) {
-	list := make([]*fleet.Upstream, 0, len(present)+len(missing))
-	for i, pair := range slices.Concat(present, missing) {
-		upstream, err := platform.ParseUpstream(pair.Key, pair.Value)
-		if err != nil {
-			r.logger.Warn("cannot parse upstream entry", zap.String("key", pair.Key), zap.Int64("revision", pair.ModRevision), zap.String("error", err.Error()))
-			continue
-		}
-		upstream.Unconfirmed = i >= len(present)
-		list = append(list, upstream)
-	}
-	for _, change := range r.board.Update(list) {
-		if change.Kind != "joined" {
-			r.pool.CloseIdle(change.Upstream.Address)
-		}
-		r.logger.Info("upstream", zap.String("change", change.Kind), zap.String("upstream", change.Upstream.ID),
-			zap.String("service", change.Upstream.Service), zap.String("address", change.Upstream.Address),
-			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)))
-	}
-}
-
 // readiness serves the load balancer's readiness requests.
 type readiness struct{ gateway *gateway.Gateway }
 
--- /dev/null
+++ b/cmd/fulmardoor-router/upstreams.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/platform"
+)
+
+// maxOddEntriesLogged limits the log lines about single odd entries after one list.
+const maxOddEntriesLogged = 10
+
+// upstreamEntries reads the entries of the upstreams and keeps them parsed. Other programs may have written thousands of odd entries of up to 1 MB: their
+// values are not kept, they are parsed again only when they change, and they are logged when their problem changes. It is not safe for
+// concurrent use.
+type upstreamEntries struct {
+	each   func(ctx context.Context, prefix string, visit func(kv.Pair)) error
+	logger *zap.Logger
+	// known has the entries of the last list and those that have been missing since an outage of the store, by key.
+	known map[string]upstreamEntry
+	// odd is the number of odd entries that was logged last.
+	odd int
+}
+
+// upstreamEntry is an entry that names an upstream, or an odd one that names none because of a problem.
+type upstreamEntry struct {
+	valueHash uint64
+	upstream  *fleet.Upstream
+	problem   string
+}
+
+func newUpstreamEntries(each func(ctx context.Context, prefix string, visit func(kv.Pair)) error, logger *zap.Logger) *upstreamEntries {
+	return &upstreamEntries{each: each, logger: logger, known: make(map[string]upstreamEntry)}
+}
+
+// list reads the entries. The returned pairs have no values.
+func (e *upstreamEntries) list(ctx context.Context) ([]kv.Pair, error) {
+	var pairs []kv.Pair
+	listed := make(map[string]upstreamEntry, len(e.known))
+	err := e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
+		hash := xxhash.Sum64(pair.Value)
+		entry, ok := e.known[pair.Key]
+		if !ok || entry.valueHash != hash {
+			entry = parseUpstreamEntry(pair)
+			entry.valueHash = hash
+		}
+		listed[pair.Key] = entry
+		pair.Value = nil
+		pairs = append(pairs, pair)
+	})
+	if err != nil {
+		return nil, err
+	}
+	e.logOdd(pairs, listed)
+	maps.Copy(e.known, listed)
+	return pairs, nil
+}
+
+func parseUpstreamEntry(pair kv.Pair) upstreamEntry {
+	upstream, err := platform.ParseUpstream(pair.Key, pair.Value)
+	if err != nil {
+		return upstreamEntry{problem: err.Error()}
+	}
+	return upstreamEntry{upstream: upstream}
+}
+
+// logOdd logs the odd entries that are new or have another problem than in the last list, and the number of all odd ones when it changes.
+func (e *upstreamEntries) logOdd(pairs []kv.Pair, listed map[string]upstreamEntry) {
+	odd, logged := 0, 0
+	for _, pair := range pairs {
+		problem := listed[pair.Key].problem
+		if problem == "" {
+			continue
+		}
+		odd++
+		if problem != e.known[pair.Key].problem && logged < maxOddEntriesLogged {
+			logged++
+			e.logger.Warn("cannot parse upstream entry", zap.String("key", pair.Key), zap.Int64("revision", pair.ModRevision), zap.String("error", problem))
+		}
+	}
+	if odd != e.odd {
+		e.logger.Warn("entries that name no upstream", zap.Int("before", e.odd), zap.Int("now", odd))
+		e.odd = odd
+	}
+}
+
+// upstreams returns the upstreams of the pairs that list returned, and of missing ones, which are unconfirmed. It forgets all other entries.
+func (e *upstreamEntries) upstreams(present, missing []kv.Pair) []*fleet.Upstream {
+	list := make([]*fleet.Upstream, 0, len(present)+len(missing))
+	kept := make(map[string]upstreamEntry, len(present)+len(missing))
+	for i, pair := range slices.Concat(present, missing) {
+		entry := e.known[pair.Key]
+		kept[pair.Key] = entry
+		if entry.upstream != nil {
+			upstream := *entry.upstream
+			upstream.Unconfirmed = i >= len(present)
+			list = append(list, &upstream)
+		}
+	}
+	e.known = kept
+	return list
+}
+
+// applyUpstreams updates the upstreams. missing has entries that have been missing since an outage of the store.
+func (r *router) applyUpstreams(present, missing []kv.Pair) {
+	for _, change := range r.board.Update(r.upstreams.upstreams(present, missing)) {
+		if change.Kind != "joined" {
+			r.pool.CloseIdle(change.Upstream.Address)
+		}
+		r.logger.Info("upstream", zap.String("change", change.Kind), zap.String("upstream", change.Upstream.ID),
+			zap.String("service", change.Upstream.Service), zap.String("address", change.Upstream.Address),
+			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)))
+	}
+}
