--- a/internal/quarantine/message_test.go
+++ b/internal/quarantine/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,3 +45,35 @@
 		}
 	}
 }
+
+// Guards against a report of another writer with so many parts or crashes that all requests wait while it is applied, and against the loss of what
+// first events have cleared.
+func TestReportOfMillionsOfParts(t *testing.T) {
+	const count = 300_000 // of about 3 bytes each, in a value of 1 MB
+	parts := make([]string, count)
+	for i := range parts {
+		parts[i] = fmt.Sprint(i)
+	}
+	crashes := make([]*wirev1.PromptCrash, count/3)
+	for i := range crashes {
+		crashes[i] = &wirev1.PromptCrash{Request: parts[i], Parts: parts[i : i+1]}
+	}
+	for name, message := range map[string]*wirev1.PromptReport{
+		"parts of a crash": {Crashes: []*wirev1.PromptCrash{{Parts: parts}}}, "cleared parts": {ClearedParts: parts}, "crashes": {Crashes: crashes},
+	} {
+		list, now := NewList(), time.Now()
+		list.RecordFirstEvent([]string{"sound"}, now)
+		var before, after syscall.Rusage
+		_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+		list.Apply(ReportFromMessage(message, now), now)
+		_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+		used := time.Duration(after.Utime.Nano() - before.Utime.Nano())
+		t.Logf("%s: %v, %d suspects, %d survivals", name, used, len(list.suspects), len(list.survivals))
+		if used > 200*time.Millisecond { // 2 s at a tenth of a core
+			t.Errorf("%s: %v of processor time", name, used)
+		}
+		if list.survivals["sound"].IsZero() {
+			t.Errorf("%s: what a first event cleared is forgotten", name)
+		}
+	}
+}
