upstreamrate: no limit of a later time, and none that is no number

Operators would see a runner that is sent 0.5 requests a second for good: a limit in the message of another process had a negative age or one that no duration holds, so it was heard in the future, and no answer that named a higher limit or none counted after it. A rate that is not a number made all permits of its upstream so.

Cause: the age was multiplied without a bound, and only the header was checked, not the message.

Ages and the wait for a permit go through bounded.Milliseconds.

--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/bounded"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
@@ -45,7 +46,7 @@
 	if !reply.GetIssuer() {
 		m.options.Logger.Info("peer does not issue the permits", zap.String("upstream", limit.Upstream), zap.String("peer", process))
 	}
-	return upstreamrate.Reply{Issuer: reply.GetIssuer(), Granted: reply.GetGranted(), Wait: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond}, nil
+	return upstreamrate.Reply{Issuer: reply.GetIssuer(), Granted: reply.GetGranted(), Wait: bounded.Milliseconds(reply.GetRetryAfterMs())}, nil
 }
 
 // session returns the session with a process; nil if it is not connected.
--- a/internal/upstreamrate/limits.go
+++ b/internal/upstreamrate/limits.go
@@ -8,6 +8,7 @@
 package upstreamrate
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	// minPerSecond is the least rate at which requests are sent. Without any request nobody would learn that a limit of zero
 	// was withdrawn.
 	minPerSecond = 0.1
+	// maxPerSecond keeps the products with a rate finite. No upstream takes as many requests.
+	maxPerSecond = 1e9
 )
 
 // ErrInvalid means that an upstream named a limit that is not a number of requests per second.
@@ -41,6 +44,14 @@
 	Err error
 }
 
+// NewStatement returns the statement that names a limit. Its Err is set if perSecond is not a number of requests per second.
+func NewStatement(perSecond float64) Statement {
+	if !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return Statement{Named: true, Err: errors.Wrapf(ErrInvalid, "%v per second", perSecond)}
+	}
+	return Statement{Named: true, PerSecond: min(perSecond, maxPerSecond)}
+}
+
 // Key identifies one start of an upstream. A restarted one has no limit until it names one.
 type Key struct {
 	Upstream    string
@@ -144,7 +155,7 @@
 }
 
 func (l *Limits) applyLocked(limit Limit, now time.Time) (changed bool) {
-	if l.entries[limit.Key] == nil && !limit.Named {
+	if limit.Err != nil || l.entries[limit.Key] == nil && !limit.Named {
 		return false
 	}
 	e := l.entryLocked(limit.Key, now)
--- a/internal/upstreamrate/message.go
+++ b/internal/upstreamrate/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/bounded"
 )
 
 // Message returns the message form of a limit at now.
@@ -15,9 +16,9 @@
 
 // LimitFromMessage returns the limit of a message that was received at now.
 func LimitFromMessage(message *wirev1.UpstreamLimit, now time.Time) Limit {
-	return Limit{
-		Key:       Key{message.GetUpstream(), message.GetIncarnation()},
-		Statement: Statement{Named: !message.GetWithdrawn(), PerSecond: message.GetPerSecond()},
-		HeardAt:   now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
+	limit := Limit{Key: Key{message.GetUpstream(), message.GetIncarnation()}, HeardAt: now.Add(-bounded.Milliseconds(message.GetAgeMs()))}
+	if !message.GetWithdrawn() {
+		limit.Statement = NewStatement(message.GetPerSecond())
 	}
+	return limit
 }
