follow: count no process for an entry without an address

Operators would see rate limits of a fraction of what is configured, connection attempts without end, and model engines that get no orders any more, because another writer left keys beside those of the processes: each counted as a process, its value was dialled whatever it was, and as only the process with the first name takes the leadership, a key that sorts first left none that does.

Cause: Members took each listed key for a member.

Evidence: before, TestOddMembersAreNone: 11 members (one runs); leader "", key not found

A key with an empty name, or whose value is not IP:PORT of one host as fleet.CheckAddress says, for runners too, is left out; their number is logged when it changes, and values too long for an address are not kept. An entry with the address of no process still counts, as that of a process that was killed does until its lease ends.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/fulmardoor/fulmardoor/internal/asynclog"
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/follow"
 	"github.com/fulmardoor/fulmardoor/internal/gateway"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
@@ -58,6 +59,8 @@
 	// memberPrefix is the prefix of the entry processes' keys in the store; memberTTL is the TTL of the leases on these keys.
 	memberPrefix = "fulmardoor/entries/"
 	memberTTL    = 9 * time.Second
+	// maxMemberBytes is longer than each address.
+	maxMemberBytes = 100
 	// leaderKey is the key of the leader, the process that may send orders to engines.
 	leaderKey = "fulmardoor/leader"
 	// quarantineKey is the key of the quarantined prompt parts. quarantineTTL covers the first quarantine of a part, up to two
@@ -175,7 +178,7 @@
 		},
 	})
 	r.members = follow.NewMembers(follow.MemberOptions{
-		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
+		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
 		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Logger: logger,
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
@@ -188,6 +191,20 @@
 	return r
 }
 
+// listMembers lists the keys of the processes. Values that are too long for an address are not kept.
+func (r *router) listMembers(ctx context.Context, prefix string) (pairs []kv.Pair, revision int64, err error) {
+	err = r.store.EachStale(ctx, prefix, func(pair kv.Pair) {
+		if len(pair.Value) > maxMemberBytes {
+			pair.Value = nil
+		}
+		pairs = append(pairs, pair)
+	})
+	return pairs, 0, err
+}
+
+// checkMember returns an error for the value of a process's key that is not the address of a process.
+func checkMember(value []byte) error { return fleet.CheckAddress(string(value)) }
+
 // setProcesses sets the number of processes among which rate limits, retry budgets and the limits of upstreams are divided.
 func (r *router) setProcesses(count int) {
 	r.limiter.SetProcesses(count)
--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -24,6 +24,8 @@
 	LeaderKey string
 	// Value is the value that this member publishes to the others.
 	Value []byte
+	// Check returns an error for the value of a key that is not one of a member; nil if each value is one.
+	Check func(value []byte) error
 	// TTL is the lease time of a member's key: how long a stopped member stays listed. The lease is renewed every TTL/3.
 	TTL time.Duration
 	// ShrinkDelay is the time for which a smaller number of members must last before it takes effect. Leases expire
@@ -43,6 +45,7 @@
 	onList      func(values map[string]string)
 	leaseID     int64
 	count       int
+	odd         int       // number of listed keys that are not of a member
 	fewerSince  time.Time // start of the time in which fewer members than count are listed; zero if not
 
 	leader Leadership
@@ -105,19 +108,39 @@
 	}
 	values := make(map[string]string, len(pairs))
 	first := m.options.Name
+	odd, problem := 0, error(nil)
 	for _, pair := range pairs {
 		name := strings.TrimPrefix(pair.Key, m.options.Prefix)
+		if err := m.check(name, pair.Value); err != nil {
+			odd, problem = odd+1, errors.Wrap(err, pair.Key)
+			continue
+		}
 		values[name] = string(pair.Value)
 		first = min(first, name)
 	}
+	if odd != m.odd {
+		m.options.Logger.Warn("entries that name no process", zap.Int("before", m.odd), zap.Int("now", odd), zap.NamedError("last", problem))
+		m.odd = odd
+	}
 	m.onList(values)
-	m.updateCount(len(pairs), time.Now())
+	m.updateCount(len(values), time.Now())
 	if first == m.options.Name && !m.leader.held() {
 		return m.campaign(ctx)
 	}
 	return nil
 }
 
+// check returns an error for a key that is not one of a member.
+func (m *Members) check(name string, value []byte) error {
+	switch {
+	case name == m.options.Name || m.options.Check == nil:
+		return nil
+	case name == "":
+		return errors.New("no name")
+	}
+	return m.options.Check(value)
+}
+
 // campaign takes the leader key if no process holds it. Only the member with the first name tries, to save calls.
 func (m *Members) campaign(ctx context.Context) error {
 	revision, err := m.options.Store.CompareAndSwap(ctx, m.options.LeaderKey, []byte(m.options.Name), 0, m.leaseID)
--- /dev/null
+++ b/internal/follow/members_test.go
@@ -0,0 +1,60 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
+)
+
+// Guards against entries of another writer that count as members: each takes a share of the fleet's limits and is dialled again and again, and
+// one whose name sorts first leaves the fleet without a leader. Guards against a log line for each at every list, too.
+func TestOddMembersAreNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New(memory.Options{})
+		for i, value := range []string{"", "{}", "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9", "host.example:7500", ":7500", "\xff\xfe", strings.Repeat("[", 1<<20)} {
+			store.Put(fmt.Sprintf("entries/a-odd-%d", i), []byte(value))
+		}
+		store.Put("entries/", []byte("10.0.0.8:7500"))
+		core, logs := observer.New(zapcore.WarnLevel)
+		var count int
+		var values map[string]string
+		members := NewMembers(MemberOptions{
+			Store: store, List: store.List, Prefix: "entries/", Name: "front-1", Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: 9 * time.Second,
+			Check: func(value []byte) error { return fleet.CheckAddress(string(value)) }, ShrinkDelay: time.Second,
+			HistoryChanged: func() <-chan struct{} { return nil }, Logger: zap.New(core),
+		}, func(n int) { count = n }, func(list map[string]string) { values = list })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); members.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if count != 1 || len(values) != 1 || values["front-1"] != "10.0.0.1:7500" {
+			t.Errorf("%d members: %.200s", count, fmt.Sprint(values))
+		}
+		if pair, err := store.Get(t.Context(), "leader"); err != nil || string(pair.Value) != "front-1" {
+			t.Errorf("leader %q, %v", pair.Value, err)
+		}
+		lines := logs.TakeAll()
+		if len(lines) == 0 || len(lines) > 1 {
+			t.Errorf("%d log lines after several lists, want 1", len(lines))
+		}
+		store.Put("entries/a-odd-0", []byte("10.0.0.2:7500"))
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if count != 2 || values["a-odd-0"] != "10.0.0.2:7500" {
+			t.Errorf("%d members after an odd entry became sound: %.200s", count, fmt.Sprint(values))
+		}
+		cancel()
+		<-done
+	})
+}
