peering: take no charge from a heartbeat that is no amount

Operators would see an account refused for good at one process: a heartbeat whose total charge is 1e300 or NaN left its bucket at minus infinity or at no number. Token counts above 2^63 became negative, so that an engine looked free.

Cause: the numbers of a heartbeat were used as they came. Only processes of the fleet send them, also ones of another version.

Totals are from 0 to 2^53, or the heartbeat's charges are ignored; counts go through bounded.Count.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -15,6 +15,7 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/bounded"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
@@ -187,23 +188,35 @@
 		m.options.OnNewerVersion(session.Remote().GetProcess(), version)
 	}
 	if heartbeat.GetHasAccountCharges() {
-		spent := make(map[string]float64, len(heartbeat.GetAccountCharges()))
-		for _, charges := range heartbeat.GetAccountCharges() {
-			spent[charges.GetAccount()] = charges.GetTotal()
+		if spent, ok := spentOf(heartbeat.GetAccountCharges()); ok {
+			m.options.Limiter.SetOthers(session.Remote().GetProcess(), spent)
 		}
-		m.options.Limiter.SetOthers(session.Remote().GetProcess(), spent)
 	}
 	m.applyLimits(session, heartbeat.GetUpstreamLimits())
 	shares := make(map[string]placement.Share, len(heartbeat.GetWork()))
 	for _, work := range heartbeat.GetWork() {
 		shares[work.GetUpstream()] = placement.Share{
-			Running: int(work.GetRunning()), Prefills: int(work.GetReading()),
-			PrefillTokens: int(work.GetReadTokens()), Memory: int(work.GetMemoryTokens()),
+			Running: bounded.Count(work.GetRunning()), Prefills: bounded.Count(work.GetReading()),
+			PrefillTokens: bounded.Count(work.GetReadTokens()), Memory: bounded.Count(work.GetMemoryTokens()),
 		}
 	}
 	m.options.Board.SetOthers(session.Remote().GetProcess(), shares)
 }
 
+// spentOf returns the total charges by account; ok is false if one is not an amount. The totals are then those of the last heartbeat, because the limiter
+// would take a missing total for zero.
+func spentOf(charges []*wirev1.AccountCharges) (spent map[string]float64, ok bool) {
+	spent = make(map[string]float64, len(charges))
+	for _, charge := range charges {
+		total := charge.GetTotal()
+		if !(total >= 0) || total > bounded.MaxExact {
+			return nil, false
+		}
+		spent[charge.GetAccount()] = total
+	}
+	return spent, true
+}
+
 // serveStream handles a stream that another process opened.
 func (m *Mesh) serveStream(_ context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream) {
 	switch kind := open.GetKind().(type) {
