hostlist: one odd row loses no other row

Operators of fulmardoor-entry would see entry processes that learn of no new one, and none that is removed, for as long as one row of the host list has a port out of range or fields of another type; at the level of debug, nothing else says so.

Cause: the list was decoded at once, and rejected as a whole for one malformed entry. A part of it could not stand for the list: a host in the row that is left out would count as removed by the platform, and its shards be taken over.

The source now returns the rows that it could read with ErrIncomplete. Such a list adds processes and removes none (TestRemovalRequiresHostList), and a warning names the problem when it changes. Addresses go through fleet.CheckAddress.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -81,22 +82,36 @@
 // run polls the platform's host list until ctx ends. The list only adds and removes candidates; a process counts as alive
 // while there is a session with it.
 func (t *memberTable) run(ctx context.Context, source hostlist.Source) {
+	problem := "" // of the last list
 	for source != nil && wait.For(ctx, hostListInterval) {
 		hosts, err := source.Hosts(ctx)
-		if err != nil {
+		switch {
+		case errors.Is(err, hostlist.ErrIncomplete):
+			if err.Error() != problem {
+				t.logger.Warn("the host list is incomplete", zap.String("error", err.Error()))
+			}
+			t.addHosts(hosts)
+		case err != nil:
 			t.logger.Debug("failed to read the host list", zap.Error(err))
 			continue
+		default:
+			t.applyHostList(hosts)
+		}
+		problem = ""
+		if err != nil {
+			problem = err.Error()
 		}
-		t.applyHostList(hosts)
 	}
 }
 
-func (t *memberTable) applyHostList(hosts []hostlist.Host) {
+// addHosts adds the processes of an incomplete host list. It removes none: one that is missing may be in a row that could not be read.
+func (t *memberTable) addHosts(hosts []hostlist.Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range t.byAddress {
-		m.listed = false
-	}
+	t.addHostsLocked(hosts)
+}
+
+func (t *memberTable) addHostsLocked(hosts []hostlist.Host) {
 	for _, host := range hosts {
 		if host.Role != "entry" || host.Address == t.self.GetAddress() {
 			continue
@@ -107,6 +122,15 @@
 		t.byAddress[host.Address].listed = true
 		t.byAddress[host.Address].wasListed = true
 	}
+}
+
+func (t *memberTable) applyHostList(hosts []hostlist.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.byAddress {
+		m.listed = false
+	}
+	t.addHostsLocked(hosts)
 	for address, m := range t.byAddress {
 		if m.wasListed && !m.listed && m.name != "" && m.peer.Session() == nil {
 			t.removedProcesses[m.name] = true
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -54,6 +54,10 @@
 		if table.removedByPlatform("other") {
 			t.Error("a listed process counts as removed")
 		}
+		table.addHosts(nil)
+		if table.removedByPlatform("other") {
+			t.Error("a process that an incomplete list does not name counts as removed")
+		}
 		table.applyHostList(nil)
 		if !table.removedByPlatform("other") {
 			t.Error("a process that the list no longer names does not count as removed")
--- a/internal/hostlist/httpsd/source.go
+++ b/internal/hostlist/httpsd/source.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/netip"
 
 	"github.com/go-faster/errors"
 
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/hostlist"
 )
 
@@ -44,26 +44,36 @@
 }
 
 // Hosts implements hostlist.Source. A host without a state is live. Any other state than live counts as leaving, so that
-// a host with an unknown state gets no new work. A list with a malformed entry is rejected as a whole.
+// a host with an unknown state gets no new work. A malformed entry
+// makes the list incomplete.
 func (s *source) Hosts(ctx context.Context) ([]hostlist.Host, error) {
 	groups, err := s.fetch(ctx)
 	if err != nil {
 		return nil, errors.Wrapf(err, "host list %s", s.url)
 	}
 	var hosts []hostlist.Host
-	for _, group := range groups {
+	var odd error
+	for _, text := range groups {
+		var group targetGroup
+		if err := json.Unmarshal(text, &group); err != nil {
+			odd = errors.New("a group of targets cannot be decoded")
+			continue
+		}
 		for _, target := range group.Targets {
-			host, err := parseTarget(target, group.Labels)
-			if err != nil {
-				return nil, errors.Wrapf(err, "host list %s", s.url)
+			if err := fleet.CheckAddress(target); err != nil {
+				odd = errors.Wrap(err, "target")
+				continue
 			}
-			hosts = append(hosts, host)
+			hosts = append(hosts, newHost(target, group.Labels))
 		}
 	}
+	if odd != nil {
+		return hosts, errors.Wrapf(errors.Join(hostlist.ErrIncomplete, odd), "host list %s", s.url)
+	}
 	return hosts, nil
 }
 
-func (s *source) fetch(ctx context.Context) ([]targetGroup, error) {
+func (s *source) fetch(ctx context.Context) ([]json.RawMessage, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "create request")
@@ -84,24 +94,21 @@
 	if len(body) > maxListBytes {
 		return nil, errors.Errorf("list is larger than %d bytes", maxListBytes)
 	}
-	var groups []targetGroup
+	var groups []json.RawMessage
 	if err := json.Unmarshal(body, &groups); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
 	return groups, nil
 }
 
-func parseTarget(target string, labels map[string]string) (hostlist.Host, error) {
-	if _, err := netip.ParseAddrPort(target); err != nil {
-		return hostlist.Host{}, errors.Wrapf(err, "target %q", target)
-	}
+func newHost(target string, labels map[string]string) hostlist.Host {
 	return hostlist.Host{
 		Address:    target,
 		Name:       labels[LabelName],
 		DataCentre: labels[LabelDataCentre],
 		Role:       labels[LabelRole],
 		State:      parseState(labels[LabelState]),
-	}, nil
+	}
 }
 
 func parseState(label string) hostlist.State {
--- a/internal/hostlist/source.go
+++ b/internal/hostlist/source.go
@@ -1,7 +1,14 @@
 // Package hostlist defines the platform's list of live and leaving hosts. The list lags behind the actual hosts.
 package hostlist
 
-import "context"
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrIncomplete marks the error of a list of which some rows could not be read.
+var ErrIncomplete = errors.New("host list is incomplete")
 
 // State is the state of a host in the list.
 type State string
@@ -24,7 +31,7 @@
 	State State
 }
 
-// Source reads the whole list.
+// Source reads the whole list. With an error that is ErrIncomplete, it returns the hosts that it could read; the others may still be listed.
 type Source interface {
 	Hosts(ctx context.Context) ([]Host, error)
 }
