router: no upstream at the addresses of this process or of the store

Operators would see a router busy with requests that it sends to itself, each a new one with its own attempts until its deadline, because an entry names the address at which it listens; or broken answers, because it names the store.

Cause: any address in an entry was taken.

Evidence: with the check taken out, TestEntryWithAddressOfThisProcess: 6 upstreams (one is none of these addresses)

The listed upstreams leave out the addresses of the settings file, IPv4 addresses in IPv6 form too. An address of another router's front isn't known here and still counts; a request that goes there comes back only through a second such entry, and each router leaves out its own.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -163,6 +163,7 @@
 	})
 	prompts := quarantine.NewList()
 	r.upstreams = newUpstreamEntries(r.store.Each, logger)
+	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
--- a/cmd/fulmardoor-router/upstreams.go
+++ b/cmd/fulmardoor-router/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,8 @@
 	logger *zap.Logger
 	// known has the entries of the last list and those that have been missing since an outage of the store, by key.
 	known map[string]upstreamEntry
+	// reserved has the addresses of this process and of the store. An entry with one of them names no upstream.
+	reserved map[netip.AddrPort]bool
 	// odd is the number of odd entries that was logged last.
 	odd int
 }
@@ -39,6 +42,21 @@
 	return &upstreamEntries{each: each, logger: logger, known: make(map[string]upstreamEntry)}
 }
 
+// reserve adds addresses that no upstream has. It must be called before the first list.
+func (e *upstreamEntries) reserve(addresses ...string) {
+	e.reserved = make(map[netip.AddrPort]bool)
+	for _, address := range addresses {
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			e.reserved[unmapped(parsed)] = true
+		}
+	}
+}
+
+// unmapped returns the IPv4 form of an address that has one.
+func unmapped(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
 // list reads the entries. The returned pairs have no values.
 func (e *upstreamEntries) list(ctx context.Context) ([]kv.Pair, error) {
 	var pairs []kv.Pair
@@ -47,7 +65,7 @@
 		hash := xxhash.Sum64(pair.Value)
 		entry, ok := e.known[pair.Key]
 		if !ok || entry.valueHash != hash {
-			entry = parseUpstreamEntry(pair)
+			entry = e.parse(pair)
 			entry.valueHash = hash
 		}
 		listed[pair.Key] = entry
@@ -62,11 +80,14 @@
 	return pairs, nil
 }
 
-func parseUpstreamEntry(pair kv.Pair) upstreamEntry {
+func (e *upstreamEntries) parse(pair kv.Pair) upstreamEntry {
 	upstream, err := platform.ParseUpstream(pair.Key, pair.Value)
 	if err != nil {
 		return upstreamEntry{problem: err.Error()}
 	}
+	if address, err := netip.ParseAddrPort(upstream.Address); err == nil && e.reserved[unmapped(address)] {
+		return upstreamEntry{problem: "address " + upstream.Address + " is that of this process or of the store"}
+	}
 	return upstreamEntry{upstream: upstream}
 }
 
--- a/cmd/fulmardoor-router/upstreams_test.go
+++ b/cmd/fulmardoor-router/upstreams_test.go
@@ -182,3 +182,22 @@
 		})
 	}
 }
+
+// Guards against requests that a router forwards to itself or to the store, because an entry of another writer names that address: each comes back as a
+// new request until its deadline.
+func TestEntryWithAddressOfThisProcess(t *testing.T) {
+	store := memory.New(memory.Options{})
+	s := &platform.Settings{Host: "10.0.0.9", FirstPort: 7500, CallerAddress: "10.0.0.9:8360", ReadyAddress: "10.0.0.9:8365", StoreAddress: "10.0.0.8:8361"}
+	entries := newUpstreamEntries(eachIn(store), zap.NewNop())
+	entries.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, "10.0.0.9:7500")
+	for i, address := range []string{"10.0.0.9:8360", "[::ffff:10.0.0.9]:8360", "10.0.0.9:8365", "10.0.0.8:8361", "10.0.0.9:7500", "10.0.0.9:8361"} {
+		store.Put(fmt.Sprintf("servers/i-%d", i), platformtest.Entry{Service: "ledger", Address: address, Zone: "demo", Slots: 6}.Text())
+	}
+	pairs, err := entries.list(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if list := entries.upstreams(pairs, nil); len(list) != 1 || list[0].Address != "10.0.0.9:8361" {
+		t.Errorf("%d upstreams", len(list))
+	}
+}
