confsync: leave out a document under a key that is no team

Operators of fulmardoor's own interface would see sidecars and entry processes that get no configuration from others any more: another writer left a key below the documents' prefix with bytes that are no text, and no message with its document could be encoded, so all others in that message were lost too.

Cause: each key below the prefix was taken for a team's.

Evidence: before, TestKeyThatIsNoTeamIsNotSent: "\xff\xfe": a document (encoding: string field contains invalid UTF-8), and 5 other keys that are no team. The fleet of the tests encodes no messages, so the loss itself is by reading of transport.Stream.Send.

A key that document.IsTeam refuses makes no document; its revision still counts, so that processes agree on the newest one.

--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -111,7 +111,9 @@
 func newConflicts(team string, parsed *configv1.Document, pairs []kv.Pair) *settings.Faults {
 	others := newHistory()
 	for _, pair := range pairs {
-		others.put(wireDocument(pair, false))
+		if d := wireDocument(pair, false); d != nil {
+			others.put(d)
+		}
 	}
 	known := map[Conflict]bool{}
 	for _, c := range others.snapshot(true, nil).conflicts {
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/document"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
@@ -190,9 +191,10 @@
 	documents := make([]*wirev1.Document, 0, len(pairs))
 	newest := uint64(0)
 	for _, pair := range pairs {
-		d := wireDocument(pair, false)
-		documents = append(documents, d)
-		newest = max(newest, d.GetRevision())
+		newest = max(newest, uint64(pair.ModRevision))
+		if d := wireDocument(pair, false); d != nil {
+			documents = append(documents, d)
+		}
 	}
 	if !w.node.isCurrent(uint64(revision)) {
 		w.node.cfg.Logger.Warn("store returned an older revision than the known one; it lags, or went back to a copy", zap.Int64("revision", revision))
@@ -212,9 +214,15 @@
 	return nil
 }
 
+// wireDocument returns the document of a pair; nil if its key is not that of a team. Other bytes than text in a key would keep all documents of a message from
+// the other process.
 func wireDocument(pair kv.Pair, deleted bool) *wirev1.Document {
+	team := strings.TrimPrefix(pair.Key, Prefix)
+	if !document.IsTeam(team) {
+		return nil
+	}
 	return &wirev1.Document{
-		Team:     strings.TrimPrefix(pair.Key, Prefix),
+		Team:     team,
 		Revision: uint64(pair.ModRevision),
 		Text:     pair.Value,
 		Deleted:  deleted,
@@ -225,13 +233,20 @@
 func (w *watcher) handleUpdate(update kv.WatchUpdate) {
 	w.node.recordStoreResponse()
 	for _, event := range update.Events {
-		d := wireDocument(event.Pair, event.Deleted)
+		d, to := wireDocument(event.Pair, event.Deleted), uint64(event.Pair.ModRevision)
 		if event.Deleted {
-			d.Text = nil
-			d.Revision = max(d.Revision, w.documentRevision+1)
+			to = max(to, w.documentRevision+1)
+		}
+		var documents []*wirev1.Document
+		if d != nil {
+			d.Revision = to
+			if event.Deleted {
+				d.Text = nil
+			}
+			documents = append(documents, d)
 		}
-		w.node.applyBatch(batch{documents: []*wirev1.Document{d}, from: w.documentRevision, to: d.Revision}, "")
-		w.documentRevision = max(w.documentRevision, d.Revision)
+		w.node.applyBatch(batch{documents: documents, from: w.documentRevision, to: to}, "")
+		w.documentRevision = max(w.documentRevision, to)
 		w.deliveredRevision = max(w.deliveredRevision, event.Pair.ModRevision)
 	}
 	w.deliveredRevision = max(w.deliveredRevision, update.Revision)
