--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -60,6 +59,8 @@
 	// memberPrefix is the prefix of the entry processes' keys in the store; memberTTL is the TTL of the leases on these keys.
 	memberPrefix = "fulmardoor/entries/"
 	memberTTL    = 9 * time.Second
+	// maxMemberBytes is longer than each address.
+	maxMemberBytes = 100
 	// leaderKey is the key of the leader, the process that may send orders to engines.
 	leaderKey = "fulmardoor/leader"
 	// quarantineKey is the key of the quarantined prompt parts. quarantineTTL covers the first quarantine of a part, up to two
@@ -107,18 +108,19 @@
 	// settingsPath is the path of the settings file; it is read again by reloadSettings.
 	settingsPath string
 	// settings has the settings that the process started with.
-	settings *platform.Settings
-	logger   *zap.Logger
-	store    *platform.Store
-	board    *placement.Board
-	limiter  *quota.Limiter
-	budgets  *gateway.Budgets
-	limits   *upstreamrate.Limits
-	pool     *upstreamconn.Pool
-	gateway  *gateway.Gateway
-	mesh     *peering.Mesh
-	members  *follow.Members
-	prompts  *follow.Quarantine
+	settings  *platform.Settings
+	logger    *zap.Logger
+	store     *platform.Store
+	board     *placement.Board
+	limiter   *quota.Limiter
+	budgets   *gateway.Budgets
+	limits    *upstreamrate.Limits
+	pool      *upstreamconn.Pool
+	gateway   *gateway.Gateway
+	mesh      *peering.Mesh
+	members   *follow.Members
+	prompts   *follow.Quarantine
+	upstreams *upstreamEntries
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
 	// newerConfig is the last version that another process reported as newer, and document the document of the current one.
@@ -160,6 +162,8 @@
 		},
 	})
 	prompts := quarantine.NewList()
+	r.upstreams = newUpstreamEntries(r.store.Each, logger)
+	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
@@ -175,7 +179,7 @@
 		},
 	})
 	r.members = follow.NewMembers(follow.MemberOptions{
-		Store: r.store, List: r.store.ListStale, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
+		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
 		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Logger: logger,
 	}, r.setProcesses, r.mesh.SetMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
@@ -188,6 +192,20 @@
 	return r
 }
 
+// listMembers lists the keys of the processes. Values that are too long for an address are not kept.
+func (r *router) listMembers(ctx context.Context, prefix string) (pairs []kv.Pair, revision int64, err error) {
+	err = r.store.EachStale(ctx, prefix, func(pair kv.Pair) {
+		if len(pair.Value) > maxMemberBytes {
+			pair.Value = nil
+		}
+		pairs = append(pairs, pair)
+	})
+	return pairs, 0, err
+}
+
+// checkMember returns an error for the value of a process's key that is not the address of a process.
+func checkMember(value []byte) error { return fleet.CheckAddress(string(value)) }
+
 // setProcesses sets the number of processes among which rate limits, retry budgets and the limits of upstreams are divided.
 func (r *router) setProcesses(count int) {
 	r.limiter.SetProcesses(count)
@@ -271,10 +289,7 @@
 func (r *router) followStore(ctx context.Context) {
 	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.logger, r.applyConfig)
 	go follow.PollList(ctx, follow.PollOptions{
-		List: func(ctx context.Context) ([]kv.Pair, error) {
-			pairs, _, err := r.store.List(ctx, platform.PrefixUpstreams)
-			return pairs, err
-		},
+		List: r.upstreams.list,
 		Name: "store: upstreams", Interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(r.settings.DrainTime))), MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Logger: r.logger,
 	}, r.applyUpstreams)
 	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.logger, r.readConfig)
@@ -309,28 +324,6 @@
 	}
 }
 
-// applyUpstreams updates the upstreams. missing has entries that have been missing since an outage of the store.
-func (r *router) applyUpstreams(present, missing []kv.Pair) {
-	list := make([]*fleet.Upstream, 0, len(present)+len(missing))
-	for i, pair := range slices.Concat(present, missing) {
-		upstream, err := platform.ParseUpstream(pair.Key, pair.Value)
-		if err != nil {
-			r.logger.Warn("cannot parse upstream entry", zap.String("key", pair.Key), zap.Int64("revision", pair.ModRevision), zap.String("error", err.Error()))
-			continue
-		}
-		upstream.Unconfirmed = i >= len(present)
-		list = append(list, upstream)
-	}
-	for _, change := range r.board.Update(list) {
-		if change.Kind != "joined" {
-			r.pool.CloseIdle(change.Upstream.Address)
-		}
-		r.logger.Info("upstream", zap.String("change", change.Kind), zap.String("upstream", change.Upstream.ID),
-			zap.String("service", change.Upstream.Service), zap.String("address", change.Upstream.Address),
-			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)))
-	}
-}
-
 // readiness serves the load balancer's readiness requests.
 type readiness struct{ gateway *gateway.Gateway }
 
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/bounded"
 )
 
 // Message returns the message form of the report at now. A crash without an upstream stands for a probe.
@@ -19,13 +20,22 @@
 	return message
 }
 
-// ReportFromMessage returns the report of a message that was received at now.
+const (
+	// maxReceivedCrashes limits the crashes that are taken from one message, to its newest. A full list has no more.
+	maxReceivedCrashes = 2 * (maxIdentities + maxSuspects) * maxCrashesPerSuspect
+	// maxReceivedWork limits them further if they have many parts. Each part of a crash keeps all parts of it, so that a crash with n
+	// parts counts n*n.
+	maxReceivedWork = 1 << 21
+)
+
+// ReportFromMessage returns the report of a message that was received at now. It takes no more from the message than this package reports, so that
+// one of another writer costs little, and no crash later than now.
 func ReportFromMessage(message *wirev1.PromptReport, now time.Time) Report {
-	report := Report{Cleared: message.GetClearedParts()}
-	for _, received := range message.GetCrashes() {
+	report := Report{Cleared: newest(message.GetClearedParts(), maxPartsPerCrash)}
+	for _, received := range newestCrashes(message.GetCrashes()) {
 		crash := Crash{
-			Upstream: received.GetUpstream(), Incarnation: received.GetIncarnation(), Request: received.GetRequest(), Parts: received.GetParts(),
-			At: now.Add(-time.Duration(received.GetAgeMs()) * time.Millisecond),
+			Upstream: received.GetUpstream(), Incarnation: received.GetIncarnation(), Request: received.GetRequest(),
+			Parts: newest(received.GetParts(), maxPartsPerCrash), At: now.Add(-bounded.Milliseconds(received.GetAgeMs())),
 		}
 		if crash.Upstream == "" {
 			report.Probes = append(report.Probes, crash)
@@ -35,3 +45,20 @@
 	}
 	return report
 }
+
+// newestCrashes returns the last crashes of a message, within the limits.
+func newestCrashes(crashes []*wirev1.PromptCrash) []*wirev1.PromptCrash {
+	crashes = crashes[max(0, len(crashes)-maxReceivedCrashes):]
+	work, first := 0, len(crashes)
+	for first > 0 {
+		parts := min(len(crashes[first-1].GetParts()), maxPartsPerCrash)
+		if work += parts * parts; work > maxReceivedWork {
+			break
+		}
+		first--
+	}
+	return crashes[first:]
+}
+
+// newest returns the last elements of a list, at most limit.
+func newest(list []string, limit int) []string { return list[max(0, len(list)-limit):] }
