sidecar: count no timeout for a probe of a sound service

Callers saw: after a readiness probe, the first call of a plain service that reached the timeout of its route made the service count as stalled. New calls were refused and all running calls of the service were ended with 502 "stalled", bookings as "may have run".

Cause: endStall, which Probe calls, set the streak to one below the threshold, also for a service that was not stalled. Ready probes each plain service once, so this held for the first timeout after each start of a sidecar. Now a probe changes the streak only during a stall.

--- a/internal/sidecar/timeouts.go
+++ b/internal/sidecar/timeouts.go
@@ -42,10 +42,13 @@
 	t.backoff = 0
 }
 
-// endStall ends the stall, so that the service gets work again, and reports whether the backoff permitted it.
+// endStall ends the stall, if there is one, so that the service gets work again, and reports whether the backoff permitted it.
 func (t *timeoutStreak) endStall() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.count < stallThreshold {
+		return true
+	}
 	if time.Since(t.stalledAt) < t.backoff {
 		return false
 	}
