sidecar: let calls of a plain service go on during a stall

Callers would see: a booking on a route with a timeout of 30 s ended with 502 "stalled", "may have run", because three lookups of the same service had reached a timeout of 500 ms. The service was silent for 3 s and then answered; nobody was told its answer, and a booking may not be repeated.

Cause: handleStall cancelled every running call. For a model engine "stalled" says that none of the running calls makes progress; for a plain service it only says that several other calls timed out. Now a stall of a plain service stops new work, as before, and its running calls go on until they are answered or reach the timeout of their own route.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -212,7 +212,8 @@
 	}
 }
 
-// handleStall cancels the running calls and probes the upstream until it works again.
+// handleStall stops new work, cancels the running calls of a model engine and probes the upstream until it works again. Calls of a
+// plain service go on: each has the timeout of its own route, and timeouts of other calls do not show that it gets no response.
 func (s *Sidecar) handleStall(ctx context.Context) {
 	name := s.settings.GetUpstream().GetName()
 	s.logger.Warn("upstream makes no progress", zap.String("upstream", name))
@@ -220,8 +221,10 @@
 	s.metrics.Stalled()
 	s.places.SetStalled(true)
 	s.broadcastHeartbeat()
-	for _, c := range s.calls.Running() {
-		c.Cancel(call.ErrStalled)
+	if s.role != wirev1.EngineRole_ENGINE_ROLE_SERVICE {
+		for _, c := range s.calls.Running() {
+			c.Cancel(call.ErrStalled)
+		}
 	}
 	for ctx.Err() == nil {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -86,7 +86,12 @@
 
 // lookUpStock sends a stock lookup, which is idempotent and needs no key.
 func (h *harness) lookUpStock(ctx context.Context, entryName string) answer {
-	rec, aborted := h.serveRequest(ctx, entryName, httptest.NewRequest(http.MethodGet, "/stock/scarves", nil))
+	return h.get(ctx, entryName, "/stock/scarves")
+}
+
+// get sends a GET request without a key.
+func (h *harness) get(ctx context.Context, entryName, path string) answer {
+	rec, aborted := h.serveRequest(ctx, entryName, httptest.NewRequest(http.MethodGet, path, nil))
 	a := answer{status: rec.Code, header: rec.Header(), text: rec.Body.String(), whole: !aborted}
 	if rec.Header().Get("Fulmardoor-Verdict") != "" {
 		a.whole = false
