entry: keep the call at a silent engine until the request has a place elsewhere

Callers would see, beside engines that fall silent and go on: streams broken off with "stalled", "ran", or refused with 503 "evicted", although nothing else could serve them. With three decode engines, 60 streams and 4 s of silence, 39 of the 60 ended so. With one engine that is silent for 1.5 s before the first token or during the imports, 20 streams were whole after 65 and 68 decodes: each ended call was a prefill and a retry for nothing, and with the retry budget used up it would have been a failure.

Cause: four timers ended calls of a living engine without asking whether the request could go anywhere. The sidecar ended a decode whose first token did not come within four times the learnt import time (300 ms to 2 s), a stream after 2 s without a token, and all calls of an engine that had made no progress for 2 s; and it released an export at its eviction time, also while a decode engine imported it, which engines themselves don't do. The entry then looked for a place, a prefill and a retry, and failed the request if it found none. Class: work is given up by a typical duration, before its replacement is certain.

Now the entry decides. While a call runs, a mover watches for the same silences (the stall of an engine comes with the sidecar's heartbeat). It cancels the call only when it holds a replacement: a place at another engine as long as the KV cache can be imported, later the charge, a prefill engine, a place and a retry within the budget. Otherwise the call goes on and its tokens are delivered. A token that comes first keeps the call; after the decision no token of the old call is delivered, so none comes twice. The sidecar still stops new work at once, ends the calls of an engine only after 10 s of silence, and takes progress of running work as the end of a stall, because a full engine has no place for a probe.

Tests, before: TestSilentEnginesCutNoStream/before_the_first_token: the engines started 65 decodes of 20 streams TestSilentEnginesCutNoStream/during_the_imports: the engines started 68 decodes of 20 streams TestSilentEnginesCutNoStream/in_mid-stream,_longer: answer whole=false status=200 code=stalled verdict=ran, 25 tokens (29 such) answer whole=false status=503 code=evicted verdict=not run, 0 tokens (10 such) In mid-stream 1.5 s of silence were no trouble before either; the case is kept. TestSilentEngineMovesStreams and TestRequestEndsWhenEngineStaysSilent passed before and guard what must stay: streams leave a silent engine when another one has places, and none waits for ever.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,11 +40,17 @@
 
 	promptTokens int
 	maxTokens    int
+
+	// mu guards the fields below while a call runs, because a mover reads them.
+	mu sync.Mutex
 	// delivered are the output tokens that were sent to the caller.
 	delivered   []string
 	firstToken  time.Time
 	lastToken   time.Time
 	tokenGapSum time.Duration
+	// replacement is set when the request is moved from a silent engine; moved forbids to deliver tokens of that engine.
+	replacement *replacement
+	moved       bool
 }
 
 // serveCompletion handles requests of the completions or the chat API.
@@ -125,14 +132,20 @@
 		}
 		if len(c.delivered) >= c.maxTokens {
 			// All tokens were delivered; only the outcome was lost.
+			c.takeReplacement().close()
 			c.complete(&wirev1.Outcome{FinishReason: finishLength})
 			return
 		}
 		if c.ctx.Err() != nil {
+			c.takeReplacement().close()
 			c.fail(c.cancelCause(err))
 			return
 		}
 		refusal := verdict.As(err)
+		if c.replacement != nil {
+			c.recordMoved(refusal)
+			continue
+		}
 		if c.mayWait(refusal) {
 			c.recordWaiting(refusal)
 			if wait.For(c.ctx, replanInterval) {
@@ -190,23 +203,17 @@
 // attempt runs prefill and decode once. After an earlier attempt it continues after the tokens that were delivered.
 func (c *completion) attempt() (*wirev1.Outcome, error) {
 	// The account is charged before any place is requested, so that an account over its rate costs one ledger request only.
+	moved := c.takeReplacement()
 	if err := c.authorize(c.chargeTokens()); err != nil {
+		moved.close()
 		return nil, err
 	}
 	prompt := c.params.Prompt + strings.Join(c.delivered, "")
-	plan, err := c.plan(prompt)
-	if err != nil {
-		return nil, err
-	}
-	reserveStart := time.Now()
-	place, err := c.reserveDecode(plan)
+	plan, place, err := c.planAndReserve(prompt, moved)
 	if err != nil {
 		return nil, err
 	}
 	defer place.close()
-	if plan, err = c.replanIfStale(plan, prompt, reserveStart); err != nil {
-		return nil, err
-	}
 	prefilled, err := c.prefill(plan, prompt, place)
 	if err != nil {
 		return nil, err
@@ -216,6 +223,27 @@
 	return outcome, err
 }
 
+// planAndReserve returns the plan and the decode place of an attempt: those of a moved request, or new ones.
+func (c *completion) planAndReserve(prompt string, moved *replacement) (*plan, *reservation, error) {
+	if moved != nil {
+		return moved.plan, moved.place, nil
+	}
+	plan, err := c.plan(prompt)
+	if err != nil {
+		return nil, nil, err
+	}
+	reserveStart := time.Now()
+	place, err := c.reserveDecode(plan)
+	if err != nil {
+		return nil, nil, err
+	}
+	if plan, err = c.replanIfStale(plan, prompt, reserveStart); err != nil {
+		place.close()
+		return nil, nil, err
+	}
+	return plan, place, nil
+}
+
 // wasteCause returns the metric label that says why the prefill of an attempt was not used.
 func (c *completion) wasteCause(err error) string {
 	if c.callerDisconnected() {
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -31,11 +31,11 @@
 	x.onFrame = func(frame *wirev1.Frame) error { return c.onToken(frame, p, place, prefill) }
 	from, to, tokens := p.quote.Candidate.DataCentre, session.Remote().GetDataCentre(), p.request.PromptTokens
 	c.entry.scheduler.StartTransfer(from, to, tokens)
-	outcome, err := x.run(c.ctx)
+	outcome, err := c.decodeMover(p, place, prefill).run(x)
 	if !prefill.imported {
 		c.entry.scheduler.AbandonTransfer(from, to, tokens)
 	}
-	if !prefill.imported && outcome.GetReason() == wirev1.Reason_REASON_STALLED {
+	if !prefill.imported && (c.replacement != nil || outcome.GetReason() == wirev1.Reason_REASON_STALLED) {
 		c.entry.scheduler.ObserveTransferFailure(from, to)
 	}
 	if err == nil {
@@ -52,6 +52,11 @@
 	if token == nil {
 		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.moved {
+		return errMoved
+	}
 	now := time.Now()
 	if !prefill.imported {
 		prefill.imported = true
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -81,16 +81,25 @@
 }
 
 // decodeWithFallback runs the decode at the reserved place. If that place is not free in time, was revoked, or its engine
-// cannot import the KV cache, it uses the first place that another engine grants before the KV cache is evicted, so the prefill
+// cannot import the KV cache or is silent, it uses the first place that another engine grants before the KV cache is evicted, so the prefill
 // is not wasted.
 func (c *completion) decodeWithFallback(p *plan, place *reservation, prefill *prefilled) (*wirev1.Outcome, error) {
 	for {
 		outcome, err := c.decode(p, place, prefill)
+		if c.replacement != nil && c.replacement.plan == nil {
+			c.entry.events.Record("import_elsewhere", c.name, place.upstream.name, events.Field("reason", reasonName(err)))
+			place = c.takeReplacement().place
+			defer place.close()
+			continue
+		}
+		if c.replacement != nil {
+			return outcome, err
+		}
 		if err == nil || prefill.imported || c.ctx.Err() != nil || !time.Now().Before(prefill.evictedAt) || !canImportElsewhere(err) {
 			return outcome, err
 		}
 		c.entry.events.Record("import_elsewhere", c.name, place.upstream.name, events.Field("reason", reasonName(err)))
-		fallback, fallbackErr := c.reserveElsewhere(p, prefill, place.upstream)
+		fallback, fallbackErr := c.reserveElsewhere(c.ctx, p, prefill, place.upstream)
 		if fallbackErr != nil {
 			return nil, err
 		}
@@ -100,8 +109,10 @@
 }
 
 // reserveElsewhere requests an immediate place from the other decode engines until the KV cache is evicted.
-func (c *completion) reserveElsewhere(p *plan, prefill *prefilled, excluded *upstream) (*reservation, error) {
-	ctx, cancel := context.WithDeadline(c.ctx, prefill.evictedAt)
+func (c *completion) reserveElsewhere(
+	ctx context.Context, p *plan, prefill *prefilled, excluded *upstream,
+) (*reservation, error) {
+	ctx, cancel := context.WithDeadline(ctx, prefill.evictedAt)
 	defer cancel()
 	attempt := scheduler.ReservationAttempt{Wait: time.Until(prefill.evictedAt), Priority: p.request.PrefillPriority()}
 	return c.entry.reserve(ctx, c.decodeCandidates(p.request, excluded), c.decodeReserveRequest(p, 0, attempt))
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -61,7 +61,7 @@
 		result.evictedAt = result.finishedAt.Add(time.Duration(result.done.GetKeptMs()) * time.Millisecond)
 		return nil
 	}
-	outcome, err := x.run(c.ctx)
+	outcome, err := c.prefillMover(p).run(x)
 	if err == nil {
 		err = outcomeError(outcome)
 	}
--- a/internal/progress/tracker.go
+++ b/internal/progress/tracker.go
@@ -62,6 +62,8 @@
 	// duration, because the timeout changes with the running work.
 	timeoutShare float64
 	stalled      bool
+	// progressed is set if running work has made progress since the stall was detected.
+	progressed bool
 
 	tokenGap        average
 	callTime        average
@@ -188,6 +190,18 @@
 	t.recordProgress(time.Now())
 }
 
+// EndStallIfProgressed clears the stall if running work has made progress since it was detected, and reports whether it did.
+func (t *Tracker) EndStallIfProgressed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateStall(time.Now())
+	if !t.stalled || !t.progressed {
+		return false
+	}
+	t.stalled = false
+	return true
+}
+
 // PrefillSpeed returns the mean prefill speed in tokens per second, or 0 while it is unknown.
 func (t *Tracker) PrefillSpeed() float64 {
 	t.mu.Lock()
@@ -209,6 +223,7 @@
 func (t *Tracker) recordProgress(now time.Time) {
 	t.checkedAt = now
 	t.timeoutShare = 0
+	t.progressed = true
 }
 
 // updateStall adds the time since the last call to timeoutShare and sets stalled if the timeout has elapsed. It must be
@@ -216,7 +231,9 @@
 func (t *Tracker) updateStall(now time.Time) {
 	if len(t.work) > 0 {
 		t.timeoutShare += now.Sub(t.checkedAt).Seconds() / t.stallTimeout().Seconds()
-		t.stalled = t.stalled || t.timeoutShare > 1
+		if !t.stalled && t.timeoutShare > 1 {
+			t.stalled, t.progressed = true, false
+		}
 	}
 	t.checkedAt = now
 }
--- a/internal/progress/tracker_test.go
+++ b/internal/progress/tracker_test.go
@@ -134,3 +134,29 @@
 		}
 	})
 }
+
+// Guards against a stall that lasts although running work makes progress again, and against one that ends without progress.
+func TestStallEndsWithProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := NewTracker()
+		id := x.Begin(Decode, 0)
+		stream(x, id, 10, 25*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		if !x.Stalled() || x.EndStallIfProgressed() || !x.Stalled() {
+			t.Error("the stall was not detected or ended without progress")
+		}
+		x.End(id, Result{})
+		if x.EndStallIfProgressed() {
+			t.Error("the stall ended with cancelled work")
+		}
+		id = x.Begin(Decode, 0)
+		x.Token(id)
+		if !x.EndStallIfProgressed() || x.Stalled() {
+			t.Error("stalled after a token")
+		}
+		time.Sleep(5 * time.Second)
+		if !x.Stalled() || x.EndStallIfProgressed() {
+			t.Error("a second stall was not detected or ended without progress")
+		}
+	})
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -64,17 +64,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
+	if !b.permitsLocked() {
+		return false
+	}
+	b.retries[b.slot()]++
+	return true
+}
+
+// Permits reports whether a retry is within the budget, without counting one.
+func (b *Budget) Permits() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return b.permitsLocked()
+}
+
+// permitsLocked reports whether one more retry is within the budget. The caller holds mu.
+func (b *Budget) permitsLocked() bool {
 	requests, retries := 0, 0
 	for i := range b.requests {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	limit := b.limits.Share*float64(requests) + b.limits.Extra
-	if float64(retries+1) > limit {
-		return false
-	}
-	b.retries[b.slot()]++
-	return true
+	return float64(retries+1) <= b.limits.Share*float64(requests)+b.limits.Extra
 }
 
 // slot returns the index of the current second in the ring buffers.
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -25,9 +25,10 @@
 	assumedPrefillSpeed = 10000
 	probeID             = "probe"
 	probePrompt         = "probe"
-	// A token is late after tokenTimeoutGaps times the mean token gap, but not before minTokenTimeout.
-	minTokenTimeout  = 2 * time.Second
-	tokenTimeoutGaps = 20
+	// A stream is ended after a silence of maxSilenceGaps times the mean token gap, but not before minMaxSilence. Entries move a
+	// silent stream earlier if another engine has a place for it.
+	minMaxSilence  = 10 * time.Second
+	maxSilenceGaps = 20
 )
 
 // ModelConfig configures a ModelUpstream.
@@ -47,8 +48,6 @@
 	tracker *progress.Tracker
 	index   *prefix.Index
 
-	imports importTimes
-
 	mu      sync.Mutex         // guards exports
 	exports map[call.ID]string // handles of the exported KV caches of prefills
 }
@@ -117,16 +116,11 @@
 	id := u.tracker.Begin(progress.Decode, 0)
 	tokens := 0
 	ctx := engine.WithAccount(c.Context(), c.Account)
-	begin := time.Now()
-	bytes := work.GetHandle().GetBytes()
-	watchdog := time.AfterFunc(u.imports.timeout(bytes), func() { c.Cancel(call.ErrStalled) })
+	watchdog := time.AfterFunc(u.maxSilence(), func() { c.Cancel(call.ErrStalled) })
 	defer watchdog.Stop()
 	result, err := u.cfg.Engine.Decode(ctx, c.ID.String(), work, func(text string) error {
-		if tokens == 0 {
-			u.imports.observe(bytes, time.Since(begin))
-		}
 		tokens++
-		watchdog.Reset(u.tokenTimeout())
+		watchdog.Reset(u.maxSilence())
 		u.tracker.Token(id)
 		report(tokens)
 		return c.Emit(&wirev1.Frame{Body: &wirev1.Frame_Token{Token: &wirev1.Token{Text: text}}})
@@ -146,10 +140,9 @@
 	}
 }
 
-// tokenTimeout returns the longest wait for the next token of one stream. It detects a single stalled stream, while the
-// tracker detects an engine that has stalled as a whole.
-func (u *ModelUpstream) tokenTimeout() time.Duration {
-	return max(minTokenTimeout, tokenTimeoutGaps*u.tracker.TokenGap())
+// maxSilence returns the longest wait for the next token of one stream, after which the engine is not expected to go on.
+func (u *ModelUpstream) maxSilence() time.Duration {
+	return max(minMaxSilence, maxSilenceGaps*u.tracker.TokenGap())
 }
 
 // failedOutcome returns the outcome of work that ended with an error.
@@ -178,12 +171,13 @@
 	}
 }
 
-// trackExport remembers the exported KV cache of a prefill until it is released or the engine evicts it.
+// trackExport remembers the exported KV cache of a prefill until it is released. The engine evicts an export that nobody imports; one
+// that is being imported is kept for as long as a decode engine may be silent.
 func (u *ModelUpstream) trackExport(id call.ID, handle string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.exports[id] = handle
-	time.AfterFunc(u.cfg.Eviction, func() { u.Release(id) })
+	time.AfterFunc(u.cfg.Eviction+u.maxSilence(), func() { u.Release(id) })
 }
 
 // Release implements Upstream: it frees the exported KV cache of a prefill, unless that was already done.
@@ -224,8 +218,12 @@
 func (u *ModelUpstream) Stalled() bool { return u.tracker.Stalled() }
 
 // Probe implements Upstream: the engine must generate one token, or prefill a short prompt if it accepts no decodes. It tries
-// both, because orders change the role of an engine.
+// both, because orders change the role of an engine. An engine whose running work has made progress needs no probe, and may have no
+// place for one.
 func (u *ModelUpstream) Probe(ctx context.Context) error {
+	if u.tracker.EndStallIfProgressed() {
+		return nil
+	}
 	work := &wirev1.DecodeWork{Model: u.cfg.Model, Prompt: probePrompt, MaxTokens: 1}
 	_, err := u.cfg.Engine.Decode(ctx, probeID, work, func(string) error { return nil })
 	if err != nil && ctx.Err() == nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,8 @@
 const (
 	eventCapacity     = 8192
 	superviseInterval = 250 * time.Millisecond
+	// stalledCallLimit is how long the calls of a stalled model engine go on. Entries stop waiting for another engine after as long.
+	stalledCallLimit = 10 * time.Second
 )
 
 // Upstream runs work at the upstream and tracks its state.
@@ -212,8 +214,9 @@
 	}
 }
 
-// handleStall stops new work, cancels the running calls of a model engine and probes the upstream until it works again. Calls of a
-// plain service go on: each has the timeout of its own route, and timeouts of other calls do not show that it gets no response.
+// handleStall stops new work and probes the upstream until it works again. Running calls go on, because an upstream that is silent
+// may still answer them, and entries move those that they can run elsewhere. Calls of a model engine are cancelled after
+// stalledCallLimit; those of a plain service end at the timeout of their own route.
 func (s *Sidecar) handleStall(ctx context.Context) {
 	name := s.settings.GetUpstream().GetName()
 	s.logger.Warn("upstream makes no progress", zap.String("upstream", name))
@@ -222,9 +225,8 @@
 	s.places.SetStalled(true)
 	s.broadcastHeartbeat()
 	if s.role != wirev1.EngineRole_ENGINE_ROLE_SERVICE {
-		for _, c := range s.calls.Running() {
-			c.Cancel(call.ErrStalled)
-		}
+		timer := time.AfterFunc(stalledCallLimit, s.cancelStalledCalls)
+		defer timer.Stop()
 	}
 	for ctx.Err() == nil {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -241,6 +243,12 @@
 	s.broadcastHeartbeat()
 }
 
+func (s *Sidecar) cancelStalledCalls() {
+	for _, c := range s.calls.Running() {
+		c.Cancel(call.ErrStalled)
+	}
+}
+
 // Stop refuses new work, waits until the running calls have ended and their responses are delivered, or until ctx ends, and
 // closes all sessions. It returns the number of calls that were cancelled.
 func (s *Sidecar) Stop(ctx context.Context) int {
--- a/internal/systemtest/silence_test.go
+++ b/internal/systemtest/silence_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/fulmardoor/fulmardoor/standin/engine"
 	"github.com/fulmardoor/fulmardoor/standin/service"
 )
 
@@ -44,3 +47,160 @@
 		}
 	})
 }
+
+// newSilenceHarness returns a harness with one entry process, one prefill engine and a number of decode engines, whose sidecars
+// have observed the time of imports.
+func newSilenceHarness(t *testing.T, decodeEngines int) *harness {
+	h := newHarness(t)
+	h.addEngine("prefill-0", "prefill", func(cfg *engine.Config) { cfg.PrefillSlots = 20 })
+	for i := range decodeEngines {
+		h.addEngine(fmt.Sprintf("decode-%d", i), "decode", nil)
+	}
+	h.addService("ledger-0") // the document needs a pool for its routes
+	h.startEntries(1)
+	time.Sleep(settleTime)
+	h.apply(h.documentText(nil))
+	for i := range 20 {
+		if a := h.complete(context.Background(), "entry-0", testKey, fmt.Sprintf("first %d ", i)+prompt(500), 5); !a.whole {
+			t.Fatalf("completion without faults: %+v", a)
+		}
+	}
+	return h
+}
+
+// setEngineFaults injects faults into all decode engines for a duration.
+func (h *harness) setDecodeFaults(faults engine.Faults, duration time.Duration) {
+	for name, core := range h.engines {
+		if strings.HasPrefix(name, "decode") {
+			core.SetFaults(faults)
+			time.AfterFunc(duration, func() { core.SetFaults(engine.Faults{}) })
+		}
+	}
+}
+
+// decodesStarted returns the number of decodes that all engines have started.
+func (h *harness) decodesStarted() int {
+	count := 0
+	for _, core := range h.engines {
+		count += int(core.Audit().Counts.DecodesStarted)
+	}
+	return count
+}
+
+// checkStreamsDuringSilence sends streams, one for each place of the decode engines, makes the engines silent and checks that each
+// stream is whole and that none was sent to an engine twice.
+func (h *harness) checkStreamsDuringSilence(silentAfter time.Duration, faults engine.Faults, silence time.Duration, decodeEngines int) {
+	h.t.Helper()
+	const tokens = 100
+	count := 20 * decodeEngines
+	before := h.decodesStarted()
+	type result struct {
+		prompt string
+		answer answer
+	}
+	results := make(chan result, count)
+	time.AfterFunc(silentAfter, func() { h.setDecodeFaults(faults, silence) })
+	for i := range count {
+		text := fmt.Sprintf("stream %d ", i) + prompt(500)
+		go func() { results <- result{text, h.complete(context.Background(), "entry-0", testKey, text, tokens)} }()
+	}
+	for range count {
+		r := <-results
+		checkWholeAnswer(h.t, r.answer, r.prompt, tokens)
+	}
+	if started := h.decodesStarted() - before; started != count {
+		h.t.Errorf("the engines started %d decodes of %d streams", started, count)
+	}
+}
+
+// Guards against streams that are ended, or prefilled again, because the only engines that can decode them are silent for some time
+// and then go on.
+func TestSilentEnginesCutNoStream(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		decodeEngines int
+		silentAfter   time.Duration
+		faults        engine.Faults
+		silence       time.Duration
+	}{
+		{"before the first token", 1, 0, engine.Faults{Stall: true}, 1500 * time.Millisecond},
+		{"during the imports", 1, 0, engine.Faults{StallTransfer: true}, 1500 * time.Millisecond},
+		{"in mid-stream", 1, time.Second, engine.Faults{Stall: true}, 1500 * time.Millisecond},
+		{"in mid-stream, longer", 3, time.Second, engine.Faults{Stall: true}, 4 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newSilenceHarness(t, c.decodeEngines)
+				defer h.close()
+				h.checkStreamsDuringSilence(c.silentAfter, c.faults, c.silence, c.decodeEngines)
+			})
+		})
+	}
+}
+
+// Guards against streams that wait for a silent engine although another one has places, and against a KV cache that is computed
+// again although the other engine can import it.
+func TestSilentEngineMovesStreams(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		silentAfter time.Duration
+		faults      engine.Faults
+		limit       time.Duration
+		prefills    int
+	}{
+		{"during the imports", 0, engine.Faults{StallTransfer: true}, 3500 * time.Millisecond, 10},
+		{"in mid-stream", time.Second, engine.Faults{Stall: true}, 7 * time.Second, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newSilenceHarness(t, 2)
+				defer h.close()
+				const streams, tokens = 10, 80
+				prefills := h.engines["prefill-0"].Audit().Counts.PrefillsStarted
+				time.AfterFunc(c.silentAfter, func() { h.engines["decode-0"].SetFaults(c.faults) })
+				results := make(chan answer, streams)
+				begin := time.Now()
+				for i := range streams {
+					go func() {
+						results <- h.complete(context.Background(), "entry-0", testKey, fmt.Sprintf("stream %d ", i)+prompt(500), tokens)
+					}()
+				}
+				for range streams {
+					if a := <-results; !a.whole || a.tokens != tokens {
+						t.Errorf("stream is not whole: %d %s, %d tokens", a.status, a.code, a.tokens)
+					}
+				}
+				if elapsed := time.Since(begin); elapsed > c.limit {
+					t.Errorf("the streams took %v", elapsed)
+				}
+				if started := int(h.engines["prefill-0"].Audit().Counts.PrefillsStarted - prefills); started > c.prefills {
+					t.Errorf("%d prefills of %d streams", started, streams)
+				}
+				if h.engines["decode-0"].Audit().Counts.DecodesStarted == 0 {
+					t.Error("the silent engine got no stream, so the test shows nothing")
+				}
+				h.engines["decode-0"].SetFaults(engine.Faults{})
+				time.Sleep(memoryReleaseLimit)
+				if blocks := h.heldBlocks(); blocks != 0 {
+					t.Errorf("engines hold %d blocks: %+v", blocks, h.memoryHolders())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that never ends because the only engine is silent for good.
+func TestRequestEndsWhenEngineStaysSilent(t *testing.T) {
+	for _, name := range []string{"prefill-0", "decode-0"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newSilenceHarness(t, 1)
+			defer h.close()
+			h.engines[name].SetFaults(engine.Faults{Stall: true})
+			begin := time.Now()
+			a := h.complete(context.Background(), "entry-0", testKey, prompt(500), 10)
+			if a.whole || a.verdict == "" || time.Since(begin) > time.Minute {
+				t.Errorf("%s is silent for good: answer %+v after %v", name, a, time.Since(begin))
+			}
+		})
+	}
+}
