sidecar: deliver the outcomes of calls that the end of a stop cancels

Cause: Stop cancelled the running calls and closed all sessions at once, so that no outcome was sent. Now it waits until the outcomes are delivered, for 1 s at most.

TestEndOfSidecarStopAnswersBookings failed before, for all of its 20 bookings: stop_test.go:39: after 6s: 502 no_upstream, may have run

--- a/internal/sidecar/sessions.go
+++ b/internal/sidecar/sessions.go
@@ -15,6 +15,8 @@
 	idlePollInterval = 50 * time.Millisecond
 	// stopQuietPeriod is the time without requests after which a stopping process counts as idle.
 	stopQuietPeriod = 500 * time.Millisecond
+	// cancelledDeliveryLimit is the longest wait for the delivery of the outcomes of calls that the end of a stop has cancelled.
+	cancelledDeliveryLimit = time.Second
 )
 
 func (s *Sidecar) load() *wirev1.Load {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -250,7 +250,8 @@
 }
 
 // Stop refuses new work, waits until the running calls have ended and their responses are delivered, or until ctx ends, and
-// closes all sessions. It returns the number of calls that were cancelled.
+// closes all sessions. It returns the number of calls that were cancelled; their outcomes are delivered within
+// cancelledDeliveryLimit.
 func (s *Sidecar) Stop(ctx context.Context) int {
 	s.updateLeaveReasons(func(l *leaveReasons) { l.stop = true })
 	s.events.Record("stopping", "", s.settings.GetUpstream().GetName())
@@ -260,6 +261,9 @@
 		s.logger.Warn("call cancelled because the process stops", zap.Stringer("call", c.ID))
 		c.Cancel(call.ErrStopping)
 	}
+	if len(running) > 0 {
+		s.waitDelivered(cancelledDeliveryLimit)
+	}
 	for _, session := range s.sessionList() {
 		session.Close()
 	}
@@ -287,6 +291,13 @@
 	}
 }
 
+// waitDelivered waits until the responses of all calls are delivered, at most for limit.
+func (s *Sidecar) waitDelivered(limit time.Duration) {
+	for begin := time.Now(); !s.idle() && time.Since(begin) < limit; {
+		time.Sleep(idlePollInterval)
+	}
+}
+
 func (s *Sidecar) idle() bool {
 	s.mu.Lock()
 	reservations := len(s.reservations)
