entry: answer the requests that run when the time of a stop is over

Callers would see: when the drain limit of an entry process was over, or at its second SIGTERM, the process closed their connections. A booking ended with EOF, so that its caller could not know whether it ran; a stream ended in the middle without an error event; a request that only waited for an upstream got nothing, although it had not run.

Cause: shutDown closed the HTTP server as soon as the wait for running requests ended. Requests are accepted for as long as the listener is open, whatever time is left, and nothing kept the promise of an answer when that time was too short. Now the process ends what still runs with the refusal "stopping": "not run" with Retry-After if no call was sent to an upstream, "may have run" otherwise, an error event in a stream that has begun. It waits for these answers for 1 s at most, and still logs the number of cut requests and exits with 1. A request that is read later gets the same refusal.

--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -23,6 +23,8 @@
 	handoffTimeout    = 3 * time.Second
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// endTimeout is the longest wait for the refusals of the requests that run when the time of a stop is over.
+	endTimeout = time.Second
 )
 
 func main() {
@@ -108,7 +110,7 @@
 }
 
 // shutDown hands over the ledger shards, gives the load balancer time to notice that the process is no longer ready, and waits
-// for running requests. It returns the number of requests that were interrupted.
+// for running requests. Those that still run then are ended with a refusal. It returns their number.
 func shutDown(e *entry.Entry, s *configv1.EntrySettings, server *http.Server, forceStop <-chan struct{}) int {
 	handoffCtx, cancel := context.WithTimeout(context.Background(), handoffTimeout)
 	defer cancel()
@@ -121,10 +123,20 @@
 	defer cancelDrain()
 	// Shutdown closes the listener and waits for running requests.
 	err := server.Shutdown(drainCtx)
-	// WaitIdle must count before Close, which ends requests: those that end at once would be missing from the count.
+	// WaitIdle must count before EndRequests: requests that end at once would be missing from the count.
 	unfinished := e.WaitIdle(drainCtx)
 	if err != nil {
-		_ = server.Close()
+		endRequests(e, server)
 	}
 	return unfinished
 }
+
+// endRequests ends the running requests with refusals and closes the connections of callers that do not read theirs in time.
+func endRequests(e *entry.Entry, server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	e.EndRequests()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
@@ -65,7 +62,7 @@
 		}
 		weight := e.weight(req.caller.account)
 		if err := e.admission.acquire(req.ctx, req.caller.account, weight, float64(c.chargeTokens()), c.firstTokenLimit()); err != nil {
-			c.fail(err)
+			c.fail(c.cancelCause(err))
 			return
 		}
 		defer e.admission.release()
@@ -191,15 +188,6 @@
 	return c.waitForRetryBudget(c.worthWaiting)
 }
 
-// cancelCause returns the refusal with which the request was cancelled, for example because its key was withdrawn. It returns
-// err if the request was not cancelled, or was cancelled because its caller disconnected.
-func (c *completion) cancelCause(err error) error {
-	if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
-	}
-	return err
-}
-
 // attempt runs prefill and decode once. After an earlier attempt it continues after the tokens that were delivered.
 func (c *completion) attempt() (*wirev1.Outcome, error) {
 	// The account is charged before any place is requested, so that an account over its rate costs one ledger request only.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,8 +69,9 @@
 	admission        *admission
 
 	mu       sync.Mutex // guards the fields below
-	running  int
+	running  map[*request]struct{}
 	stopping bool
+	ended    bool          // the time of the stop is over
 	idle     chan struct{} // closed when the process is stopping and no request runs
 }
 
@@ -88,6 +89,7 @@
 		metrics:   metrics.NewEntry(),
 		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
+		running:   make(map[*request]struct{}),
 	}
 	e.admission = newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning()))
 	e.admission.observeWait = e.metrics.WaitedForAdmission
@@ -211,23 +213,26 @@
 	return &wirev1.CallID{Incarnation: e.hello.GetIncarnation(), Sequence: e.sequence.Add(1)}
 }
 
-// requestStarted counts a running request.
-func (e *Entry) requestStarted() {
+// requestStarted adds a running request.
+func (e *Entry) requestStarted(r *request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running++
+	e.running[r] = struct{}{}
+	if e.ended {
+		r.cancel(errProcessEnds)
+	}
 }
 
-func (e *Entry) requestEnded() {
+func (e *Entry) requestEnded(r *request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
+	delete(e.running, r)
 	e.signalIdle()
 }
 
 // signalIdle closes idle if the process is stopping and no request runs. The caller holds mu.
 func (e *Entry) signalIdle() {
-	if !e.stopping || e.running > 0 {
+	if !e.stopping || len(e.running) > 0 {
 		return
 	}
 	select {
@@ -270,7 +275,18 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running
+	return len(e.running)
+}
+
+// EndRequests ends the running requests and those that come later, each with a refusal that says whether it may have run. It is
+// called when the time of a stop is over.
+func (e *Entry) EndRequests() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for r := range e.running {
+		r.cancel(errProcessEnds)
+	}
 }
 
 // Close ends all sessions.
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -4,8 +4,6 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/call"
-	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -89,7 +87,7 @@
 }
 
 func (c *completion) newExchange(place *reservation, work *wirev1.Work) *exchange {
-	c.entry.events.Record("dispatched", c.name, place.upstream.name, events.Field("call", call.FromWire(place.request.GetCall())))
+	c.recordDispatch(place.upstream.name, place.request.GetCall())
 	return &exchange{
 		peer: place.link.peer, logger: c.entry.logger, clock: c.entry.events, onEvent: c.eventRecorder(place.upstream.name),
 		request: &wirev1.ExecuteRequest{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -17,6 +17,12 @@
 // ledgerDeadline is the longest wait for a charge, for example while the owner of the account's ledger shard changes.
 const ledgerDeadline = 10 * time.Second
 
+// errProcessEnds is the cancellation cause of a request that runs when the time of a planned stop is over.
+var errProcessEnds = errors.New("the process has ended")
+
+// endRetryAfter is the time after which callers of an ending process should try again.
+const endRetryAfter = time.Second
+
 // request is the common part of model requests and calls of plain services.
 type request struct {
 	entry     *Entry
@@ -30,15 +36,17 @@
 	chargeID  *wirev1.CallID
 	charged   uint64
 	chargedAt time.Time
+	// dispatched is set once a call was sent to an upstream for the request.
+	dispatched bool
 	// waitRecorded is set once the event of a wait for an upstream was recorded.
 	waitRecorded bool
 }
 
 func (e *Entry) newRequest(w http.ResponseWriter, r *http.Request) *request {
-	e.requestStarted()
 	id := e.nextCallID()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	req := &request{entry: e, id: id, name: requestName(id), startTime: time.Now(), ctx: ctx, cancel: cancel}
+	e.requestStarted(req)
 	w.Header().Set(headerRequestID, req.name)
 	e.events.Record("received", req.name, "", events.Field("method", r.Method), events.Field("path", r.URL.Path))
 	return req
@@ -47,7 +55,7 @@
 func (r *request) close() {
 	r.cancel(nil)
 	r.entry.events.Record("ended", r.name, "", events.Field("elapsed_ms", time.Since(r.startTime).Milliseconds()))
-	r.entry.requestEnded()
+	r.entry.requestEnded(r)
 }
 
 // callerDisconnected reports whether the request was cancelled because its caller disconnected.
@@ -55,6 +63,30 @@
 	return r.ctx.Err() != nil && errors.Is(context.Cause(r.ctx), context.Canceled)
 }
 
+// recordDispatch records that a call is sent to an upstream.
+func (r *request) recordDispatch(upstream string, id *wirev1.CallID) {
+	r.dispatched = true
+	r.entry.events.Record("dispatched", r.name, upstream, events.Field("call", requestName(id)))
+}
+
+// cancelCause returns the refusal with which the request was cancelled, for example because its key was withdrawn. It returns
+// err if the request was not cancelled, or was cancelled because its caller disconnected.
+func (r *request) cancelCause(err error) error {
+	cause := context.Cause(r.ctx)
+	switch {
+	case cause == nil || errors.Is(cause, context.Canceled):
+		return err
+	case !errors.Is(cause, errProcessEnds):
+		return cause
+	}
+	refusal := verdict.Refuse(wirev1.Reason_REASON_STOPPING, "the process ended before the request did")
+	refusal.RetryAfter = endRetryAfter
+	if r.dispatched {
+		refusal.Verdict = verdict.MayHaveRun
+	}
+	return refusal
+}
+
 func (r *request) eventRecorder(upstream string) func(kind string) {
 	return func(kind string) { r.entry.events.Record(kind, r.name, upstream) }
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
@@ -74,7 +72,7 @@
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
 	weight := e.weight(c.account)
 	if err := e.admission.acquire(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
-		s.fail(verdict.As(err))
+		s.fail(verdict.As(s.cancelCause(err)))
 		return
 	}
 	defer e.admission.release()
@@ -184,7 +182,7 @@
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
 		},
 	}
-	s.entry.events.Record("dispatched", s.name, u.name, events.Field("call", call.FromWire(x.request.GetCall())))
+	s.recordDispatch(u.name, x.request.GetCall())
 	s.head, s.buffered = nil, nil
 	outcome, err := x.run(s.ctx)
 	if err == nil {
@@ -259,11 +257,3 @@
 	}
 	return nil
 }
-
-// cancelCause returns the cause with which the request was cancelled, or err if it has none or its caller disconnected.
-func (s *serviceRequest) cancelCause(err error) error {
-	if cause := context.Cause(s.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
-	}
-	return err
-}
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,35 @@
 		}
 	})
 }
+
+// Guards against a request that the end of a stop leaves without an answer, and against one that is said not to have run although its
+// call is at an upstream, or to have perhaps run although it only waits for one.
+func TestEndOfEntryStopTellsWhatRan(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		for _, s := range h.services {
+			s.SetFaults(service.Faults{StallAfter: true})
+		}
+		h.apply(strings.ReplaceAll(h.documentText(nil), "role = decode\n", "role = decode\nstate = leaving\n"))
+		booking, stream := make(chan answer, 1), make(chan answer, 1)
+		go func() { booking <- h.book(context.Background(), "entry-0", "b1", nil) }()
+		go func() { stream <- h.complete(context.Background(), "entry-0", testKey, prompt(100), 5) }()
+		time.Sleep(500 * time.Millisecond)
+		e := h.entries["entry-0"].entry
+		e.BeginStop(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if left := e.WaitIdle(ctx); left != 2 {
+			t.Fatalf("%d requests run, want 2", left)
+		}
+		e.EndRequests()
+		if a := <-booking; a.status != 502 || a.code != "stopping" || a.verdict != "may have run" {
+			t.Errorf("booking at an upstream: %d %s, %s", a.status, a.code, a.verdict)
+		}
+		if a := <-stream; a.status != 503 || a.code != "stopping" || a.verdict != "not run" || a.header.Get("Retry-After") == "" {
+			t.Errorf("stream that waits for an upstream: %d %s, %s", a.status, a.code, a.verdict)
+		}
+		if a := h.book(context.Background(), "entry-0", "b2", nil); a.code != "stopping" || a.verdict != "not run" || h.bookingRuns("b2") != 0 {
+			t.Errorf("booking after the end: %d %s, %s", a.status, a.code, a.verdict)
+		}
+	})
+}
