process: keep entries and sidecars running at SIGHUP

Callers would see: a SIGHUP, which operators and log rotation send to make a process reload, ended fulmardoor-entry and fulmardoor-sidecar at once.

Cause: the default action of the signal ends a process that does not handle it. Both programs now handle it and log that there is nothing to reload: documents and certificates are taken without it, other settings need a restart. fulmardoor-router, which reloads, is not concerned.

--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -38,6 +38,7 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
+	process.IgnoreReloads(logger)
 	dialer, err := process.NewPeerDialer(s.GetPeers())
 	if err != nil {
 		return err
--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
+	process.IgnoreReloads(logger)
 	platform := s.GetPlatform()
 	sc := sidecar.New(sidecar.Config{
 		Settings: s, Upstream: newUpstream(s.GetUpstream(), logger), Logger: logger,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -54,6 +54,17 @@
 	return ctx, secondSignal
 }
 
+// IgnoreReloads keeps the process running at SIGHUP, whose default action would end it, and logs that there is nothing to reload.
+func IgnoreReloads(logger *zap.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			logger.Info("SIGHUP ignored: documents and certificates are reloaded without it, settings need a restart")
+		}
+	}()
+}
+
 // Listen opens a TCP listener, with TLS if certificateFile is set. An error of the listener names the setting.
 func Listen(setting, address, certificateFile, keyFile string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
