entry: don't say "not run" when an earlier attempt may have run

Callers would see: a lookup ran at a service that broke its answer off and stopped; the repeat found no upstream, and the caller was told 503 "no_upstream", "not run". The same held for model requests whose first attempt broke.

The request now remembers that an attempt which may have run was followed by another one, and its final "not run" becomes "may have run" (502); its charge is then kept, as for every request that may have run. The records of a retry stood three times and are one function now.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -140,7 +140,8 @@
 		}
 		refusal := verdict.As(err)
 		if c.replacement != nil {
-			c.recordMoved(refusal)
+			// The retry budget has permitted the move.
+			c.recordRetry("model", refusal, events.Field("delivered", len(c.delivered)))
 			continue
 		}
 		if c.mayWait(refusal) {
@@ -155,9 +156,7 @@
 			c.fail(refusal)
 			return
 		}
-		c.entry.metrics.Retried("model", refusal.Reason)
-		c.entry.events.Record("retry", c.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail),
-			events.Field("delivered", len(c.delivered)))
+		c.recordRetry("model", refusal, events.Field("delivered", len(c.delivered)))
 	}
 }
 
@@ -273,17 +272,17 @@
 }
 
 func (c *completion) fail(err error) {
-	refusal := *verdict.As(err)
+	refusal := c.finalRefusal(err)
 	used := uint64(0)
 	if len(c.delivered) > 0 {
 		refusal.Verdict = verdict.Ran
 		used = uint64(c.promptTokens + len(c.delivered))
 	}
 	c.settle(used, refusal.Verdict)
-	c.recordFailure(c.chargeTokens(), &refusal)
+	c.recordFailure(c.chargeTokens(), refusal)
 	if !c.writer.Started() {
-		c.entry.sendRefusal(c.w, c.name, &refusal)
+		c.entry.sendRefusal(c.w, c.name, refusal)
 		return
 	}
-	_ = c.writer.Fail(errorBody(&refusal, c.name)) // the caller may have disconnected
+	_ = c.writer.Fail(errorBody(refusal, c.name)) // the caller may have disconnected
 }
--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -10,9 +10,7 @@
 	"github.com/go-faster/errors"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
-	"github.com/fulmardoor/fulmardoor/internal/verdict"
 	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
@@ -212,10 +210,3 @@
 	}
 	return &replacement{place: place, plan: p}
 }
-
-// recordMoved records that the request goes on at another engine, which the retry budget has already permitted.
-func (c *completion) recordMoved(refusal *verdict.Refusal) {
-	c.entry.metrics.Retried("model", refusal.Reason)
-	c.entry.events.Record("retry", c.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)),
-		events.Field("detail", refusal.Detail), events.Field("delivered", len(c.delivered)))
-}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,6 +38,8 @@
 	chargedAt time.Time
 	// dispatched is set once a call was sent to an upstream for the request.
 	dispatched bool
+	// ranEarlier is set once an attempt that may have run is followed by another one.
+	ranEarlier bool
 	// waitRecorded is set once the event of a wait for an upstream was recorded.
 	waitRecorded bool
 }
@@ -69,6 +71,23 @@
 	r.entry.events.Record("dispatched", r.name, upstream, events.Field("call", requestName(id)))
 }
 
+// recordRetry records that another attempt follows one that failed.
+func (r *request) recordRetry(kind string, refusal *verdict.Refusal, fields ...*wirev1.Header) {
+	r.ranEarlier = r.ranEarlier || refusal.Verdict != verdict.NotRun
+	r.entry.metrics.Retried(kind, refusal.Reason)
+	fields = append(fields, events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail))
+	r.entry.events.Record("retry", r.name, "", fields...)
+}
+
+// finalRefusal returns a copy of the refusal that ends the request. "Not run" has to hold for all of its attempts.
+func (r *request) finalRefusal(err error) *verdict.Refusal {
+	refusal := *verdict.As(err)
+	if r.ranEarlier && refusal.Verdict == verdict.NotRun {
+		refusal.Verdict = verdict.MayHaveRun
+	}
+	return &refusal
+}
+
 // cancelCause returns the refusal with which the request was cancelled, for example because its key was withdrawn. It returns
 // err if the request was not cancelled, or was cancelled because its caller disconnected.
 func (r *request) cancelCause(err error) error {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -10,7 +10,6 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
@@ -72,7 +71,7 @@
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
 	weight := e.weight(c.account)
 	if err := e.admission.acquire(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
-		s.fail(verdict.As(s.cancelCause(err)))
+		s.fail(s.cancelCause(err))
 		return
 	}
 	defer e.admission.release()
@@ -114,8 +113,7 @@
 		shouldRetry := s.ctx.Err() == nil && isRetryable(refusal) && !isNoUpstream(refusal) && attempts < maxServiceAttempts &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.responseStarted, false) == retry.Retry
 		if shouldRetry && s.waitForRetryBudget(s.worthWaiting) {
-			s.entry.metrics.Retried("service", refusal.Reason)
-			s.entry.events.Record("retry", s.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail))
+			s.recordRetry("service", refusal)
 			continue
 		}
 		s.fail(refusal)
@@ -144,7 +142,8 @@
 
 // fail ends the request with a refusal. If bytes of the response were already sent, it aborts the connection, which is the
 // only way to tell the caller that the response is incomplete.
-func (s *serviceRequest) fail(refusal *verdict.Refusal) {
+func (s *serviceRequest) fail(err error) {
+	refusal := s.finalRefusal(err)
 	s.settle(s.usedTokens(refusal.Verdict), refusal.Verdict)
 	s.recordFailure(s.route.GetCostTokens(), refusal)
 	if !s.responseStarted {
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/standin/service"
@@ -74,3 +75,28 @@
 		}
 	})
 }
+
+// Guards against a refusal that says "not run" although an earlier attempt of the request ran: here its upstream stops, and no other one
+// accepts the repeat.
+func TestRefusedRepeatTellsEarlierRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.close()
+		h.addService("ledger-0")
+		h.startEntries(1)
+		time.Sleep(settleTime)
+		h.apply(h.documentText(nil))
+		h.services["ledger-0"].SetFaults(service.Faults{DelayMS: 500, DropAfter: true})
+		result := make(chan answer, 1)
+		go func() { result <- h.lookUpStock(context.Background(), "entry-0") }()
+		time.Sleep(300 * time.Millisecond)
+		go h.sidecars["ledger-0"].sidecar.Stop(context.Background())
+		a := <-result
+		if lookups := h.services["ledger-0"].Audit().Lookups; lookups != 1 {
+			t.Fatalf("%d lookups ran, want 1", lookups)
+		}
+		if a.whole || a.verdict != "may have run" {
+			t.Errorf("the lookup ran: %d %s, %s", a.status, a.code, a.verdict)
+		}
+	})
+}
