call: let a stopping sidecar wait for the resume of bookings, too

Callers would see: 502 "no_upstream", "may have run", for a booking that ran and was answered, when its connection broke while the sidecar was stopping and the entry was back more than 0.5 s after the answer.

Cause: a call that may not be repeated goes on without an attached stream for as long as it takes, so its resume window is 0; but the wait of a stop took the same number for how long its answer may still be fetched. Now the window of the registry (3 s) counts for the answers of all calls.

TestSidecarStopWaitsForResume failed before, in one of 10 runs each of three times (the moment of the new connection is random; it plays 40 now): stop_test.go:128: the booking ran 1 times: 502 no_upstream, may have run

--- a/internal/call/registry.go
+++ b/internal/call/registry.go
@@ -147,7 +147,7 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, c := range r.calls {
-		if c.undelivered() {
+		if c.undelivered(r.resumeWindow) {
 			count++
 		}
 	}
@@ -208,15 +208,16 @@
 	}
 }
 
-// undelivered reports whether the call counts in Registry.Undelivered.
-func (c *Call) undelivered() bool {
+// undelivered reports whether the call counts in Registry.Undelivered. The answer of a finished call may be resumed within
+// resumeWindow, also if the call itself had no limit without a stream.
+func (c *Call) undelivered(resumeWindow time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.outcome == nil {
 		return true
 	}
 	last := c.firstNumber + uint64(len(c.frames)) - 1
-	mayResume := time.Since(c.finishedAt) < c.resumeWindow
+	mayResume := time.Since(c.finishedAt) < resumeWindow
 	return c.ackedNumber < last && (c.attached || mayResume)
 }
 
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -100,3 +100,37 @@
 		}
 	})
 }
+
+// Guards against a booking whose answer is lost because its sidecar stops: its connection broke, and the entry process asks for the answer on
+// a new one.
+func TestSidecarStopWaitsForResume(t *testing.T) {
+	const runs = 40 // the time of the new connection varies
+	for range runs {
+		synctest.Test(t, testSidecarStopWaitsForResume)
+	}
+}
+
+func testSidecarStopWaitsForResume(t *testing.T) {
+	h := newHarness(t)
+	defer h.close()
+	h.addService("ledger-0")
+	h.startEntries(1)
+	time.Sleep(settleTime)
+	h.apply(h.documentText(nil))
+	h.services["ledger-0"].SetFaults(service.Faults{DelayMS: 1000})
+	result := make(chan answer, 1)
+	go func() { result <- h.book(context.Background(), "entry-0", "b1", nil) }()
+	time.Sleep(500 * time.Millisecond)
+	h.network.Partition(h.addressOf("entry-0"), h.addressOf("ledger-0"))
+	h.network.Reset(h.addressOf("entry-0"), h.addressOf("ledger-0"))
+	time.AfterFunc(900*time.Millisecond, func() { h.network.Heal(h.addressOf("entry-0"), h.addressOf("ledger-0")) })
+	go func() {
+		if cut := h.sidecars["ledger-0"].sidecar.Stop(context.Background()); cut != 0 {
+			t.Errorf("%d calls cut", cut)
+		}
+		h.stopSidecar(h.sidecars["ledger-0"])
+	}()
+	if a := <-result; !a.whole {
+		t.Errorf("the booking ran %d times: %d %s, %s", h.bookingRuns("b1"), a.status, a.code, a.verdict)
+	}
+}
