entry: close the link of a removed upstream only when it has no calls

Callers would see: a change of the document that takes out or moves an upstream broke off the streams that still ran there ten minutes later. Such a stream was prefilled again at another engine, out of the retry budget, or ended if there was none. A call that began in the moment in which the link was closed waited 4 s for a session and was told "may have run".

Cause: closeAfterCalls waited for the calls of the link for ten minutes at most and then closed it whatever ran; and it read the number of calls before it closed the link, so that a call could begin in between. Class: work is given a typical duration where a promise needs a check.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -10,7 +10,11 @@
 
 // decode runs the decode on the KV cache of a prefill and streams the tokens to the caller.
 func (c *completion) decode(p *plan, place *reservation, prefill *prefilled) (*wirev1.Outcome, error) {
-	defer place.link.beginCall()()
+	endCall, err := place.link.beginCall()
+	if err != nil {
+		return nil, err
+	}
+	defer endCall()
 	session := place.upstream.session()
 	if session == nil {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "the connection to the decode engine was lost during the prefill")
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -49,7 +49,11 @@
 		return nil, err
 	}
 	result := &prefilled{upstream: p.prefill, link: place.link, call: place.request.GetCall(), prompt: prompt, entry: c.entry}
-	defer place.link.beginCall()()
+	endCall, err := place.link.beginCall()
+	if err != nil {
+		return nil, err
+	}
+	defer endCall()
 	begin := time.Now()
 	x := c.newExchange(place, &wirev1.Work{Kind: &wirev1.Work_Prefill{Prefill: &wirev1.PrefillWork{
 		Model: p.request.Model, Prompt: prompt, Priority: p.request.Priority,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -162,7 +162,11 @@
 	if l == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
 	}
-	defer l.beginCall()()
+	endCall, err := l.beginCall()
+	if err != nil {
+		return err
+	}
+	defer endCall()
 	session := l.peer.Session()
 	if session == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
