entry: charge an import elsewhere to the retry budget if the call may have run

Cause: decodeWithFallback gave the KV cache to the next engine after any error, also after one that may have run the decode, and never asked the retry budget. Now an import elsewhere after a call that may have run, and the move of a silent import, need a retry within the budget; the budget is drawn only when a place is granted. An import elsewhere after a refusal ("no place", "leaving") stays free, because nothing ran.

--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -163,11 +163,14 @@
 			if !importable(s) {
 				return s.findReplacement(ctx, place.upstream)
 			}
+			if !c.entry.budget.Permits() {
+				return nil
+			}
 			elsewhere, err := s.reserveElsewhere(ctx, p, prefill, place.upstream)
 			if err != nil {
 				return nil
 			}
-			return &replacement{place: elsewhere}
+			return c.chargeRetry(&replacement{place: elsewhere})
 		},
 	}
 }
@@ -204,9 +207,14 @@
 		return nil
 	}
 	p.placeGrantedAt = time.Now()
-	if !c.entry.budget.Allow() {
-		place.close()
-		return nil
+	return c.chargeRetry(&replacement{place: place, plan: p})
+}
+
+// chargeRetry returns the replacement if the retry budget permits another attempt, and closes it otherwise.
+func (c *completion) chargeRetry(r *replacement) *replacement {
+	if c.entry.budget.Allow() {
+		return r
 	}
-	return &replacement{place: place, plan: p}
+	r.close()
+	return nil
 }
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
+	llm "github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/entry"
 	"github.com/fulmardoor/fulmardoor/internal/keys"
 	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
@@ -55,6 +57,8 @@
 	// upstreamSubset is the setting upstream_subset of the entries; 0 means its default.
 	upstreamSubset int
 	hostNumbers    map[string]int
+	// crashes counts the requests that crashed their upstream; nil if none does.
+	crashes *atomic.Int64
 }
 
 // addressOf returns the address of a process, which is the same at each call.
@@ -146,10 +150,14 @@
 	var upstream sidecar.Upstream
 	if core := h.engines[name]; core != nil {
 		upstream = sidecar.NewModelUpstream(sidecar.ModelConfig{
-			Model: pool, Engine: core, BlockTokens: 2048, Eviction: 800 * time.Millisecond, Logger: zap.NewNop(),
+			Model: pool, Engine: h.crashing(core), BlockTokens: 2048, Eviction: 800 * time.Millisecond, Logger: zap.NewNop(),
 		})
 	} else {
-		upstream = sidecar.NewServiceUpstreamWithTransport("http://"+name, handlerTransport{h.services[name].Handler()})
+		handler := h.services[name].Handler()
+		if h.crashes != nil {
+			handler = crashingHandler(handler, h.crashes)
+		}
+		upstream = sidecar.NewServiceUpstreamWithTransport("http://"+name, handlerTransport{handler})
 	}
 	p.sidecar = sidecar.New(sidecar.Config{Settings: s, Store: h.store, Upstream: upstream, Logger: zap.NewNop()})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -163,6 +171,14 @@
 	h.sidecars[name] = p
 }
 
+// crashing returns an engine that deadly prompts crash, if the test counts crashes.
+func (h *harness) crashing(core *engine.Core) llm.Engine {
+	if h.crashes == nil {
+		return core
+	}
+	return crashingEngine{core, h.crashes}
+}
+
 // restartSidecar kills the sidecar of an upstream and starts a new one.
 func (h *harness) restartSidecar(name string) {
 	old := h.sidecars[name]
