entry: keep requests that crashed three upstreams from the others

Upstreams would see: a request that crashes each upstream that begins to run it comes again with the same path, caller and body, and reaches an upstream each time, at every entry process. In the test, 20 repeats at three entries crashed a service 20 times (booking) and 100 times (lookup, five attempts each) and decode engines 1,220 times (completion, as many as the retry budgets allow). The bound is six.

Cause: nothing in the own interface remembered which request was at an upstream when that broke; the scheduler only avoids the upstream for a second.

Entries now use the quarantine of fulmardoor-router for the identity of a request. Where the crash is seen: the sidecar beside the upstream ends the calls with "upstream_broke", and gives all of one crash the same nonce, so that it counts once. Who has to know: all entries, over the sessions between them, with the message PromptReport that the wire protocol has; one that has just connected gets everything that is known. Every attempt asks the quarantine right before it is sent, prefills too; an answer below 500 or a first token clears the request. Its caller is told "prompt_quarantined", 503 with Retry-After if nothing ran and 502 "may have run" otherwise. Not stored: entries that all restart together count anew.

TestRepeatedRequestCrashesFewUpstreams, in which one entry starts anew half way and sound requests go on, failed before: booking: the request crashed 20 upstreams, want 3 to 6 lookup: the request crashed 100 upstreams, want 3 to 6 completion: the request crashed 1220 upstreams, want 3 to 6

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -102,6 +102,8 @@
 		return nil, keyErr
 	}
 	req.caller = identified
+	req.identity = requestIdentity{service: model.GetName(), method: r.Method, target: r.URL.RequestURI(), body: body}
+	req.identityParts() // computed now, so that the body need not be kept
 	c := &completion{request: req, model: model, params: params, w: w, writer: openai.NewWriter(w, params, "cmpl-"+req.name)}
 	c.promptTokens = prefix.TokenCount(params.Prompt)
 	c.maxTokens = params.MaxTokens
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
@@ -28,6 +29,11 @@
 	if err := c.entry.reauthorize(c.caller); err != nil {
 		return nil, err
 	}
+	if len(c.delivered) == 0 {
+		if err := c.enterQuarantine(); err != nil {
+			return nil, err
+		}
+	}
 	x := c.newExchange(place, &wirev1.Work{Kind: &wirev1.Work_Decode{Decode: &wirev1.DecodeWork{
 		Model: c.model.GetName(), Prompt: prefill.prompt, Handle: prefill.done.GetHandle(),
 		MaxTokens: uint32(c.maxTokens - len(c.delivered)), Priority: int32(c.params.Priority),
@@ -46,6 +52,9 @@
 		err = outcomeError(outcome)
 	}
 	c.reportUpstreamFailure(place.upstream.name, err)
+	if len(c.delivered) == 0 {
+		c.recordCrash(place.upstream.name, outcome)
+	}
 	return outcome, err
 }
 
@@ -70,6 +79,7 @@
 	}
 	if c.firstToken.IsZero() {
 		c.firstToken = now
+		c.recordSurvival(http.StatusOK)
 		c.entry.scheduler.ObserveFirstToken(p.firstTokenEstimate, now.Sub(p.placeGrantedAt))
 		c.entry.events.Record("first_token", c.name, place.upstream.name,
 			events.Field("elapsed_ms", now.Sub(c.startTime).Milliseconds()))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -67,6 +68,8 @@
 	upstreams        *upstreamPool
 	members          *memberTable
 	admission        *admission
+	// quarantine knows the requests that crash upstreams.
+	quarantine *quarantine.List
 
 	mu       sync.Mutex // guards the fields below
 	running  map[*request]struct{}
@@ -90,6 +93,8 @@
 		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
 		running:   make(map[*request]struct{}),
+
+		quarantine: quarantine.NewList(),
 	}
 	e.admission = newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning()))
 	e.admission.observeWait = e.metrics.WaitedForAdmission
@@ -106,6 +111,7 @@
 		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members,
 		Terminated: e.members.removedByPlatform, Logger: cfg.Logger,
 	})
+	e.quarantine.OnReport(e.sendPromptReport)
 	e.registerCollectors()
 	// The handlers of sessions use everything above, so the sessions are opened last.
 	e.conf.Subscribe(e.applySnapshot)
@@ -140,12 +146,15 @@
 		HeartbeatInterval: e.settings.GetPeers().GetHeartbeatInterval().AsDuration(),
 		Heartbeat:         e.heartbeat,
 		OnHeartbeat:       e.onHeartbeat,
-		OnOpen:            func(s *transport.Session) { e.members.onSessionOpen(s) },
-		OnClose:           func(s *transport.Session) { e.propagationDelay.Forget(s.Remote().GetProcess()) },
-		Traffic:           e.traffic,
-		Clock:             e.events,
-		Handler:           e,
-		Logger:            e.logger,
+		OnOpen: func(s *transport.Session) {
+			e.members.onSessionOpen(s)
+			e.sendKnownCrashes(s)
+		},
+		OnClose: func(s *transport.Session) { e.propagationDelay.Forget(s.Remote().GetProcess()) },
+		Traffic: e.traffic,
+		Clock:   e.events,
+		Handler: e,
+		Logger:  e.logger,
 	}
 }
 
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -54,6 +54,9 @@
 		return nil, err
 	}
 	defer endCall()
+	if err := c.enterQuarantine(); err != nil {
+		return nil, err
+	}
 	begin := time.Now()
 	x := c.newExchange(place, &wirev1.Work{Kind: &wirev1.Work_Prefill{Prefill: &wirev1.PrefillWork{
 		Model: p.request.Model, Prompt: prompt, Priority: p.request.Priority,
@@ -68,6 +71,7 @@
 		err = outcomeError(outcome)
 	}
 	c.reportUpstreamFailure(p.prefill.name, err)
+	c.recordCrash(p.prefill.name, outcome)
 	if err != nil {
 		c.recordLostPrefill(p.request, err)
 		return nil, err
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,6 +38,9 @@
 	chargedAt time.Time
 	// dispatched is set once a call was sent to an upstream for the request.
 	dispatched bool
+	identity   requestIdentity
+	// probe is set while the request finds out whether it still crashes upstreams, after its quarantine.
+	probe bool
 	// ranEarlier is set once an attempt that may have run is followed by another one.
 	ranEarlier bool
 	// waitRecorded is set once the event of a wait for an upstream was recorded.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -35,6 +35,9 @@
 		return e.ledger.HandlePromise(ctx, kind.Promise)
 	case *wirev1.StreamOpen_Handoff:
 		return e.ledger.HandleHandoff(ctx, kind.Handoff)
+	case *wirev1.StreamOpen_PromptReport:
+		e.applyPromptReport(process, kind.PromptReport)
+		return nil
 	case *wirev1.StreamOpen_ConfigPush:
 		return e.conf.HandlePush(process, kind.ConfigPush)
 	case *wirev1.StreamOpen_ConfigPull:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -68,6 +68,7 @@
 		return
 	}
 	req.caller = c
+	req.identity = requestIdentity{service: route.GetPool(), method: r.Method, target: r.URL.RequestURI(), body: body}
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
 	weight := e.weight(c.account)
 	if err := e.admission.acquire(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
@@ -185,6 +186,9 @@
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
 		},
 	}
+	if err := s.enterQuarantine(); err != nil {
+		return err
+	}
 	s.recordDispatch(u.name, x.request.GetCall())
 	s.head, s.buffered = nil, nil
 	outcome, err := x.run(s.ctx)
@@ -192,9 +196,11 @@
 		err = outcomeError(outcome)
 	}
 	s.reportUpstreamFailure(u.name, err)
+	s.recordCrash(u.name, outcome)
 	if err != nil {
 		return err
 	}
+	s.recordSurvival(int(s.head.GetStatus()))
 	if err := s.flushBuffered(); err != nil {
 		s.entry.logger.Debug("failed to write the response", zap.String("request", s.name), zap.Error(err))
 	}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -19,6 +19,10 @@
 // unreservedWaitMillis is the longest wait for a place of a call without a reservation.
 const unreservedWaitMillis = 500
 
+// crashSeparation is the time after which another broken call shows another crash of the upstream. A crash breaks all of its calls at
+// once, and an upstream takes longer to start again.
+const crashSeparation = 100 * time.Millisecond
+
 // ServeStream implements transport.Handler.
 func (s *Sidecar) ServeStream(
 	ctx context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream,
@@ -202,7 +206,7 @@
 	name := s.settings.GetUpstream().GetName()
 	s.events.Record("call_started", c.ID.String(), name)
 	outcome := s.upstream.Run(c, req.GetWork(), reservation.Progress)
-	outcome.Nonce = s.issuer.Issue()
+	outcome.Nonce = s.outcomeNonce(outcome.GetReason())
 	outcome.Lamport = s.events.Lamport()
 	if outcome.GetVerdict() == wirev1.Verdict_VERDICT_NOT_RUN {
 		s.calls.ForgetIdempotencyKey(c)
@@ -212,6 +216,20 @@
 	c.Finish(outcome)
 }
 
+// outcomeNonce returns the nonce of an outcome. The calls that a crash of the upstream ends together get the same one, by which entries
+// count the crash once.
+func (s *Sidecar) outcomeNonce(reason wirev1.Reason) *wirev1.Nonce {
+	if reason != wirev1.Reason_REASON_UPSTREAM_BROKE {
+		return s.issuer.Issue()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashNonce == nil || time.Since(s.crashedAt) > crashSeparation {
+		s.crashNonce, s.crashedAt = s.issuer.Issue(), time.Now()
+	}
+	return s.crashNonce
+}
+
 func (s *Sidecar) recordOutcome(c *call.Call, outcome *wirev1.Outcome) {
 	fields := []*wirev1.Header{events.Field("verdict", verdict.FromWire(outcome.GetVerdict()))}
 	if outcome.GetReason() != wirev1.Reason_REASON_UNSPECIFIED {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -88,6 +88,9 @@
 	sessions             map[*transport.Session]struct{}
 	leaveReasons         leaveReasons
 	highestFencingNumber uint64
+	// crashNonce is the nonce of the last crash of the upstream, which broke its first call at crashedAt.
+	crashNonce *wirev1.Nonce
+	crashedAt  time.Time
 }
 
 // leaveReasons are the reasons for which the upstream accepts no new work.
--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -68,7 +68,12 @@
 
 // book sends a booking.
 func (h *harness) book(ctx context.Context, entryName, booking string, header http.Header) answer {
-	r := httptest.NewRequest(http.MethodPost, "/bookings", strings.NewReader("{}"))
+	return h.bookAt(ctx, entryName, "/bookings", booking, header)
+}
+
+// bookAt sends a booking to a path.
+func (h *harness) bookAt(ctx context.Context, entryName, path, booking string, header http.Header) answer {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("{}"))
 	for name, values := range header {
 		r.Header[name] = values
 	}
--- a/internal/systemtest/crash_test.go
+++ b/internal/systemtest/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,14 +15,14 @@
 )
 
 const (
-	deadlyPath   = "/stock/deadly"
+	deadlySuffix = "/deadly"
 	deadlyPrompt = "deadly "
 )
 
 // crashingHandler breaks the connection of each request that crashes its service, and counts these requests.
 func crashingHandler(next http.Handler, crashes *atomic.Int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == deadlyPath || r.Header.Get("X-Booking-Id") == "deadly" {
+		if strings.HasSuffix(r.URL.Path, deadlySuffix) {
 			crashes.Add(1)
 			panic(http.ErrAbortHandler)
 		}
@@ -45,6 +46,80 @@
 	return e.Engine.Decode(ctx, id, work, emit)
 }
 
+// Guards against one request that crashes one upstream after the other, because it comes again, at any entry process, also one that has just started, and against
+// sound requests that are refused because of it.
+func TestRepeatedRequestCrashesFewUpstreams(t *testing.T) {
+	// minCrashes tries make the request known, and three more may reach an upstream.
+	const maxCrashes, repeats = 6, 20
+	for _, c := range []struct {
+		name  string
+		send  func(h *harness, entry string) answer
+		sound func(h *harness, entry string) answer
+	}{
+		{
+			"booking",
+			func(h *harness, entry string) answer {
+				return h.bookAt(context.Background(), entry, "/bookings"+deadlySuffix, "deadly", nil)
+			},
+			func(h *harness, entry string) answer { return h.book(context.Background(), entry, "sound", nil) },
+		},
+		{
+			"lookup",
+			func(h *harness, entry string) answer {
+				return h.get(context.Background(), entry, "/stock"+deadlySuffix)
+			},
+			func(h *harness, entry string) answer { return h.lookUpStock(context.Background(), entry) },
+		},
+		{
+			"completion",
+			func(h *harness, entry string) answer {
+				return h.complete(context.Background(), entry, testKey, deadlyPrompt+prompt(300), 5)
+			},
+			func(h *harness, entry string) answer {
+				return h.complete(context.Background(), entry, testKey, prompt(300), 5)
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.close()
+				crashes := new(atomic.Int64)
+				h.crashes = crashes
+				for i := range 2 {
+					h.addEngine(fmt.Sprintf("prefill-%d", i), "prefill", nil)
+				}
+				for i := range 5 {
+					h.addEngine(fmt.Sprintf("decode-%d", i), "decode", nil)
+					h.addService(fmt.Sprintf("ledger-%d", i))
+				}
+				h.startEntries(3)
+				time.Sleep(settleTime)
+				h.apply(h.documentText(nil))
+				for i := range repeats {
+					if i == repeats/2 {
+						h.killEntry("entry-2")
+						h.entries["entry-2"].entry.Close()
+						h.startEntry("entry-2", h.addressOf("entry-0")+","+h.addressOf("entry-1")+","+h.addressOf("entry-2"))
+						time.Sleep(settleTime)
+					}
+					a := c.send(h, fmt.Sprintf("entry-%d", i%3))
+					if a.whole || (a.verdict == "not run" && a.code != "prompt_quarantined") {
+						t.Errorf("request %d: %d %s, %s", i, a.status, a.code, a.verdict)
+					}
+					time.Sleep(200 * time.Millisecond)
+					if a := c.sound(h, fmt.Sprintf("entry-%d", i%3)); !a.whole {
+						t.Errorf("sound request %d: %d %s, %s", i, a.status, a.code, a.verdict)
+					}
+				}
+				if n := crashes.Load(); n < 3 || n > maxCrashes {
+					t.Errorf("the request crashed %d upstreams, want 3 to %d", n, maxCrashes)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a KV cache that is passed from one crashing engine to the next without regard to the retry budget.
 func TestImportElsewhereUsesRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
