systemtest: planned stops and changes beside silent upstreams

Eight seeds of 300 bookings, lookups and completions, while an entry process and two sidecars stop, the document loses an upstream and gets it back, and each engine and service is silent or slow for 1.5 s twice. Each request gets its whole answer, a refusal that is true, or "stopping" at the end of the entry's stop.

--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fulmardoor/fulmardoor/standin/engine"
 	"github.com/fulmardoor/fulmardoor/standin/service"
 )
 
@@ -134,3 +137,83 @@
 		t.Errorf("the booking ran %d times: %d %s, %s", h.bookingRuns("b1"), a.status, a.code, a.verdict)
 	}
 }
+
+// Guards against a request that gets neither a whole answer nor a refusal that is true when an entry process and sidecars stop as planned
+// and the document changes, while sound upstreams are slow or silent for a second.
+func TestPlannedWorkBesideSilentUpstreams(t *testing.T) {
+	for seed := range uint64(8) {
+		runWithHarness(t, func(t *testing.T, h *harness) { testPlannedWorkBesideSilentUpstreams(t, h, seed) })
+	}
+}
+
+func testPlannedWorkBesideSilentUpstreams(t *testing.T, h *harness, seed uint64) {
+	const (
+		requests = 300
+		duration = 6 * time.Second
+		silence  = 1500 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(seed, 3))
+	at := func() time.Duration { return time.Duration(random.Int64N(int64(duration))) }
+	type result struct {
+		booking string
+		answer  answer
+	}
+	results := make(chan result, requests)
+	for i := range requests {
+		begin := at()
+		entry := fmt.Sprintf("entry-%d", random.IntN(3))
+		if begin > duration/2 && entry == "entry-0" {
+			entry = "entry-1" // the load balancer has noticed that entry-0 is not ready
+		}
+		time.AfterFunc(begin, func() {
+			switch i % 3 {
+			case 0:
+				name := fmt.Sprintf("b%d", i)
+				results <- result{name, h.book(context.Background(), entry, name, nil)}
+			case 1:
+				results <- result{answer: h.lookUpStock(context.Background(), entry)}
+			default:
+				results <- result{answer: h.complete(context.Background(), entry, testKey, fmt.Sprintf("%d ", i)+prompt(500), 100)}
+			}
+		})
+	}
+	for _, name := range slices.Concat(engineNames, engineNames) {
+		time.AfterFunc(at(), func() {
+			h.engines[name].SetFaults(engine.Faults{Stall: true})
+			time.AfterFunc(silence, func() { h.engines[name].SetFaults(engine.Faults{}) })
+		})
+	}
+	for _, name := range slices.Concat(serviceNames, serviceNames) {
+		time.AfterFunc(at(), func() { h.services[name].SetFaults(service.Faults{DelayMS: int(silence.Milliseconds()), Count: 10}) })
+	}
+	time.AfterFunc(duration/4, func() { go h.sidecars["decode-0"].sidecar.Stop(context.Background()) })
+	time.AfterFunc(duration/3, func() { go h.sidecars["ledger-0"].sidecar.Stop(context.Background()) })
+	time.Sleep(duration / 3)
+	h.change(withoutUpstream(h.documentText(nil), "decode-1"))
+	e := h.entries["entry-0"].entry
+	e.BeginStop(context.Background())
+	time.Sleep(duration / 3)
+	h.change(h.documentText(nil))
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	left := e.WaitIdle(ctx) // streams that wait for a place for longer than the stop
+	e.EndRequests()
+	whole := 0
+	for range requests {
+		r := <-results
+		switch a := r.answer; {
+		case a.whole:
+			whole++
+		case a.code == "stopping" && a.verdict != "":
+			left--
+		case a.verdict != "not run":
+			t.Errorf("seed %d: %d %s, %s, %d tokens", seed, a.status, a.code, a.verdict, a.tokens)
+		}
+		if r.booking != "" && r.answer.verdict == "not run" && h.bookingRuns(r.booking) > 0 {
+			t.Errorf("seed %d: booking %s ran and was refused as not run", seed, r.booking)
+		}
+	}
+	if left < 0 || whole < requests*9/10 {
+		t.Errorf("seed %d: %d of %d requests whole, %d more ended by the stop than were running", seed, whole, requests, -left)
+	}
+}
