--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -1,13 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/confsync"
@@ -39,11 +37,17 @@
 
 	promptTokens int
 	maxTokens    int
+
+	// mu guards the fields below while a call runs, because a mover reads them.
+	mu sync.Mutex
 	// delivered are the output tokens that were sent to the caller.
 	delivered   []string
 	firstToken  time.Time
 	lastToken   time.Time
 	tokenGapSum time.Duration
+	// replacement is set when the request is moved from a silent engine; moved forbids to deliver tokens of that engine.
+	replacement *replacement
+	moved       bool
 }
 
 // serveCompletion handles requests of the completions or the chat API.
@@ -58,7 +62,7 @@
 		}
 		weight := e.weight(req.caller.account)
 		if err := e.admission.acquire(req.ctx, req.caller.account, weight, float64(c.chargeTokens()), c.firstTokenLimit()); err != nil {
-			c.fail(err)
+			c.fail(c.cancelCause(err))
 			return
 		}
 		defer e.admission.release()
@@ -98,6 +102,8 @@
 		return nil, keyErr
 	}
 	req.caller = identified
+	req.identity = requestIdentity{service: model.GetName(), method: r.Method, target: r.URL.RequestURI(), body: body}
+	req.identityParts() // computed now, so that the body need not be kept
 	c := &completion{request: req, model: model, params: params, w: w, writer: openai.NewWriter(w, params, "cmpl-"+req.name)}
 	c.promptTokens = prefix.TokenCount(params.Prompt)
 	c.maxTokens = params.MaxTokens
@@ -125,14 +131,21 @@
 		}
 		if len(c.delivered) >= c.maxTokens {
 			// All tokens were delivered; only the outcome was lost.
+			c.takeReplacement().close()
 			c.complete(&wirev1.Outcome{FinishReason: finishLength})
 			return
 		}
 		if c.ctx.Err() != nil {
+			c.takeReplacement().close()
 			c.fail(c.cancelCause(err))
 			return
 		}
 		refusal := verdict.As(err)
+		if c.replacement != nil {
+			// The retry budget has permitted the move.
+			c.recordRetry("model", refusal, events.Field("delivered", len(c.delivered)))
+			continue
+		}
 		if c.mayWait(refusal) {
 			c.recordWaiting(refusal)
 			if wait.For(c.ctx, replanInterval) {
@@ -145,9 +158,7 @@
 			c.fail(refusal)
 			return
 		}
-		c.entry.metrics.Retried("model", refusal.Reason)
-		c.entry.events.Record("retry", c.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail),
-			events.Field("delivered", len(c.delivered)))
+		c.recordRetry("model", refusal, events.Field("delivered", len(c.delivered)))
 	}
 }
 
@@ -178,35 +189,20 @@
 	return c.waitForRetryBudget(c.worthWaiting)
 }
 
-// cancelCause returns the refusal with which the request was cancelled, for example because its key was withdrawn. It returns
-// err if the request was not cancelled, or was cancelled because its caller disconnected.
-func (c *completion) cancelCause(err error) error {
-	if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
-	}
-	return err
-}
-
 // attempt runs prefill and decode once. After an earlier attempt it continues after the tokens that were delivered.
 func (c *completion) attempt() (*wirev1.Outcome, error) {
 	// The account is charged before any place is requested, so that an account over its rate costs one ledger request only.
+	moved := c.takeReplacement()
 	if err := c.authorize(c.chargeTokens()); err != nil {
+		moved.close()
 		return nil, err
 	}
 	prompt := c.params.Prompt + strings.Join(c.delivered, "")
-	plan, err := c.plan(prompt)
-	if err != nil {
-		return nil, err
-	}
-	reserveStart := time.Now()
-	place, err := c.reserveDecode(plan)
+	plan, place, err := c.planAndReserve(prompt, moved)
 	if err != nil {
 		return nil, err
 	}
 	defer place.close()
-	if plan, err = c.replanIfStale(plan, prompt, reserveStart); err != nil {
-		return nil, err
-	}
 	prefilled, err := c.prefill(plan, prompt, place)
 	if err != nil {
 		return nil, err
@@ -216,6 +212,27 @@
 	return outcome, err
 }
 
+// planAndReserve returns the plan and the decode place of an attempt: those of a moved request, or new ones.
+func (c *completion) planAndReserve(prompt string, moved *replacement) (*plan, *reservation, error) {
+	if moved != nil {
+		return moved.plan, moved.place, nil
+	}
+	plan, err := c.plan(prompt)
+	if err != nil {
+		return nil, nil, err
+	}
+	reserveStart := time.Now()
+	place, err := c.reserveDecode(plan)
+	if err != nil {
+		return nil, nil, err
+	}
+	if plan, err = c.replanIfStale(plan, prompt, reserveStart); err != nil {
+		place.close()
+		return nil, nil, err
+	}
+	return plan, place, nil
+}
+
 // wasteCause returns the metric label that says why the prefill of an attempt was not used.
 func (c *completion) wasteCause(err error) string {
 	if c.callerDisconnected() {
@@ -257,17 +274,17 @@
 }
 
 func (c *completion) fail(err error) {
-	refusal := *verdict.As(err)
+	refusal := c.finalRefusal(err)
 	used := uint64(0)
 	if len(c.delivered) > 0 {
 		refusal.Verdict = verdict.Ran
 		used = uint64(c.promptTokens + len(c.delivered))
 	}
 	c.settle(used, refusal.Verdict)
-	c.recordFailure(c.chargeTokens(), &refusal)
+	c.recordFailure(c.chargeTokens(), refusal)
 	if !c.writer.Started() {
-		c.entry.sendRefusal(c.w, c.name, &refusal)
+		c.entry.sendRefusal(c.w, c.name, refusal)
 		return
 	}
-	_ = c.writer.Fail(errorBody(&refusal, c.name)) // the caller may have disconnected
+	_ = c.writer.Fail(errorBody(refusal, c.name)) // the caller may have disconnected
 }
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
@@ -10,7 +11,11 @@
 
 // decode runs the decode on the KV cache of a prefill and streams the tokens to the caller.
 func (c *completion) decode(p *plan, place *reservation, prefill *prefilled) (*wirev1.Outcome, error) {
-	defer place.link.beginCall()()
+	endCall, err := place.link.beginCall()
+	if err != nil {
+		return nil, err
+	}
+	defer endCall()
 	session := place.upstream.session()
 	if session == nil {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "the connection to the decode engine was lost during the prefill")
@@ -24,6 +29,11 @@
 	if err := c.entry.reauthorize(c.caller); err != nil {
 		return nil, err
 	}
+	if len(c.delivered) == 0 {
+		if err := c.enterQuarantine(); err != nil {
+			return nil, err
+		}
+	}
 	x := c.newExchange(place, &wirev1.Work{Kind: &wirev1.Work_Decode{Decode: &wirev1.DecodeWork{
 		Model: c.model.GetName(), Prompt: prefill.prompt, Handle: prefill.done.GetHandle(),
 		MaxTokens: uint32(c.maxTokens - len(c.delivered)), Priority: int32(c.params.Priority),
@@ -31,17 +41,20 @@
 	x.onFrame = func(frame *wirev1.Frame) error { return c.onToken(frame, p, place, prefill) }
 	from, to, tokens := p.quote.Candidate.DataCentre, session.Remote().GetDataCentre(), p.request.PromptTokens
 	c.entry.scheduler.StartTransfer(from, to, tokens)
-	outcome, err := x.run(c.ctx)
+	outcome, err := c.decodeMover(p, place, prefill).run(x)
 	if !prefill.imported {
 		c.entry.scheduler.AbandonTransfer(from, to, tokens)
 	}
-	if !prefill.imported && outcome.GetReason() == wirev1.Reason_REASON_STALLED {
+	if !prefill.imported && (c.replacement != nil || outcome.GetReason() == wirev1.Reason_REASON_STALLED) {
 		c.entry.scheduler.ObserveTransferFailure(from, to)
 	}
 	if err == nil {
 		err = outcomeError(outcome)
 	}
 	c.reportUpstreamFailure(place.upstream.name, err)
+	if len(c.delivered) == 0 {
+		c.recordCrash(place.upstream.name, outcome)
+	}
 	return outcome, err
 }
 
@@ -52,6 +65,11 @@
 	if token == nil {
 		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.moved {
+		return errMoved
+	}
 	now := time.Now()
 	if !prefill.imported {
 		prefill.imported = true
@@ -61,6 +79,7 @@
 	}
 	if c.firstToken.IsZero() {
 		c.firstToken = now
+		c.recordSurvival(http.StatusOK)
 		c.entry.scheduler.ObserveFirstToken(p.firstTokenEstimate, now.Sub(p.placeGrantedAt))
 		c.entry.events.Record("first_token", c.name, place.upstream.name,
 			events.Field("elapsed_ms", now.Sub(c.startTime).Milliseconds()))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/ledger"
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
+	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
@@ -67,10 +68,13 @@
 	upstreams        *upstreamPool
 	members          *memberTable
 	admission        *admission
+	// quarantine knows the requests that crash upstreams.
+	quarantine *quarantine.List
 
 	mu       sync.Mutex // guards the fields below
-	running  int
+	running  map[*request]struct{}
 	stopping bool
+	ended    bool          // the time of the stop is over
 	idle     chan struct{} // closed when the process is stopping and no request runs
 }
 
@@ -88,6 +92,9 @@
 		metrics:   metrics.NewEntry(),
 		traffic:   new(transport.Traffic),
 		idle:      make(chan struct{}),
+		running:   make(map[*request]struct{}),
+
+		quarantine: quarantine.NewList(),
 	}
 	e.admission = newAdmission(int(cfg.Settings.GetCallers().GetMaxRunning()))
 	e.admission.observeWait = e.metrics.WaitedForAdmission
@@ -104,6 +111,7 @@
 		Limits: accountLimits{e.conf}, Members: ledgerMembers{e.members}, Network: e.members,
 		Terminated: e.members.removedByPlatform, Logger: cfg.Logger,
 	})
+	e.quarantine.OnReport(e.sendPromptReport)
 	e.registerCollectors()
 	// The handlers of sessions use everything above, so the sessions are opened last.
 	e.conf.Subscribe(e.applySnapshot)
@@ -138,12 +146,15 @@
 		HeartbeatInterval: e.settings.GetPeers().GetHeartbeatInterval().AsDuration(),
 		Heartbeat:         e.heartbeat,
 		OnHeartbeat:       e.onHeartbeat,
-		OnOpen:            func(s *transport.Session) { e.members.onSessionOpen(s) },
-		OnClose:           func(s *transport.Session) { e.propagationDelay.Forget(s.Remote().GetProcess()) },
-		Traffic:           e.traffic,
-		Clock:             e.events,
-		Handler:           e,
-		Logger:            e.logger,
+		OnOpen: func(s *transport.Session) {
+			e.members.onSessionOpen(s)
+			e.sendKnownCrashes(s)
+		},
+		OnClose: func(s *transport.Session) { e.propagationDelay.Forget(s.Remote().GetProcess()) },
+		Traffic: e.traffic,
+		Clock:   e.events,
+		Handler: e,
+		Logger:  e.logger,
 	}
 }
 
@@ -211,23 +222,26 @@
 	return &wirev1.CallID{Incarnation: e.hello.GetIncarnation(), Sequence: e.sequence.Add(1)}
 }
 
-// requestStarted counts a running request.
-func (e *Entry) requestStarted() {
+// requestStarted adds a running request.
+func (e *Entry) requestStarted(r *request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running++
+	e.running[r] = struct{}{}
+	if e.ended {
+		r.cancel(errProcessEnds)
+	}
 }
 
-func (e *Entry) requestEnded() {
+func (e *Entry) requestEnded(r *request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
+	delete(e.running, r)
 	e.signalIdle()
 }
 
 // signalIdle closes idle if the process is stopping and no request runs. The caller holds mu.
 func (e *Entry) signalIdle() {
-	if !e.stopping || e.running > 0 {
+	if !e.stopping || len(e.running) > 0 {
 		return
 	}
 	select {
@@ -270,7 +284,18 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running
+	return len(e.running)
+}
+
+// EndRequests ends the running requests and those that come later, each with a refusal that says whether it may have run. It is
+// called when the time of a stop is over.
+func (e *Entry) EndRequests() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for r := range e.running {
+		r.cancel(errProcessEnds)
+	}
 }
 
 // Close ends all sessions.
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -4,8 +4,6 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/call"
-	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -51,7 +49,14 @@
 		return nil, err
 	}
 	result := &prefilled{upstream: p.prefill, link: place.link, call: place.request.GetCall(), prompt: prompt, entry: c.entry}
-	defer place.link.beginCall()()
+	endCall, err := place.link.beginCall()
+	if err != nil {
+		return nil, err
+	}
+	defer endCall()
+	if err := c.enterQuarantine(); err != nil {
+		return nil, err
+	}
 	begin := time.Now()
 	x := c.newExchange(place, &wirev1.Work{Kind: &wirev1.Work_Prefill{Prefill: &wirev1.PrefillWork{
 		Model: p.request.Model, Prompt: prompt, Priority: p.request.Priority,
@@ -61,11 +66,12 @@
 		result.evictedAt = result.finishedAt.Add(time.Duration(result.done.GetKeptMs()) * time.Millisecond)
 		return nil
 	}
-	outcome, err := x.run(c.ctx)
+	outcome, err := c.prefillMover(p).run(x)
 	if err == nil {
 		err = outcomeError(outcome)
 	}
 	c.reportUpstreamFailure(p.prefill.name, err)
+	c.recordCrash(p.prefill.name, outcome)
 	if err != nil {
 		c.recordLostPrefill(p.request, err)
 		return nil, err
@@ -89,7 +95,7 @@
 }
 
 func (c *completion) newExchange(place *reservation, work *wirev1.Work) *exchange {
-	c.entry.events.Record("dispatched", c.name, place.upstream.name, events.Field("call", call.FromWire(place.request.GetCall())))
+	c.recordDispatch(place.upstream.name, place.request.GetCall())
 	return &exchange{
 		peer: place.link.peer, logger: c.entry.logger, clock: c.entry.events, onEvent: c.eventRecorder(place.upstream.name),
 		request: &wirev1.ExecuteRequest{
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -11,8 +10,6 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/call"
-	"github.com/fulmardoor/fulmardoor/internal/events"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/scheduler"
@@ -71,10 +68,11 @@
 		return
 	}
 	req.caller = c
+	req.identity = requestIdentity{service: route.GetPool(), method: r.Method, target: r.URL.RequestURI(), body: body}
 	s := &serviceRequest{request: req, route: route, work: serviceWork(r, route, body), w: w}
 	weight := e.weight(c.account)
 	if err := e.admission.acquire(req.ctx, c.account, weight, float64(route.GetCostTokens()), serviceRetryLimit); err != nil {
-		s.fail(verdict.As(err))
+		s.fail(s.cancelCause(err))
 		return
 	}
 	defer e.admission.release()
@@ -116,8 +114,7 @@
 		shouldRetry := s.ctx.Err() == nil && isRetryable(refusal) && !isNoUpstream(refusal) && attempts < maxServiceAttempts &&
 			retry.Decide(refusal.Verdict, s.route.GetIdempotent(), s.responseStarted, false) == retry.Retry
 		if shouldRetry && s.waitForRetryBudget(s.worthWaiting) {
-			s.entry.metrics.Retried("service", refusal.Reason)
-			s.entry.events.Record("retry", s.name, "", events.Field("reason", verdict.ReasonName(refusal.Reason)), events.Field("detail", refusal.Detail))
+			s.recordRetry("service", refusal)
 			continue
 		}
 		s.fail(refusal)
@@ -146,7 +143,8 @@
 
 // fail ends the request with a refusal. If bytes of the response were already sent, it aborts the connection, which is the
 // only way to tell the caller that the response is incomplete.
-func (s *serviceRequest) fail(refusal *verdict.Refusal) {
+func (s *serviceRequest) fail(err error) {
+	refusal := s.finalRefusal(err)
 	s.settle(s.usedTokens(refusal.Verdict), refusal.Verdict)
 	s.recordFailure(s.route.GetCostTokens(), refusal)
 	if !s.responseStarted {
@@ -165,7 +163,11 @@
 	if l == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
 	}
-	defer l.beginCall()()
+	endCall, err := l.beginCall()
+	if err != nil {
+		return err
+	}
+	defer endCall()
 	session := l.peer.Session()
 	if session == nil {
 		return verdict.Refuse(wirev1.Reason_REASON_NO_UPSTREAM, "no connection to the upstream")
@@ -184,16 +186,21 @@
 			Work: &wirev1.Work{Kind: &wirev1.Work_Http{Http: s.work}},
 		},
 	}
-	s.entry.events.Record("dispatched", s.name, u.name, events.Field("call", call.FromWire(x.request.GetCall())))
+	if err := s.enterQuarantine(); err != nil {
+		return err
+	}
+	s.recordDispatch(u.name, x.request.GetCall())
 	s.head, s.buffered = nil, nil
 	outcome, err := x.run(s.ctx)
 	if err == nil {
 		err = outcomeError(outcome)
 	}
 	s.reportUpstreamFailure(u.name, err)
+	s.recordCrash(u.name, outcome)
 	if err != nil {
 		return err
 	}
+	s.recordSurvival(int(s.head.GetStatus()))
 	if err := s.flushBuffered(); err != nil {
 		s.entry.logger.Debug("failed to write the response", zap.String("request", s.name), zap.Error(err))
 	}
@@ -259,11 +266,3 @@
 	}
 	return nil
 }
-
-// cancelCause returns the cause with which the request was cancelled, or err if it has none or its caller disconnected.
-func (s *serviceRequest) cancelCause(err error) error {
-	if cause := context.Cause(s.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
-	}
-	return err
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,8 @@
 const (
 	eventCapacity     = 8192
 	superviseInterval = 250 * time.Millisecond
+	// stalledCallLimit is how long the calls of a stalled model engine go on. Entries stop waiting for another engine after as long.
+	stalledCallLimit = 10 * time.Second
 )
 
 // Upstream runs work at the upstream and tracks its state.
@@ -86,6 +88,9 @@
 	sessions             map[*transport.Session]struct{}
 	leaveReasons         leaveReasons
 	highestFencingNumber uint64
+	// crashNonce is the nonce of the last crash of the upstream, which broke its first call at crashedAt.
+	crashNonce *wirev1.Nonce
+	crashedAt  time.Time
 }
 
 // leaveReasons are the reasons for which the upstream accepts no new work.
@@ -212,7 +217,9 @@
 	}
 }
 
-// handleStall cancels the running calls and probes the upstream until it works again.
+// handleStall stops new work and probes the upstream until it works again. Running calls go on, because an upstream that is silent
+// may still answer them, and entries move those that they can run elsewhere. Calls of a model engine are cancelled after
+// stalledCallLimit; those of a plain service end at the timeout of their own route.
 func (s *Sidecar) handleStall(ctx context.Context) {
 	name := s.settings.GetUpstream().GetName()
 	s.logger.Warn("upstream makes no progress", zap.String("upstream", name))
@@ -220,8 +227,9 @@
 	s.metrics.Stalled()
 	s.places.SetStalled(true)
 	s.broadcastHeartbeat()
-	for _, c := range s.calls.Running() {
-		c.Cancel(call.ErrStalled)
+	if s.role != wirev1.EngineRole_ENGINE_ROLE_SERVICE {
+		timer := time.AfterFunc(stalledCallLimit, s.cancelStalledCalls)
+		defer timer.Stop()
 	}
 	for ctx.Err() == nil {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -238,8 +246,15 @@
 	s.broadcastHeartbeat()
 }
 
+func (s *Sidecar) cancelStalledCalls() {
+	for _, c := range s.calls.Running() {
+		c.Cancel(call.ErrStalled)
+	}
+}
+
 // Stop refuses new work, waits until the running calls have ended and their responses are delivered, or until ctx ends, and
-// closes all sessions. It returns the number of calls that were cancelled.
+// closes all sessions. It returns the number of calls that were cancelled; their outcomes are delivered within
+// cancelledDeliveryLimit.
 func (s *Sidecar) Stop(ctx context.Context) int {
 	s.updateLeaveReasons(func(l *leaveReasons) { l.stop = true })
 	s.events.Record("stopping", "", s.settings.GetUpstream().GetName())
@@ -249,6 +264,9 @@
 		s.logger.Warn("call cancelled because the process stops", zap.Stringer("call", c.ID))
 		c.Cancel(call.ErrStopping)
 	}
+	if len(running) > 0 {
+		s.waitDelivered(cancelledDeliveryLimit)
+	}
 	for _, session := range s.sessionList() {
 		session.Close()
 	}
@@ -276,6 +294,13 @@
 	}
 }
 
+// waitDelivered waits until the responses of all calls are delivered, at most for limit.
+func (s *Sidecar) waitDelivered(limit time.Duration) {
+	for begin := time.Now(); !s.idle() && time.Since(begin) < limit; {
+		time.Sleep(idlePollInterval)
+	}
+}
+
 func (s *Sidecar) idle() bool {
 	s.mu.Lock()
 	reservations := len(s.reservations)
