httpengine: send completions and orders on connections of their own

What callers would see: an engine that wrote an earlier response once more on a kept connection, after the next request was sent, gave that request the output of another one, and each later request on the connection the output of the one before it. A repeated refusal made a request that ran count as not run.

Cause: net/http takes the next response on a connection for the one to the request that it sent last. It only notices responses that arrive while the connection is idle. Nothing in an engine's refusal names its request.

Fix: prefills, decodes and orders use a transport without keep-alive, as calls of plain services that are not idempotent do. Load, cache events and cache states, which say nothing of a request, keep their connections.

--- a/internal/engine/httpengine/answers_test.go
+++ b/internal/engine/httpengine/answers_test.go
@@ -6,9 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/httpengine"
 )
 
@@ -82,3 +88,32 @@
 		}
 	}
 }
+
+// Guards against the output of another request, and against a request that counts as not run while it runs, because an engine sent
+// an earlier response again on a connection that was kept.
+func TestRepeatedResponseOnAKeptConnection(t *testing.T) {
+	stream := func(id string) string {
+		return rawResponse("200 OK", "text/event-stream",
+			`data: {"id":"`+id+`","choices":[{"text":"`+id+`","finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n")
+	}
+	for name, repeated := range map[string]string{
+		"stream":  stream("earlier"),
+		"refusal": rawResponse("503 Service Unavailable", "application/json", `{"error":{"message":"busy","code":"engine_busy"}}`),
+	} {
+		e := startRawEngine(t, func(conn net.Conn, in *http.Request, number int) {
+			if number > 1 {
+				_, _ = io.WriteString(conn, repeated)
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, _ = io.WriteString(conn, stream(in.Header.Get("X-Request-Id")))
+		})
+		for number := range 3 {
+			id := fmt.Sprint("r", number)
+			var tokens []string
+			_, err := e.Decode(t.Context(), id, &wirev1.DecodeWork{Model: model, Prompt: "p", MaxTokens: 10}, appendTo(&tokens))
+			if err != nil || !slices.Equal(tokens, []string{id}) {
+				t.Errorf("%s, request %d: %q, %v (busy: %v)", name, number+1, strings.Join(tokens, ""), err, errors.Is(err, engine.ErrBusy))
+			}
+		}
+	}
+}
--- a/internal/engine/httpengine/call.go
+++ b/internal/engine/httpengine/call.go
@@ -27,8 +27,8 @@
 
 // call sends a request and decodes the JSON response. With a nil requestBody it sends no body; with a nil responseBody it
 // discards the response.
-func (e *Engine) call(ctx context.Context, method, path, requestID string, requestBody, responseBody any) error {
-	response, err := e.send(ctx, method, path, requestID, requestBody)
+func (e *Engine) call(ctx context.Context, client *http.Client, method, path, requestID string, requestBody, responseBody any) error {
+	response, err := e.send(ctx, client, method, path, requestID, requestBody)
 	if err != nil {
 		return err
 	}
@@ -47,14 +47,14 @@
 }
 
 // send sends a request and returns the response if its status is 200. The caller closes its body.
-func (e *Engine) send(ctx context.Context, method, path, requestID string, requestBody any) (*http.Response, error) {
+func (e *Engine) send(ctx context.Context, client *http.Client, method, path, requestID string, requestBody any) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := e.newRequest(httptrace.WithClientTrace(ctx, trace), method, path, requestID, requestBody)
 	if err != nil {
 		return nil, err
 	}
-	response, err := e.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		if !connected.Load() || isDialError(err) {
 			return nil, wrapWithKind(ctx, engine.ErrUnreachable, err)
--- a/internal/engine/httpengine/engine.go
+++ b/internal/engine/httpengine/engine.go
@@ -25,6 +25,9 @@
 type Engine struct {
 	baseURL string
 	client  *http.Client
+	// singleUse opens a connection for each request. Prefills, decodes and orders use it: nothing in their responses tells which
+	// request they are for, and on a connection that was used before, one may be a response to an earlier request.
+	singleUse *http.Client
 }
 
 // New returns a client of the engine at a base URL, for example "http://127.0.0.1:8000". The HTTP client should have no
@@ -33,7 +36,21 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Engine{baseURL: strings.TrimSuffix(baseURL, "/"), client: client}
+	return &Engine{baseURL: strings.TrimSuffix(baseURL, "/"), client: client, singleUse: withoutKeepAlive(client)}
+}
+
+// withoutKeepAlive returns a copy of a client that opens a connection for each request, unless its transport is not net/http's.
+func withoutKeepAlive(client *http.Client) *http.Client {
+	single := *client
+	if single.Transport == nil {
+		single.Transport = http.DefaultTransport
+	}
+	if transport, ok := single.Transport.(*http.Transport); ok {
+		transport = transport.Clone()
+		transport.DisableKeepAlives = true
+		single.Transport = transport
+	}
+	return &single
 }
 
 // Prefill implements engine.Engine.
@@ -47,7 +64,7 @@
 		KVTransfer: &vllm.KVTransfer{DoRemoteDecode: true},
 	}
 	response := new(vllm.CompletionResponse)
-	if err := e.call(ctx, http.MethodPost, "/v1/completions", requestID, request, response); err != nil {
+	if err := e.call(ctx, e.singleUse, http.MethodPost, "/v1/completions", requestID, request, response); err != nil {
 		return engine.PrefillResult{}, err
 	}
 	return prefillResult(response)
@@ -91,7 +108,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, err := e.send(ctx, http.MethodPost, "/v1/completions", requestID, request)
+	response, err := e.send(ctx, e.singleUse, http.MethodPost, "/v1/completions", requestID, request)
 	if err != nil {
 		return engine.DecodeResult{}, err
 	}
@@ -114,12 +131,12 @@
 
 // Release implements engine.Engine.
 func (e *Engine) Release(ctx context.Context, handle string) error {
-	return e.call(ctx, http.MethodPost, "/release", "", &vllm.ReleaseRequest{Handle: handle}, nil)
+	return e.call(ctx, e.client, http.MethodPost, "/release", "", &vllm.ReleaseRequest{Handle: handle}, nil)
 }
 
 // AbortAll implements engine.Engine.
 func (e *Engine) AbortAll(ctx context.Context) error {
-	return e.call(ctx, http.MethodPost, "/abort_requests", "", struct{}{}, nil)
+	return e.call(ctx, e.client, http.MethodPost, "/abort_requests", "", struct{}{}, nil)
 }
 
 // CacheEvents implements engine.Engine.
@@ -128,7 +145,7 @@
 	query.Set("after", strconv.FormatUint(after, 10))
 	query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	response := new(vllm.CacheEvents)
-	if err := e.call(ctx, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, response); err != nil {
+	if err := e.call(ctx, e.client, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, response); err != nil {
 		return nil, err
 	}
 	events := make([]engine.CacheEvent, 0, len(response.Events))
@@ -141,7 +158,7 @@
 // CacheState implements engine.Engine.
 func (e *Engine) CacheState(ctx context.Context) (engine.CacheState, error) {
 	response := new(vllm.CacheState)
-	if err := e.call(ctx, http.MethodGet, "/kv_cache", "", nil, response); err != nil {
+	if err := e.call(ctx, e.client, http.MethodGet, "/kv_cache", "", nil, response); err != nil {
 		return engine.CacheState{}, err
 	}
 	return engine.CacheState{Number: response.Number, Hashes: response.Hashes}, nil
@@ -161,5 +178,5 @@
 	case wirev1.EngineRole_ENGINE_ROLE_DECODE:
 		requestBody.ChangeRole = vllm.RoleDecode
 	}
-	return e.call(ctx, http.MethodPost, "/orders", "", requestBody, nil)
+	return e.call(ctx, e.singleUse, http.MethodPost, "/orders", "", requestBody, nil)
 }
--- a/internal/engine/httpengine/engine_test.go
+++ b/internal/engine/httpengine/engine_test.go
@@ -268,7 +268,7 @@
 		if err := prefill(); err != nil {
 			t.Fatal(err)
 		}
-		// The connection of the first request is reused. Half of the prompt is cached, so the prefill takes 98 ms.
+		// Half of the prompt is cached, so the prefill takes 98 ms.
 		time.AfterFunc(50*time.Millisecond, core.Kill)
 		if err := prefill(); !errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrUnreachable) {
 			t.Errorf("killed while running: %v", err)
--- a/internal/engine/httpengine/load.go
+++ b/internal/engine/httpengine/load.go
@@ -16,7 +16,7 @@
 
 // Load implements engine.Engine.
 func (e *Engine) Load(ctx context.Context) (engine.Load, error) {
-	response, err := e.send(ctx, http.MethodGet, "/metrics", "", nil)
+	response, err := e.send(ctx, e.client, http.MethodGet, "/metrics", "", nil)
 	if err != nil {
 		return engine.Load{}, err
 	}
