sidecar: send every call of a plain service on a connection of its own

What callers would see: a service that wrote a response once more on a kept connection gave a lookup the response to the call before, and so did every later lookup on that connection.

Cause: idempotent calls used a transport with keep-alive. net/http takes the next response on a connection for the one to the request that it sent last, and only notices responses that arrive while the connection is idle. Services need not echo the id of a call. Calls that are not idempotent had connections of their own and were not concerned.

Fix: one transport without keep-alive for all calls.

Before the fix: TestRepeatedResponseOfAService: idempotent true, call 2: VERDICT_RAN, "/0", want "/1" idempotent true, call 3: VERDICT_RAN, "/1", want "/2"

--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -19,34 +19,29 @@
 const (
 	bodyChunkBytes     = 32 << 10
 	serviceDialTimeout = 2 * time.Second
-	maxIdleConnections = 32
 )
 
 // ServiceUpstream runs calls of a plain HTTP service.
 type ServiceUpstream struct {
 	baseURL string
-	// pooled reuses connections, singleUse opens one for each request. net/http sends a request again by itself if a reused
-	// connection turns out to be closed and the request has an Idempotency-Key header, so only idempotent calls use pooled.
-	pooled    http.RoundTripper
-	singleUse http.RoundTripper
+	// transport opens a connection for each request. On a connection that was used before, net/http may send a request again by
+	// itself, and takes a response that the service repeats for the response to the next request.
+	transport http.RoundTripper
 	timeouts  timeoutStreak
 }
 
 // NewServiceUpstreamWithTransport returns the upstream at a base URL that is reached through a given round tripper, which
 // must send each request at most once.
 func NewServiceUpstreamWithTransport(baseURL string, transport http.RoundTripper) *ServiceUpstream {
-	return &ServiceUpstream{baseURL: baseURL, pooled: transport, singleUse: transport}
+	return &ServiceUpstream{baseURL: baseURL, transport: transport}
 }
 
 // NewServiceUpstream returns the upstream at a base URL.
 func NewServiceUpstream(baseURL string) *ServiceUpstream {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &ServiceUpstream{
-		baseURL: baseURL,
-		pooled: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
-		},
-		singleUse: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		baseURL:   baseURL,
+		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
 	}
 }
 
@@ -68,11 +63,7 @@
 	if err != nil {
 		return notRun(wirev1.Reason_REASON_MALFORMED, err.Error())
 	}
-	transport := u.singleUse
-	if httpWork.GetIdempotent() {
-		transport = u.pooled
-	}
-	response, err := transport.RoundTrip(req)
+	response, err := u.transport.RoundTrip(req)
 	if err != nil {
 		return u.failedOutcome(ctx, c, err)
 	}
@@ -187,7 +178,7 @@
 	if err != nil {
 		return errors.Wrap(err, "build probe")
 	}
-	response, err := u.singleUse.RoundTrip(req)
+	response, err := u.transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrap(err, "probe")
 	}
