--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -241,3 +241,34 @@
 		t.Errorf("the upstream got %d requests, want only the first", n)
 	}
 }
+
+// Guards against a response that arrives after its request has timed out, and that is taken for the response to the next request. Some
+// requests have no Accept that would tell them apart.
+func TestResponseAfterTimeout(t *testing.T) {
+	for name, first := range map[string]string{
+		"head":     pauseMark + pauseMark + pauseMark + okResponse("1", "first"),
+		"body":     strings.Replace(okResponse("1", "first"), "first", pauseMark+pauseMark+pauseMark+"first", 1),
+		"half way": strings.Replace(okResponse("1", "first"), "first", "fi"+pauseMark+pauseMark+pauseMark+"rst", 1),
+	} {
+		s := startScripted(t, []string{first, okResponse("2", "a")}, []string{okResponse("2", "b")})
+		pool := New(nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		response, err := pool.Do(ctx, &Request{Address: s.address, Method: http.MethodGet, Target: "/", Host: "h"})
+		if err == nil {
+			if _, err = io.ReadAll(response.Body); err == nil {
+				t.Errorf("%s: the first response arrived in time", name)
+			}
+			response.Close()
+		}
+		cancel()
+		response, err = pool.Do(t.Context(), &Request{Address: s.address, Method: http.MethodGet, Target: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Close()
+		if string(body) != "b" || err != nil || s.conns.Load() != 2 {
+			t.Errorf("%s: second response %q (%v) on connection %d", name, body, err, s.conns.Load())
+		}
+	}
+}
