gateway: don't continue a stream whose events have no ids

Cause: without an id there is no Last-Event-Id, so that the next engine gets the request as a new one, while the events that were sent stay sent.

Fix: such a stream is cut where it broke off and not sent again. Before its first event it may still be sent again.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -32,6 +32,8 @@
 	headerSent bool
 	// lastID is the id of the last event that the caller has. It starts as Call.ResumeAfter.
 	lastID string
+	// begun is set if the caller had the start of the stream before the present answer.
+	begun bool
 	// continuing is set while an answer that continues the stream after lastID has not yet sent an event with an id.
 	continuing bool
 	// irregular is set if the ids do not count up by one. They then only have to increase.
@@ -44,7 +46,8 @@
 
 // forward copies events until the upstream ends the stream. onFirst is called when the first event was received.
 func (e *eventWriter) forward(response *upstreamconn.Response, onFirst func()) error {
-	if e.headerSent && !mayBeEventStream(response.Header) {
+	e.begun = e.headerSent
+	if e.begun && !mayBeEventStream(response.Header) {
 		return truncatedStream(errors.Wrap(upstreamconn.ErrMalformed, "the answer that continues it is no event stream"))
 	}
 	e.continuing = e.lastID != ""
@@ -66,7 +69,7 @@
 			// The connection of an engine that ends after it sent the headers looks the same as an empty stream.
 			err = errors.New("the connection ended before the first event")
 		}
-		if errors.Is(err, io.EOF) && e.headerSent && e.continuing && !e.hasWholeOutput() {
+		if errors.Is(err, io.EOF) && e.begun && e.continuing && !e.hasWholeOutput() {
 			err = errors.Wrap(upstreamconn.ErrMalformed, "the answer that continues it has no event")
 		}
 		if errors.Is(err, io.EOF) && len(bytes.TrimRight(event, "\r\n")) == 0 {
@@ -203,7 +206,7 @@
 	if e.eventsWithoutID > maxEventsWithoutID {
 		return truncatedStream(errors.Wrapf(upstreamconn.ErrMalformed, "more than %d events without an id", maxEventsWithoutID))
 	}
-	if id == "" && e.headerSent && e.continuing {
+	if id == "" && e.begun && e.continuing {
 		return nil // it belongs to the start of an answer, which the caller already has
 	}
 	if id != "" {
@@ -232,6 +235,9 @@
 	return wrapForwardError(0, http.NewResponseController(e.r.w).Flush())
 }
 
+// mayContinue reports whether another answer can continue the stream: nothing was sent yet, or the events have ids.
+func (e *eventWriter) mayContinue() bool { return !e.headerSent || e.lastID != "" }
+
 // streamError returns the final error of a stream. Once the headers were sent to the caller, its verdict is Ran.
 func (e *eventWriter) streamError(err error) error {
 	if !e.headerSent {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -87,7 +87,7 @@
 			r.excluded[alloc.Decode.ID], r.cachedAt = true, nil
 		}
 		localPrefillOnly = localPrefillOnly || out.headerSent
-		if !r.mayRetry(&failure) {
+		if !out.mayContinue() || !r.mayRetry(&failure) {
 			return out.streamError(r.finalRefusal(&failure))
 		}
 	}
