gateway: spare upstreams that say in an answer that they leave

The router read only the store: it went on sending while the store was away, and until the next read of the list otherwise.

The header is read in the answers to requests, prefills, reservations, reports, orders and releases, except in one with status 421, which another process may have made. The board keeps the fact by id, incarnation and address, beside what the store announces, so that neither a list that says ready nor a return of the store to a copy takes it back; the last 4,096 starts outlast their entries. Plain requests and prefills look again after their permit, orders after the report; decode engines were already checked before the send. Idle connections are closed as after the store's word.

The second looks of plain requests and prefills close a gap of the length of a permit request and have no test of their own.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,6 +78,8 @@
 	Signed  bool
 	Load    placement.Load
 	HasLoad bool
+	// Leaving is set when the upstream states that it leaves and takes no new requests.
+	Leaving bool
 	// Limit is what the answer says about the upstream's limit for requests.
 	Limit upstreamrate.Statement
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -60,7 +60,7 @@
 	return r.g.Board.LimitedUntil(placement.Query{Service: r.service, Now: now, Excluded: r.excluded})
 }
 
-// callUpstream makes a call of the router itself to an upstream, and records a limit that the answer names. Such calls are
+// callUpstream makes a call of the router itself to an upstream, and records what the answer says about its limit and leaving. Such calls are
 // not made while the upstream names a limit, so that all requests that it permits are those of callers.
 func (g *Gateway) callUpstream(ctx context.Context, upstream *fleet.Upstream, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	if g.Limits.Limited(upstream) {
@@ -71,8 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if limit := g.Protocol.ReadAnswer(response.Status, response.Header).Limit; limit.Named {
-		g.observeLimit(upstream, response.Status, limit, sentAt, time.Now())
+	answer := g.Protocol.ReadAnswer(response.Status, response.Header)
+	if answer.Limit.Named {
+		g.observeLimit(upstream, response.Status, answer.Limit, sentAt, time.Now())
+	}
+	if answer.Leaving {
+		g.recordLeaving(upstream, response.Status)
 	}
 	return response, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	promptCrashes prometheus.Counter
 	// limitedSends counts the attempts for which the limit of an upstream gave no permission.
 	limitedSends prometheus.Counter
+	// leavingAnswers counts the upstreams of which this process learned from an answer that they leave.
+	leavingAnswers prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -36,8 +38,11 @@
 		limitedSends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_limited_sends_total", Help: "Attempts that were not sent because of the limit that an upstream named.",
 		}),
+		leavingAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_leaving_upstreams_total", Help: "Upstreams that said in an answer that they leave, before the store said so.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends, m.leavingAnswers)
 	return m
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,7 +37,7 @@
 		if !ok {
 			return r.finalRefusal(r.noCapacity())
 		}
-		if r.acquirePermit(r.ctx, upstream) != nil {
+		if r.acquirePermit(r.ctx, upstream) != nil || !r.g.Board.Accepts(upstream) { // it may have left meanwhile
 			continue
 		}
 		if answer != nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -21,6 +21,9 @@
 		if err := r.acquirePermit(ctx, attempt.Upstream); err != nil {
 			return nil, err
 		}
+		if !r.g.Board.Accepts(attempt.Upstream) { // it may have left before or during the request for the permit
+			return nil, verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", attempt.Upstream.ID)
+		}
 	}
 	attempt.Account, attempt.TimeLeft = r.accountName(), r.timeLeft()
 	id := attempt.Upstream.ID
@@ -42,6 +45,9 @@
 	if answer.Limit.Named || answer.isByUpstream(response.Status) || attempt.PrefillOnly && success {
 		r.g.observeLimit(attempt.Upstream, response.Status, answer.Limit, sentAt, now)
 	}
+	if answer.Leaving {
+		r.g.recordLeaving(attempt.Upstream, response.Status)
+	}
 	if answer.HasLoad {
 		r.g.Board.RecordLoad(id, now, answer.Load)
 	}
@@ -84,7 +90,7 @@
 // wasSent reports whether the request of a failed call may have reached its upstream.
 func wasSent(err error) bool {
 	switch verdict.As(err).Reason {
-	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, wirev1.Reason_REASON_UPSTREAM_LIMITED:
+	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, wirev1.Reason_REASON_UPSTREAM_LIMITED, wirev1.Reason_REASON_LEAVING:
 		return false
 	}
 	return true
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !c.Gateway.Board.Accepts(move.Upstream) {
+		return accepted, errors.New("the engine is leaving")
+	}
 	fence, ok := c.Leadership.Fence()
 	if !ok {
 		return accepted, errors.New("the leadership ended before the order")
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -49,6 +49,8 @@
 	info *fleet.Upstream
 	// removed is set when the upstream is no longer announced. The state is kept until its in-flight requests have ended.
 	removed bool
+	// saysLeaving is set when the upstream said in an answer that it leaves, whatever is announced of it.
+	saysLeaving bool
 
 	// own counts the in-flight work of this process, others that of the other processes.
 	own, others Share
@@ -109,7 +111,8 @@
 	// peersIncomplete is set while the work of at least one other process is unknown.
 	peersIncomplete bool
 	// peers holds the work reported by each other process, by process and upstream.
-	peers map[string]map[string]Share
+	peers   map[string]map[string]Share
+	leaving leavingStarts
 }
 
 // NewBoard returns an empty board for a process in dataCentre. With a nil source it uses a random seed.
@@ -167,7 +170,7 @@
 
 // newState returns the state of a newly announced upstream, including the work that other processes reported for it.
 func (b *Board) newState(info *fleet.Upstream) *state {
-	s := &state{info: info}
+	s := &state{info: info, saysLeaving: b.leaving.known[startKeyOf(info)]}
 	for _, shares := range b.peers {
 		s.others.add(shares[info.ID], 1)
 	}
@@ -182,8 +185,8 @@
 	Kind string
 }
 
-// Update replaces the list of upstreams and returns what changed. An upstream that was announced as leaving stays leaving
-// for its incarnation, because an older list may arrive later.
+// Update replaces the list of upstreams and returns what changed. An upstream that was announced as leaving, or said so itself,
+// stays leaving for its incarnation, because an older list may arrive later.
 func (b *Board) Update(list []*fleet.Upstream) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -269,7 +272,7 @@
 	return s != nil && s.usable() && s.info.Incarnation == upstream.Incarnation
 }
 
-func (s *state) usable() bool { return !s.removed && !s.info.Leaving }
+func (s *state) usable() bool { return !s.removed && !s.info.Leaving && !s.saysLeaving }
 
 // failureRate returns the failure average, decayed to now.
 func (s *state) failureRate(now time.Time) float64 {
