gateway: spare upstreams that turn requests away for a time

A runner that turns a request away with 503 may add Retry-After, and wants nothing from that router for so long: at most two requests between half a second after the answer and its end. The router did not read the header. It tried the runner again after 150 ms (an engine) or at once (a plain service), each time for a retry, and refused callers with a time of its own making.

The time is kept in upstreamrate beside the limit that an upstream names. Acquire gives no permit until then, which covers requests, repeats, probes and prefills; Limited is true until then, which covers reservations, releases, reports and orders; the board leaves the upstream out. A decode engine is checked again after the prefill, as for leaving. If all upstreams of a service want nothing, a request waits if its answer can still be in time, and is refused at once otherwise, with the first end plus jitter.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -80,6 +80,8 @@
 	HasLoad bool
 	// Leaving is set when the upstream states that it leaves and takes no new requests.
 	Leaving bool
+	// RetryAfter is the time for which the upstream, when it turned the request away, wants no other; zero if it named none.
+	RetryAfter time.Duration
 	// Limit is what the answer says about the upstream's limit for requests.
 	Limit upstreamrate.Statement
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -31,6 +31,11 @@
 	if permit.OK {
 		return nil
 	}
+	if until, paused := r.g.Limits.PausedUntil(upstream, time.Now()); paused {
+		r.recordStep("paused", upstream.ID)
+		r.g.Board.RecordPause(upstream, until)
+		return verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "%s wants no requests", upstream.ID)
+	}
 	r.recordStep(fmt.Sprintf("limited per_second %g wait_ms %d issuer %q", permit.PerSecond, permit.Wait.Milliseconds(), permit.Issuer), upstream.ID)
 	r.g.Metrics.limitedSends.Inc()
 	wait := max(permit.Wait, minLimitedTime)
@@ -52,6 +57,10 @@
 	}
 	refusal := verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "all upstreams of the service limit their requests")
 	refusal.RetryAfter = max(until.Sub(now), overloadRetryAfter(r))
+	if until, paused := r.pausedUntil(now, r.excluded); paused {
+		refusal.Detail = "all upstreams of the service want no requests"
+		refusal.RetryAfter = r.pausedRetryAfter(until)
+	}
 	return refusal
 }
 
@@ -61,9 +70,9 @@
 }
 
 // callUpstream makes a call of the router itself to an upstream, and records what the answer says about its limit and leaving. Such calls are
-// not made while the upstream names a limit, so that all requests that it permits are those of callers.
+// not made while the upstream names a limit or wants no requests, so that all requests that it permits are those of callers.
 func (g *Gateway) callUpstream(ctx context.Context, upstream *fleet.Upstream, request *upstreamconn.Request) (*upstreamconn.Response, error) {
-	if g.Limits.Limited(upstream) {
+	if g.Limits.Limited(upstream, time.Now()) {
 		return nil, errUpstreamLimited
 	}
 	sentAt := time.Now()
@@ -75,6 +84,9 @@
 	if answer.Limit.Named {
 		g.observeLimit(upstream, response.Status, answer.Limit, sentAt, time.Now())
 	}
+	if answer.RetryAfter > 0 {
+		g.recordPause(upstream, response.Status, answer.RetryAfter)
+	}
 	if answer.Leaving {
 		g.recordLeaving(upstream, response.Status)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	limitedSends prometheus.Counter
 	// leavingAnswers counts the upstreams of which this process learned from an answer that they leave.
 	leavingAnswers prometheus.Counter
+	// pauses counts the answers with which an upstream asked for no requests for a time.
+	pauses prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -41,8 +43,11 @@
 		leavingAnswers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_leaving_upstreams_total", Help: "Upstreams that said in an answer that they leave, before the store said so.",
 		}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_upstream_pauses_total", Help: "Answers with which an upstream asked for no requests for a time.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends, m.leavingAnswers)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.limitedSends, m.leavingAnswers, m.pauses)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -82,6 +82,9 @@
 		}
 		failure := *verdict.As(err)
 		r.recordStep(verdict.ReasonName(failure.Reason), alloc.Decode.ID)
+		if failure.Reason == wirev1.Reason_REASON_UPSTREAM_LIMITED { // nothing was sent to the engine, and the board leaves it out
+			continue
+		}
 		if failure.Reason == wirev1.Reason_REASON_LEAVING { // nothing was sent to the engine
 			r.excluded[alloc.Decode.ID] = true
 			continue
@@ -269,6 +272,9 @@
 	if !r.g.Board.Accepts(alloc.Decode) { // it may have left during the prefill
 		return verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", alloc.Decode.ID)
 	}
+	if r.g.isPaused(alloc.Decode) { // it may have turned another request away during the prefill
+		return verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "%s wants no requests", alloc.Decode.ID)
+	}
 	attempt.Reservation, alloc.reservation = alloc.reservation, ""
 	return r.decode(attempt, alloc.decodeWork, out)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -34,6 +34,9 @@
 		if !ok && answer != nil {
 			return r.deliver(answer)
 		}
+		if !ok && r.waitForPaused() {
+			continue
+		}
 		if !ok {
 			return r.finalRefusal(r.noCapacity())
 		}
@@ -68,6 +71,9 @@
 	}
 	if failure.Verdict == verdict.NotRun && failure.RetryAfter == 0 {
 		failure.RetryAfter = overloadRetryAfter(r)
+		if until, paused := r.pausedUntil(time.Now(), nil); paused { // also those that have just refused this request
+			failure.RetryAfter = r.pausedRetryAfter(until)
+		}
 	}
 	return failure
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -30,7 +30,7 @@
 // prompt is processed for an engine that would not take the request.
 func (r *request) reserve(alloc *allocation) bool {
 	engine := r.service.Engine
-	if !alloc.CapacityUncertain || engine.MaxReservationTTL <= 0 || r.g.Limits.Limited(alloc.Decode) {
+	if !alloc.CapacityUncertain || engine.MaxReservationTTL <= 0 || r.g.Limits.Limited(alloc.Decode, time.Now()) {
 		return true
 	}
 	ttl := min(engine.MaxReservationTTL, max(minReserveTTL, alloc.Expected+reserveMargin))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,9 @@
 	if answer.Leaving {
 		r.g.recordLeaving(attempt.Upstream, response.Status)
 	}
+	if answer.RetryAfter > 0 {
+		r.g.recordPause(attempt.Upstream, response.Status, answer.RetryAfter)
+	}
 	if answer.HasLoad {
 		r.g.Board.RecordLoad(id, now, answer.Load)
 	}
@@ -149,11 +152,15 @@
 // overloadRetryAfter returns the retry delay for a refused caller. It is about the time in which running requests end and free
 // capacity, with jitter, so that callers that were refused together do not retry together.
 func overloadRetryAfter(r *request) time.Duration {
-	target := r.route.LatencyTarget
-	if target <= 0 {
-		target = time.Second
+	return time.Duration((overloadDelayTargets + overloadJitterTargets*rand.Float64()) * float64(r.latencyTarget()))
+}
+
+// latencyTarget returns the latency target of the route, or a second if it has none.
+func (r *request) latencyTarget() time.Duration {
+	if r.route.LatencyTarget <= 0 {
+		return time.Second
 	}
-	return time.Duration((overloadDelayTargets + overloadJitterTargets*rand.Float64()) * float64(target))
+	return r.route.LatencyTarget
 }
 
 // noUpstream returns the refusal of a request for which no upstream has capacity.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -64,6 +64,9 @@
 	// limitedUntil is when the upstream may get the next request under the limit that it named, as known at limitedAt.
 	limitedAt, limitedUntil time.Time
 
+	// pausedUntil is when the upstream, which turned a request of this process away, takes requests again.
+	pausedUntil time.Time
+
 	// refusedAt is when the engine last refused a request or reservation for lack of capacity.
 	refusedAt time.Time
 	// lastSentAt is when the upstream last sent anything.
@@ -316,9 +319,24 @@
 	return min(wait, limitedTime)
 }
 
-// isLimited reports whether the limit of the upstream permits no request now.
-func (s *state) isLimited(now time.Time) bool {
-	return now.Before(s.limitedUntil) && now.Sub(s.limitedAt) < limitedTime
+// RecordPause records that a start of an upstream wants no request before a time.
+func (b *Board) RecordPause(upstream *fleet.Upstream, until time.Time) {
+	b.withState(upstream.ID, func(s *state) {
+		if s.info.Incarnation == upstream.Incarnation {
+			s.pausedUntil = until
+		}
+	})
+}
+
+// isLimited reports whether the limit of the upstream permits no request now, or the upstream wants none.
+func (s *state) isLimited(now time.Time) bool { return s.takesNoneUntil(now).After(now) }
+
+// takesNoneUntil returns when the upstream may get the next request; a time that is not after now if it may get one.
+func (s *state) takesNoneUntil(now time.Time) time.Time {
+	if now.Sub(s.limitedAt) < limitedTime && s.limitedUntil.After(s.pausedUntil) {
+		return s.limitedUntil
+	}
+	return s.pausedUntil
 }
 
 // RecordActivity records that an upstream sent data.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -89,19 +89,31 @@
 }
 
 // LimitedUntil returns the earliest time at which an upstream of the service may get the request, if the limits that the upstreams
-// named are the only reason why none may get it now; ok is false otherwise.
+// named, or their pauses, are the only reason why none may get it now; ok is false otherwise.
 func (b *Board) LimitedUntil(q Query) (until time.Time, ok bool) {
+	return b.earliest(q, func(s *state) time.Time { return s.takesNoneUntil(q.Now) })
+}
+
+// PausedUntil returns the earliest end of a pause, if all upstreams of the service that may get the request want none now; ok is
+// false otherwise.
+func (b *Board) PausedUntil(q Query) (until time.Time, ok bool) {
+	return b.earliest(q, func(s *state) time.Time { return s.pausedUntil })
+}
+
+// earliest returns the earliest of the times until which the upstreams of the service take no request; ok is false if one takes it now.
+func (b *Board) earliest(q Query, takesNoneUntil func(*state) time.Time) (until time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
 		if !s.usable() || s.info.Service != q.Service.Name || s.info.Stage == fleet.StagePrefill || q.Excluded[id] {
 			continue
 		}
-		if !s.isLimited(q.Now) {
+		at := takesNoneUntil(s)
+		if !at.After(q.Now) {
 			return time.Time{}, false
 		}
-		if !ok || s.limitedUntil.Before(until) {
-			until, ok = s.limitedUntil, true
+		if !ok || at.Before(until) {
+			until, ok = at, true
 		}
 	}
 	return until, ok
--- a/internal/upstreamrate/limits.go
+++ b/internal/upstreamrate/limits.go
@@ -78,13 +78,16 @@
 	mu        sync.Mutex // guards the fields below
 	entries   map[Key]*entry
 	processes int
+	// pausedUntil is when an upstream that wants no requests from this process takes them again.
+	pausedUntil map[Key]time.Time
 	// noRequestsUntil is when a process is asked again that did not answer or does not issue permits.
 	noRequestsUntil map[string]time.Time
 }
 
 // New returns Limits of the process with a name that started at startedAt, without any limit. Permits also need Connect.
 func New(name string, startedAt time.Time) *Limits {
-	return &Limits{name: name, startedAt: startedAt, peers: noPeers{}, entries: make(map[Key]*entry), processes: 1, noRequestsUntil: make(map[string]time.Time)}
+	return &Limits{name: name, startedAt: startedAt, peers: noPeers{}, entries: make(map[Key]*entry), processes: 1,
+		pausedUntil: make(map[Key]time.Time), noRequestsUntil: make(map[string]time.Time)}
 }
 
 // Connect sets the other processes. It must be called before the limits are used.
@@ -170,15 +173,16 @@
 	return limits
 }
 
-// Limited reports whether an upstream names a limit.
-func (l *Limits) Limited(upstream *fleet.Upstream) bool {
+// Limited reports whether an upstream names a limit or wants no requests now.
+func (l *Limits) Limited(upstream *fleet.Upstream, now time.Time) bool {
+	key := keyOf(upstream)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entries[keyOf(upstream)]
-	return e != nil && e.known.Named
+	e := l.entries[key]
+	return e != nil && e.known.Named || now.Before(l.pausedUntil[key])
 }
 
-// Sweep forgets the upstreams that are gone, and withdrawn limits of which all processes have heard.
+// Sweep forgets the upstreams that are gone, pauses that have ended, and withdrawn limits of which all processes have heard.
 func (l *Limits) Sweep(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -187,6 +191,11 @@
 			delete(l.entries, key)
 		}
 	}
+	for key, until := range l.pausedUntil {
+		if !now.Before(until) {
+			delete(l.pausedUntil, key)
+		}
+	}
 	for process, until := range l.noRequestsUntil {
 		if until.Before(now) {
 			delete(l.noRequestsUntil, process)
--- a/internal/upstreamrate/permits.go
+++ b/internal/upstreamrate/permits.go
@@ -55,6 +55,10 @@
 	key := keyOf(upstream)
 	now := time.Now()
 	l.mu.Lock()
+	if until := l.pausedUntil[key]; now.Before(until) {
+		l.mu.Unlock()
+		return Permit{Wait: until.Sub(now)}
+	}
 	e := l.entries[key]
 	if e == nil || !e.known.Named {
 		l.mu.Unlock()
