--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,10 @@
 	promptCrashes, plainCrashes prometheus.Counter
 	// limitedSends counts the attempts for which the limit of an upstream gave no permission.
 	limitedSends prometheus.Counter
+	// leavingAnswers counts the upstreams of which this process learned from an answer that they leave.
+	leavingAnswers prometheus.Counter
+	// pauses counts the answers with which an upstream asked for no requests for a time.
+	pauses prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -42,8 +46,14 @@
 		limitedSends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_limited_sends_total", Help: "Attempts that were not sent because of the limit that an upstream named.",
 		}),
+		leavingAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_leaving_upstreams_total", Help: "Upstreams that said in an answer that they leave, before the store said so.",
+		}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_upstream_pauses_total", Help: "Answers with which an upstream asked for no requests for a time.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses)
 	return m
 }
 
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -63,7 +63,7 @@
 func (r *request) hasPlainReplacement(query placement.Query) bool {
 	for {
 		upstream, ok := r.g.Board.PickPlain(query)
-		if !ok || !r.g.Limits.Limited(upstream) {
+		if !ok || !r.g.Limits.Limited(upstream, query.Now) {
 			return ok
 		}
 		query.Excluded[upstream.ID] = true
@@ -75,7 +75,7 @@
 func (r *request) planReplacement(query placement.Query) (plan placement.Plan, ok bool) {
 	for {
 		plan, ok = r.g.Board.PlanModel(query)
-		if !ok || !r.g.Limits.Limited(plan.Decode) && !r.endsTooLate(&plan) {
+		if !ok || !r.g.Limits.Limited(plan.Decode, query.Now) && !r.endsTooLate(&plan) {
 			return plan, ok
 		}
 		query.Excluded[plan.Decode.ID] = true
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -21,6 +21,9 @@
 		if err := r.acquirePermit(ctx, attempt.Upstream); err != nil {
 			return nil, err
 		}
+		if !r.g.Board.Accepts(attempt.Upstream) { // it may have left before or during the request for the permit
+			return nil, verdict.Refuse(wirev1.Reason_REASON_LEAVING, "%s is leaving", attempt.Upstream.ID)
+		}
 	}
 	attempt.Account, attempt.TimeLeft = r.accountName(), r.timeLeft()
 	id := attempt.Upstream.ID
@@ -44,6 +47,12 @@
 	if answer.Limit.Named || answer.isByUpstream(response.Status) || attempt.PrefillOnly && success {
 		r.g.observeLimit(attempt.Upstream, response.Status, answer.Limit, sentAt, now)
 	}
+	if answer.Leaving {
+		r.g.recordLeaving(attempt.Upstream, response.Status)
+	}
+	if answer.RetryAfter > 0 {
+		r.g.recordPause(attempt.Upstream, response.Status, answer.RetryAfter)
+	}
 	if answer.HasLoad {
 		r.g.Board.RecordLoad(id, now, answer.Load)
 	}
@@ -86,7 +95,7 @@
 // wasSent reports whether the request of a failed call may have reached its upstream.
 func wasSent(err error) bool {
 	switch verdict.As(err).Reason {
-	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, wirev1.Reason_REASON_UPSTREAM_LIMITED:
+	case wirev1.Reason_REASON_UPSTREAM_UNREACHABLE, wirev1.Reason_REASON_UPSTREAM_LIMITED, wirev1.Reason_REASON_LEAVING:
 		return false
 	}
 	return true
@@ -151,11 +160,15 @@
 // overloadRetryAfter returns the retry delay for a refused caller. It is about the time in which running requests end and free
 // capacity, with jitter, so that callers that were refused together do not retry together.
 func overloadRetryAfter(r *request) time.Duration {
-	target := r.route.LatencyTarget
-	if target <= 0 {
-		target = time.Second
+	return time.Duration((overloadDelayTargets + overloadJitterTargets*rand.Float64()) * float64(r.latencyTarget()))
+}
+
+// latencyTarget returns the latency target of the route, or a second if it has none.
+func (r *request) latencyTarget() time.Duration {
+	if r.route.LatencyTarget <= 0 {
+		return time.Second
 	}
-	return time.Duration((overloadDelayTargets + overloadJitterTargets*rand.Float64()) * float64(target))
+	return r.route.LatencyTarget
 }
 
 // noUpstream returns the refusal of a request for which no upstream has capacity.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -49,6 +49,8 @@
 	info *fleet.Upstream
 	// removed is set when the upstream is no longer announced. The state is kept until its in-flight requests have ended.
 	removed bool
+	// saysLeaving is set when the upstream said in an answer that it leaves, whatever is announced of it.
+	saysLeaving bool
 
 	// own counts the in-flight work of this process, others that of the other processes.
 	own, others Share
@@ -62,6 +64,9 @@
 	// limitedUntil is when the upstream may get the next request under the limit that it named, as known at limitedAt.
 	limitedAt, limitedUntil time.Time
 
+	// pausedUntil is when the upstream, which turned a request of this process away, takes requests again.
+	pausedUntil time.Time
+
 	// refusedAt is when the engine last refused a request or reservation for lack of capacity.
 	refusedAt time.Time
 	// lastSentAt is when the upstream last sent anything.
@@ -109,7 +114,8 @@
 	// peersIncomplete is set while the work of at least one other process is unknown.
 	peersIncomplete bool
 	// peers holds the work reported by each other process, by process and upstream.
-	peers map[string]map[string]Share
+	peers   map[string]map[string]Share
+	leaving leavingStarts
 }
 
 // NewBoard returns an empty board for a process in dataCentre. With a nil source it uses a random seed.
@@ -167,7 +173,7 @@
 
 // newState returns the state of a newly announced upstream, including the work that other processes reported for it.
 func (b *Board) newState(info *fleet.Upstream) *state {
-	s := &state{info: info}
+	s := &state{info: info, saysLeaving: b.leaving.known[startKeyOf(info)]}
 	for _, shares := range b.peers {
 		s.others.add(shares[info.ID], 1)
 	}
@@ -182,8 +188,8 @@
 	Kind string
 }
 
-// Update replaces the list of upstreams and returns what changed. An upstream that was announced as leaving stays leaving
-// for its incarnation, because an older list may arrive later.
+// Update replaces the list of upstreams and returns what changed. An upstream that was announced as leaving, or said so itself,
+// stays leaving for its incarnation, because an older list may arrive later.
 func (b *Board) Update(list []*fleet.Upstream) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -269,7 +275,7 @@
 	return s != nil && s.usable() && s.info.Incarnation == upstream.Incarnation
 }
 
-func (s *state) usable() bool { return !s.removed && !s.info.Leaving }
+func (s *state) usable() bool { return !s.removed && !s.info.Leaving && !s.saysLeaving }
 
 // failureRate returns the failure average, decayed to now.
 func (s *state) failureRate(now time.Time) float64 {
@@ -313,9 +319,24 @@
 	return min(wait, limitedTime)
 }
 
-// isLimited reports whether the limit of the upstream permits no request now.
-func (s *state) isLimited(now time.Time) bool {
-	return now.Before(s.limitedUntil) && now.Sub(s.limitedAt) < limitedTime
+// RecordPause records that a start of an upstream wants no request before a time.
+func (b *Board) RecordPause(upstream *fleet.Upstream, until time.Time) {
+	b.withState(upstream.ID, func(s *state) {
+		if s.info.Incarnation == upstream.Incarnation {
+			s.pausedUntil = until
+		}
+	})
+}
+
+// isLimited reports whether the limit of the upstream permits no request now, or the upstream wants none.
+func (s *state) isLimited(now time.Time) bool { return s.takesNoneUntil(now).After(now) }
+
+// takesNoneUntil returns when the upstream may get the next request; a time that is not after now if it may get one.
+func (s *state) takesNoneUntil(now time.Time) time.Time {
+	if now.Sub(s.limitedAt) < limitedTime && s.limitedUntil.After(s.pausedUntil) {
+		return s.limitedUntil
+	}
+	return s.pausedUntil
 }
 
 // RecordActivity records that an upstream sent data.
--- a/internal/upstreamrate/message_test.go
+++ b/internal/upstreamrate/message_test.go
@@ -17,7 +17,7 @@
 		limits.Apply([]Limit{LimitFromMessage(&wirev1.UpstreamLimit{Upstream: "u", PerSecond: 0.5, AgeMs: age}, now)}, now)
 		upstream := &fleet.Upstream{ID: "u"}
 		limits.Observe(upstream, Statement{}, now.Add(time.Second), now.Add(2*time.Second))
-		if limits.Limited(upstream) {
+		if limits.Limited(upstream, now.Add(2*time.Second)) {
 			t.Errorf("age %d: limited after an answer that names no limit", age)
 		}
 	}
