ledger: the owner of a shard replaces a record that can't be decoded

Operators of fulmardoor's own interface would see one shard's accounts refused for good: another writer replaced the shard's record with bytes that are none, and the owner ended later. They would also see an error line at every read of the records.

Cause: a record that can't be decoded was skipped with its revision, so every later write, by owner or successor, had a revision that no longer holds.

The owner takes the revision of such a record, while it has a promise of its successor, and writes its own record again. During that promise no node can have taken the shard over, so nothing is lost in between.

Open: a record that turns odd while its owner has no promise (it has just ended, is alone, or is frozen) still stops the shard until an operator deletes the key; a node that never read the record between can't tell who owned it.

--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -129,6 +129,8 @@
 	mu       sync.Mutex // guards the fields below
 	record   record
 	revision int64 // store revision of record; 0 if no record is known
+	// oddRevision is the revision of the last record that could not be decoded.
+	oddRevision int64
 	// writing is set while a write of the record is in progress or its outcome is unknown, and while a handoff request is in
 	// progress. In that time no promise is given or requested.
 	writing bool
--- a/internal/ledger/owner.go
+++ b/internal/ledger/owner.go
@@ -104,6 +104,9 @@
 	s.reconciledAt = now
 	ownerMissing := n.ownerMissingTooLong(s, members, now)
 	switch {
+	case s.owned && !s.suspended && s.hasOddRecord():
+		s.writing = true
+		go n.nameSuccessor(ctx, s, s.record.Successor)
 	case s.owned && !s.suspended:
 		if next, ok := n.replacementSuccessor(s, members, now); ok {
 			s.writing = true
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -84,7 +84,7 @@
 	if pair.ModRevision > s.revision {
 		next, err := decodeRecord(pair.Value)
 		if err != nil {
-			n.cfg.Logger.Error("shard record cannot be decoded", zap.Uint32("shard", s.number), zap.Error(err))
+			n.applyOddRecord(s, pair.ModRevision, err)
 			return
 		}
 		n.replaceRecord(s, next, pair.ModRevision)
@@ -94,6 +94,22 @@
 	}
 }
 
+// applyOddRecord handles a record that another program replaced by one that cannot be decoded. As long as the owner has a promise of its successor,
+// nobody took the shard over in between: it then writes its record again (see reconcile). Until then no other node can change the owner. It is called with
+// s.mu held.
+func (n *Node) applyOddRecord(s *shard, revision int64, err error) {
+	if revision != s.oddRevision {
+		s.oddRevision = revision
+		n.cfg.Logger.Error("shard record cannot be decoded", zap.Uint32("shard", s.number), zap.Int64("revision", revision), zap.Error(err))
+	}
+	if s.owned && !s.suspended && s.record.Successor != "" && time.Now().Before(s.receivedPromiseUntil) {
+		s.revision = revision
+	}
+}
+
+// hasOddRecord reports whether the record in the store cannot be decoded and this node may replace it. It is called with s.mu held.
+func (s *shard) hasOddRecord() bool { return s.revision != 0 && s.revision == s.oddRevision }
+
 // replaceRecord sets a record that was written by another process, or by an earlier process with the same name. It is
 // called with s.mu held.
 func (n *Node) replaceRecord(s *shard, next record, revision int64) {
