--- a/internal/ledger/odd_test.go
+++ b/internal/ledger/odd_test.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// Guards against a shard that grants nothing for good, because its owner ended just before another writer replaced its record.
+func TestShardWhoseOwnerEndedBeforeOddRecord(t *testing.T) {
+	runWithFleet(t, 1, oneAccount, fleetNames, func(t *testing.T, f *fleet) {
+		f.crash(awaitOwner(t, f, 0, 5*time.Second))
+		f.store.Put(recordKey(0), []byte("odd"))
+		time.Sleep(60 * time.Second)
+		if f.owner(0) == "" {
+			t.Error("no owner a minute after the record turned odd")
+		}
+	})
+}
+
 // Guards against a record that can be decoded and names nobody, or an epoch after which there is none, and leaves its shard without an owner.
 func TestShardAfterRecordOfNobody(t *testing.T) {
 	for name, value := range map[string]string{
