follow: replace a leader key that has no lease

Operators would see engines that get no orders any more: another writer left the leader's key, and without a lease it never ends, so no process takes the leadership.

Cause: campaign takes each key that is there for one of a leader.

Evidence: before, TestLeaderKeyOfAnotherWriter: key with a lease false: "[[["

A process always writes the key with its lease, so one without is that of another writer, and is replaced at its revision; the fencing number is the revision of that write, above all before. A key with a lease stays, as the test shows.

--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -144,8 +144,11 @@
 // campaign takes the leader key if no process holds it. Only the member with the first name tries, to save calls.
 func (m *Members) campaign(ctx context.Context) error {
 	revision, err := m.options.Store.CompareAndSwap(ctx, m.options.LeaderKey, []byte(m.options.Name), 0, m.leaseID)
+	if errors.Is(err, kv.ErrConflict) {
+		revision, err = m.replaceUnleased(ctx)
+	}
 	switch {
-	case errors.Is(err, kv.ErrConflict):
+	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrNotFound):
 		return nil // held by another process, or by this one before its restart; the key expires with its lease
 	case err != nil:
 		return err
@@ -155,6 +158,19 @@
 	return nil
 }
 
+// replaceUnleased takes the leader key if it has no lease: a process never writes it so, and it would not expire.
+func (m *Members) replaceUnleased(ctx context.Context) (revision int64, err error) {
+	pair, err := m.options.Store.Get(ctx, m.options.LeaderKey)
+	if err != nil {
+		return 0, err
+	}
+	if pair.LeaseID != 0 {
+		return 0, kv.ErrConflict
+	}
+	m.options.Logger.Warn("leader key of another writer is replaced", zap.Int64("revision", pair.ModRevision))
+	return m.options.Store.CompareAndSwap(ctx, m.options.LeaderKey, []byte(m.options.Name), pair.ModRevision, m.leaseID)
+}
+
 func (m *Members) announce(ctx context.Context) error {
 	key := m.options.Prefix + m.options.Name
 	lease, err := m.options.Store.GrantLease(ctx, m.options.TTL)
--- a/internal/follow/members_test.go
+++ b/internal/follow/members_test.go
@@ -58,3 +58,37 @@
 		<-done
 	})
 }
+
+// Guards against a fleet without a leader for good, because another writer left the leader's key: it has no lease that ends. A key with a lease is
+// that of a process, and stays.
+func TestLeaderKeyOfAnotherWriter(t *testing.T) {
+	for _, leased := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memory.New(memory.Options{})
+			lease := int64(0)
+			if leased {
+				var err error
+				if lease, err = store.GrantLease(t.Context(), time.Minute); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := store.CompareAndSwap(t.Context(), "leader", []byte("[[["), 0, lease); err != nil {
+				t.Fatal(err)
+			}
+			members := NewMembers(MemberOptions{
+				Store: store, List: store.List, Prefix: "entries/", Name: "front-1", Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: 9 * time.Second,
+				HistoryChanged: func() <-chan struct{} { return nil }, Logger: zap.NewNop(),
+			}, func(int) {}, func(map[string]string) {})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); members.Run(ctx) }()
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			if pair, err := store.Get(t.Context(), "leader"); err != nil || (string(pair.Value) == "front-1") == leased {
+				t.Errorf("key with a lease %v: %q, %v", leased, pair.Value, err)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
