entry: move a silent request only with a place for its new prefill

The time line: dispatched decode-1 +30 ms, import_elsewhere (stalled) +331, dispatched decode-2 +331, retry (evicted) +332, retry (no_reservation) +1748, refused +1750

Cause: the place for the import was taken for a certain replacement. Only the silent engine knows whether it has imported the KV cache. A new prefill had no place at its engine either, and could be refused after the move. Now a request moves only after 2 s of silence, or the stall of its engine, and with a place for the prefill, one for the decode and a retry within the budget. Stalled transfers cost their requests 2 s in place of 0.3 s for that; an import at a second engine beside the first, which is not cancelled before a token has come, would have both.

TestPlannedWorkBesideSilentUpstreams permits "target_missed", "may have run" for a completion: with one engine left for 100 streams the wait may be longer than its patience, after an attempt whose prefill ran.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -41,7 +41,7 @@
 	x.onFrame = func(frame *wirev1.Frame) error { return c.onToken(frame, p, place, prefill) }
 	from, to, tokens := p.quote.Candidate.DataCentre, session.Remote().GetDataCentre(), p.request.PromptTokens
 	c.entry.scheduler.StartTransfer(from, to, tokens)
-	outcome, err := c.decodeMover(p, place, prefill).run(x)
+	outcome, err := c.decodeMover(place).run(x)
 	if !prefill.imported {
 		c.entry.scheduler.AbandonTransfer(from, to, tokens)
 	}
--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -18,10 +18,6 @@
 	// A stream is moved to another engine after a silence of silentGaps times its mean token gap, but not before minSilence.
 	minSilence = 2 * time.Second
 	silentGaps = 20
-	// An import is moved after importSilenceFactor times its expected time. Imports slow each other down, because their transfers
-	// share the network link. minImportSilence is well below the eviction time of an export, which another engine then imports.
-	minImportSilence    = 300 * time.Millisecond
-	importSilenceFactor = 4
 	// silenceCheckInterval is the interval at which a running call is checked for silence.
 	silenceCheckInterval = 50 * time.Millisecond
 	// moveRetryInterval is the time between two attempts to find a place for a silent request at another engine.
@@ -33,11 +29,11 @@
 // errMoved is the cancellation cause of a call whose request is moved to another engine.
 var errMoved = errors.New("the request is moved to another engine")
 
-// replacement is a place at another engine for a request whose engine is silent.
+// replacement is what the next attempt of a request needs whose engine is silent: a plan with a place for the prefill, and a place for
+// the decode.
 type replacement struct {
+	plan  *plan
 	place *reservation
-	// plan is nil if the place is for the KV cache of the present prefill.
-	plan *plan
 }
 
 // mover moves a request from a silent engine to another one. A silent engine may still answer, so its call is cancelled only when the
@@ -87,6 +83,7 @@
 func (r *replacement) close() {
 	if r != nil {
 		r.place.close()
+		r.plan.prefillPlace.close()
 	}
 }
 
@@ -140,47 +137,24 @@
 	return beat.GetLoad().GetStalled()
 }
 
-// decodeMover returns the mover of a decode. As long as the KV cache of the prefill can be imported, another engine imports it;
-// afterwards the prompt is prefilled again.
-func (c *completion) decodeMover(p *plan, place *reservation, prefill *prefilled) *mover {
+// decodeMover returns the mover of a decode. The prompt is prefilled again, because nobody but the silent engine knows whether it has
+// imported the KV cache, which is then gone.
+func (c *completion) decodeMover(place *reservation) *mover {
 	begin := time.Now()
-	importLimit := c.importSilenceLimit(p, place)
-	importable := func(s *completion) bool { return !s.lastToken.After(begin) && time.Now().Before(prefill.evictedAt) }
 	return &mover{
 		c: c,
 		silent: func() bool {
 			s := c.snapshot()
-			if importable(s) {
-				return time.Since(begin) >= importLimit
-			}
 			last := begin
 			if s.lastToken.After(begin) {
 				last = s.lastToken
 			}
 			return time.Since(last) >= s.silenceLimit() || place.upstream.stalled()
 		},
-		find: func(ctx context.Context, s *completion) *replacement {
-			if !importable(s) {
-				return s.findReplacement(ctx, place.upstream)
-			}
-			if !c.entry.budget.Permits() {
-				return nil
-			}
-			elsewhere, err := s.reserveElsewhere(ctx, p, prefill, place.upstream)
-			if err != nil {
-				return nil
-			}
-			return c.chargeRetry(&replacement{place: elsewhere})
-		},
+		find: func(ctx context.Context, s *completion) *replacement { return s.findReplacement(ctx, place.upstream) },
 	}
 }
 
-// importSilenceLimit returns the time without a first token after which the import of a KV cache should be moved.
-func (c *completion) importSilenceLimit(p *plan, place *reservation) time.Duration {
-	expected := c.entry.scheduler.TransferTime(p.quote.Candidate.DataCentre, place.upstream.dataCentre(), p.request.PromptTokens)
-	return min(max(importSilenceFactor*expected, minImportSilence), minSilence)
-}
-
 // prefillMover returns the mover of a prefill. A prefill gives no sign of progress, so only its sidecar knows that its engine is
 // silent.
 func (c *completion) prefillMover(p *plan) *mover {
@@ -190,8 +164,8 @@
 	}
 }
 
-// findReplacement returns everything that another attempt needs: the charge, a prefill engine, a place at a decode engine other
-// than the excluded one, and a retry within the budget. It returns nil if one of them cannot be had at once.
+// findReplacement returns everything that another attempt needs: the charge, a place at a prefill engine and one at a decode engine
+// other than the excluded one, and a retry within the budget. It returns nil if one of them cannot be had at once.
 func (c *completion) findReplacement(ctx context.Context, excluded *upstream) *replacement {
 	if len(c.delivered) >= c.maxTokens || !c.entry.budget.Permits() || c.authorize(c.chargeTokens()) != nil {
 		return nil
@@ -206,15 +180,15 @@
 	if err != nil {
 		return nil
 	}
+	if p.prefillPlace, err = c.reservePrefill(ctx, p, movePlaceWait); err != nil {
+		place.close()
+		return nil
+	}
 	p.placeGrantedAt = time.Now()
-	return c.chargeRetry(&replacement{place: place, plan: p})
-}
-
-// chargeRetry returns the replacement if the retry budget permits another attempt, and closes it otherwise.
-func (c *completion) chargeRetry(r *replacement) *replacement {
-	if c.entry.budget.Allow() {
-		return r
+	found := &replacement{place: place, plan: p}
+	if !c.entry.budget.Allow() {
+		found.close()
+		return nil
 	}
-	r.close()
-	return nil
+	return found
 }
--- a/internal/entry/pairing.go
+++ b/internal/entry/pairing.go
@@ -27,6 +27,8 @@
 	request            *scheduler.Request
 	firstTokenEstimate time.Duration // from the grant of the decode place to the first token
 	placeGrantedAt     time.Time     // when the decode place was granted
+	// prefillPlace is the place for the prefill if it was reserved with the plan.
+	prefillPlace *reservation
 }
 
 func candidates(list []*upstream) []scheduler.Candidate {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -81,18 +81,11 @@
 }
 
 // decodeWithFallback runs the decode at the reserved place. If that place is not free in time, was revoked, or its engine
-// cannot import the KV cache or is silent, it uses the first place that another engine grants before the KV cache is evicted, so the prefill
+// cannot import the KV cache, it uses the first place that another engine grants before the KV cache is evicted, so the prefill
 // is not wasted. An engine that may have run the decode makes it a retry.
 func (c *completion) decodeWithFallback(p *plan, place *reservation, prefill *prefilled) (*wirev1.Outcome, error) {
 	for {
 		outcome, err := c.decode(p, place, prefill)
-		if c.replacement != nil && c.replacement.plan == nil {
-			c.entry.events.Record("import_elsewhere", c.name, place.upstream.name, events.Field("reason", reasonName(err)))
-			c.ranEarlier = true
-			place = c.takeReplacement().place
-			defer place.close()
-			continue
-		}
 		if c.replacement != nil {
 			return outcome, err
 		}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
@@ -33,12 +34,12 @@
 
 // prefill runs the prefill of a prompt. decodePlace is the place that is reserved for the decode.
 func (c *completion) prefill(p *plan, prompt string, decodePlace *reservation) (*prefilled, error) {
-	place, err := c.entry.reserve(c.ctx, []*upstream{p.prefill}, &wirev1.ReserveRequest{
-		Account: c.caller.account, CostTokens: uint64(p.request.PromptTokens), Priority: p.request.PrefillPriority(),
-		WaitMs: uint32(max(c.remainingWait(p.request), 0).Milliseconds()),
-	})
-	if err != nil {
-		return nil, c.placeWaitExpired(err)
+	place := p.prefillPlace
+	if place == nil {
+		var err error
+		if place, err = c.reservePrefill(c.ctx, p, c.remainingWait(p.request)); err != nil {
+			return nil, c.placeWaitExpired(err)
+		}
 	}
 	defer place.close()
 	c.entry.scheduler.ObserveChoice(p.prefill.name)
@@ -84,6 +85,14 @@
 	return result, nil
 }
 
+// reservePrefill reserves the place for the prefill of a plan.
+func (c *completion) reservePrefill(ctx context.Context, p *plan, wait time.Duration) (*reservation, error) {
+	return c.entry.reserve(ctx, []*upstream{p.prefill}, &wirev1.ReserveRequest{
+		Account: c.caller.account, CostTokens: uint64(p.request.PromptTokens), Priority: p.request.PrefillPriority(),
+		WaitMs: uint32(max(wait, 0).Milliseconds()),
+	})
+}
+
 // recordLostPrefill counts a prefill that may have run but left no KV cache for a decode engine.
 func (c *completion) recordLostPrefill(request *scheduler.Request, err error) {
 	if verdict.As(err).Verdict == verdict.NotRun {
--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -151,18 +151,6 @@
 	return seconds
 }
 
-// TransferTime returns the expected time to transfer the KV cache of a prompt between two data centres when nothing else is in
-// transfer.
-func (s *Scheduler) TransferTime(from, to string, tokens int) time.Duration {
-	s.estimates.mu.RLock()
-	defer s.estimates.mu.RUnlock()
-	perToken := defaultTransferTokenSeconds
-	if r := s.estimates.links[link{from, to}]; r != nil && r.transferTokenSeconds > 0 {
-		perToken = r.transferTokenSeconds
-	}
-	return time.Duration(perToken * float64(tokens) * float64(time.Second))
-}
-
 // ObservePrefill updates the prefill speed of an upstream from a finished prefill. tokens are those that were not
 // cached.
 func (s *Scheduler) ObservePrefill(upstream string, tokens int, elapsed time.Duration) {
