gateway: give up no silent stream that another engine cannot continue

A resumable stream whose events have no ids cannot go on elsewhere, but was moved from an engine that was silent for 1.2 s: the budget was charged, a place taken, and the stream cut. TestSilentStreamWithoutIDsIsNotMoved fails without the check: "status 200, unexpected EOF, data: a".

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -389,7 +389,7 @@
 	defer func() { out.eventTimer.stop() }()
 	onFirst := func() {
 		answerTimer.stop()
-		out.eventTimer = r.newEventTimer(attempt.Upstream, cancel)
+		out.eventTimer = r.newEventTimer(attempt.Upstream, out, cancel)
 		firstAt = time.Now()
 		r.recordSurvival()
 		if attempt.KVHandle == nil && work.SolePrefill && attempt.ResumeAfter == "" {
--- a/internal/gateway/responsetimer.go
+++ b/internal/gateway/responsetimer.go
@@ -114,18 +114,17 @@
 
 // newEventTimer limits the time between two events of a stream in the same way. If the engine still sends data on other
 // streams, it is only busy, and the request is not moved.
-func (r *request) newEventTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc) *responseTimer {
+func (r *request) newEventTimer(upstream *fleet.Upstream, out *eventWriter, cancel context.CancelCauseFunc) *responseTimer {
 	var recordedAt time.Time
 	return newResponseTimer(eventTimeoutPauses*r.route.PauseTarget, func(silence time.Duration) bool {
 		now := time.Now()
-		if now.Sub(recordedAt) < silence { // one silence counts as one timeout
-			return !r.moveFromSilent(upstream, silence, cancel)
+		if now.Sub(recordedAt) >= silence { // one silence counts as one timeout
+			if !r.g.Board.RecordTimeout(upstream.ID, now) {
+				return true
+			}
+			recordedAt = now
 		}
-		if !r.g.Board.RecordTimeout(upstream.ID, now) {
-			return true
-		}
-		recordedAt = now
-		return !r.moveFromSilent(upstream, silence, cancel)
+		return !out.mayContinue() || !r.moveFromSilent(upstream, silence, cancel)
 	})
 }
 
