quarantine: store a quarantine that two processes learn from each other

Found in the review. If two processes reported the last crashes at the same moment, each learnt of the quarantine from the other, and neither wrote it to the store: after a restart of all processes three more upstreams would crash. A process that saw one of the crashes writes it now. TestCrossingReportsAreStored failed before: "blocked true and true, 0 changes".

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -73,6 +73,8 @@
 	// Parts are the identifiers of the parts of the prompt that other requests may share, and the identity of the request.
 	Parts []string
 	At    time.Time
+	// seenHere is set if this process saw the crash itself.
+	seenHere bool
 }
 
 // atSameEngine reports whether both values describe the crash of the same process.
@@ -127,7 +129,9 @@
 		return nil
 	}
 	crash.Parts = lastParts(crash.Parts)
-	quarantined = l.addCrashes([]Crash{crash}, crash.At)
+	seen := crash
+	seen.seenHere = true
+	quarantined = l.addCrashes([]Crash{seen}, crash.At)
 	l.send(Report{Crashes: []Crash{crash}})
 	if len(quarantined) > 0 {
 		l.changed()
@@ -142,7 +146,22 @@
 func (l *List) Apply(report Report, now time.Time) (quarantined []string) {
 	l.clear(report.Cleared, now)
 	l.addProbes(report.Probes)
-	return l.addCrashes(report.Crashes, now)
+	quarantined = l.addCrashes(report.Crashes, now)
+	if l.sawCrashOf(quarantined) {
+		l.changed()
+	}
+	return quarantined
+}
+
+// sawCrashOf reports whether this process saw a crash for which one of the parts is quarantined. It then counts as one that began the
+// quarantine: if two processes report the last crashes at the same moment, each learns of the quarantine from the other.
+func (l *List) sawCrashOf(parts []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part string) bool {
+		s := l.suspects[part]
+		return s != nil && slices.ContainsFunc(s.evidence, func(crash Crash) bool { return crash.seenHere })
+	})
 }
 
 // addCrashes adds crashes that became known at now. Suspects expire only before, because the first crashes of a report may be older than
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -255,3 +255,29 @@
 		}
 	}
 }
+
+// seenAt returns a crash with a request, each at another upstream and of another caller's request.
+func seenAt(upstream string, at time.Time, part string) Crash {
+	return Crash{Upstream: upstream, Incarnation: 1, Request: upstream, Parts: []string{part}, At: at}
+}
+
+// Guards against a quarantine that no process writes to the store, because the last two crashes were reported at the same moment.
+func TestCrossingReportsAreStored(t *testing.T) {
+	a, b := NewList(), NewList()
+	var fromA, fromB []Report
+	changed := 0
+	a.OnReport(func(r Report) { fromA = append(fromA, r) })
+	b.OnReport(func(r Report) { fromB = append(fromB, r) })
+	a.OnChange(func() { changed++ })
+	b.OnChange(func() { changed++ })
+	a.RecordCrash(seenAt("1", start, deadly))
+	b.Apply(fromA[0], start)
+	a.RecordCrash(seenAt("2", start.Add(time.Second), deadly))
+	b.RecordCrash(seenAt("3", start.Add(time.Second+5*time.Millisecond), deadly))
+	now := start.Add(time.Second + 10*time.Millisecond)
+	a.Apply(fromB[0], now)
+	b.Apply(fromA[1], now)
+	if !isBlocked(a, now, deadly) || !isBlocked(b, now, deadly) || changed == 0 {
+		t.Errorf("blocked %v and %v, %d changes", isBlocked(a, now, deadly), isBlocked(b, now, deadly), changed)
+	}
+}
