quarantine: begin at the latest crash, in whatever order they arrive

A process that had just started saw a crash itself and then got two older ones: the quarantine began at the oldest of them and was over at once. TestOlderCrashArrivesLast failed before: "not blocked after the third crash".

--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -281,3 +281,14 @@
 		t.Errorf("blocked %v and %v, %d changes", isBlocked(a, now, deadly), isBlocked(b, now, deadly), changed)
 	}
 }
+
+// Guards against a quarantine that is over when it begins, because an older crash arrives last.
+func TestOlderCrashArrivesLast(t *testing.T) {
+	l := NewList()
+	now := start.Add(150 * time.Second)
+	l.RecordCrash(seenAt("3", now, deadly)) // after a start, before the first connection
+	l.Apply(Report{Crashes: []Crash{seenAt("1", now.Add(-120*time.Second), deadly), seenAt("2", now.Add(-119*time.Second), deadly)}}, now)
+	if !isBlocked(l, now.Add(10*time.Millisecond), deadly) {
+		t.Error("not blocked after the third crash")
+	}
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -77,8 +77,9 @@
 	if len(s.crashes) < minCrashes {
 		return false
 	}
+	slices.SortFunc(s.crashes, func(a, b Crash) int { return a.At.Compare(b.At) }) // reports may come late
 	s.evidence, s.crashes = s.crashes, nil
-	s.block(crash.At)
+	s.block(s.evidence[len(s.evidence)-1].At)
 	return true
 }
 
