quarantine: refuse a request only shortly if its upstreams failed together

Found in the review. A sound lookup that three upstreams ran when all of them failed at the same moment was refused for one to two minutes. TestRequestAtUpstreamsThatFailTogether failed before.

--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -292,3 +292,14 @@
 		t.Error("not blocked after the third crash")
 	}
 }
+
+// Guards against a sound request that is refused for a minute or more, because three upstreams that ran it failed at the same moment.
+func TestRequestAtUpstreamsThatFailTogether(t *testing.T) {
+	l := NewList()
+	for i, upstream := range []string{"1", "2", "3"} {
+		l.RecordCrash(seenAt(upstream, start.Add(time.Duration(i)*time.Millisecond), sound))
+	}
+	if !isBlocked(l, start.Add(time.Second), sound) || isBlocked(l, start.Add(2*ambiguousBlockTime+time.Second), sound) {
+		t.Error("not blocked while the upstreams start, or blocked after that")
+	}
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -80,9 +80,22 @@
 	slices.SortFunc(s.crashes, func(a, b Crash) int { return a.At.Compare(b.At) }) // reports may come late
 	s.evidence, s.crashes = s.crashes, nil
 	s.block(s.evidence[len(s.evidence)-1].At)
+	if s.mayBeOneFailure() {
+		s.blockedUntil = s.ambiguousUntil
+	}
 	return true
 }
 
+// mayBeOneFailure reports whether the crashes of the evidence were at the same moment and at different requests, as when a host or a rack
+// fails.
+func (s *suspect) mayBeOneFailure() bool {
+	requests := make(map[string]bool)
+	for _, crash := range s.evidence {
+		requests[crash.Request] = true
+	}
+	return len(requests) == len(s.evidence) && s.evidence[len(s.evidence)-1].At.Sub(s.evidence[0].At) < crashSeparation
+}
+
 // explains reports whether the suspect has a crash of each process in the evidence of other.
 func (s *suspect) explains(other *suspect) bool {
 	return !slices.ContainsFunc(other.evidence, func(crash Crash) bool {
