gateway: remember a crashing request whichever service its route chooses

The identity of a request named the service, so a request of a route that is split between two services crashed three upstreams of each, and a configuration that moves its route began anew. It names the host of the request now. TestRequestOfSplitRouteCrashesUpstreamsOfEachService failed before: "6 runners crashed, want 3".

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// identity returns the identity of the request, which is the same for all requests with the same service, account, method, target
-// and body. It is computed only when it is needed.
+// identity returns the identity of the request, which is the same for all requests with the same host, account, method, target and
+// body, whichever service the route sends them to. It is computed only when it is needed.
 func (r *request) identity() string {
 	if r.cachedIdentity == "" {
-		r.cachedIdentity = quarantine.Identity(r.service.Name, r.accountName(), r.call.Method, r.call.Target, r.call.Body)
+		r.cachedIdentity = quarantine.Identity(r.call.Host, r.accountName(), r.call.Method, r.call.Target, r.call.Body)
 	}
 	return r.cachedIdentity
 }
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -16,11 +16,12 @@
 	identityBytes = 8
 )
 
-// Identity returns the identity of a request for a service. The same request of the same account has the same identity at all
+// Identity returns the identity of a request. scope keeps requests with the same target apart that are not the same, such as those for
+// different hosts. The same request of the same account has the same identity at all
 // processes. It is a hash, so that neither the target nor the body is visible in logs and messages.
-func Identity(service, account, method, target string, body []byte) string {
+func Identity(scope, account, method, target string, body []byte) string {
 	hash := sha256.New()
-	for _, field := range []string{service, account, method, target} {
+	for _, field := range []string{scope, account, method, target} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(field))) // without the lengths, fields could be shifted
 		_, _ = hash.Write(length[:])
