--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +31,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/process"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
+	"github.com/fulmardoor/fulmardoor/internal/relay"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
@@ -59,8 +62,8 @@
 	// memberPrefix is the prefix of the entry processes' keys in the store; memberTTL is the TTL of the leases on these keys.
 	memberPrefix = "fulmardoor/entries/"
 	memberTTL    = 9 * time.Second
-	// maxMemberBytes is longer than each address.
-	maxMemberBytes = 100
+	// maxMemberBytes is longer than each address with the name of a data centre and a number.
+	maxMemberBytes = 300
 	// leaderKey is the key of the leader, the process that may send orders to engines.
 	leaderKey = "fulmardoor/leader"
 	// quarantineKey is the key of the quarantined prompt parts. quarantineTTL covers the first quarantine of a part, up to two
@@ -169,7 +172,7 @@
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.mesh = peering.New(peering.Options{
-		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
+		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Cores: s.Cores, Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
 		Version: r.configVersion, Document: r.configDocument, OnNewerVersion: func(process string, version int64) {
 			r.newerConfig.Store(&newerConfig{process, version})
 			select {
@@ -179,9 +182,9 @@
 		},
 	})
 	r.members = follow.NewMembers(follow.MemberOptions{
-		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(r.peerAddress()), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
+		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(formatMember(r.peerAddress(), s)), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
 		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Logger: logger,
-	}, r.setProcesses, r.mesh.SetMembers)
+	}, r.setProcesses, r.setMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
 		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, HistoryChanged: r.store.HistoryChanged, Logger: logger,
@@ -203,8 +206,46 @@
 	return pairs, 0, err
 }
 
-// checkMember returns an error for the value of a process's key that is not the address of a process.
-func checkMember(value []byte) error { return fleet.CheckAddress(string(value)) }
+// formatMember returns the value of this process's key: its address, data centre and processor time.
+func formatMember(address string, s *platform.Settings) string {
+	return address + " " + s.DataCentre + " " + strconv.FormatFloat(s.Cores, 'g', -1, 64)
+}
+
+// parseMember reads the value of a process's key. Earlier versions wrote the address alone.
+func parseMember(value string) (relay.Member, error) {
+	address, rest, more := strings.Cut(value, " ")
+	member := relay.Member{Address: address}
+	if err := fleet.CheckAddress(address); err != nil || !more {
+		return member, err
+	}
+	end := strings.LastIndex(rest, " ")
+	if end < 0 {
+		return member, errors.Errorf("%.100q is not a data centre and a number of cores", rest)
+	}
+	cores, err := strconv.ParseFloat(rest[end+1:], 64)
+	if err != nil || !(cores >= 0) || math.IsInf(cores, 0) {
+		return member, errors.Errorf("%.100q is not a number of cores", rest[end+1:])
+	}
+	member.DataCentre, member.Cores = rest[:end], cores
+	return member, nil
+}
+
+// checkMember returns an error for the value of a process's key that does not describe a process.
+func checkMember(value []byte) error {
+	_, err := parseMember(string(value))
+	return err
+}
+
+// setMembers connects this process to the others. values are the values of their keys, which were checked.
+func (r *router) setMembers(values map[string]string) {
+	members := make(map[string]relay.Member, len(values))
+	for name, value := range values {
+		if member, err := parseMember(value); err == nil {
+			members[name] = member
+		}
+	}
+	r.mesh.SetMembers(members)
+}
 
 // setProcesses sets the number of processes among which rate limits, retry budgets and the limits of upstreams are divided.
 func (r *router) setProcesses(count int) {
--- a/internal/peering/limits.go
+++ b/internal/peering/limits.go
@@ -21,7 +21,9 @@
 	now := time.Now()
 	limits := make([]upstreamrate.Limit, 0, len(messages))
 	for _, message := range messages {
-		limits = append(limits, upstreamrate.LimitFromMessage(message, now))
+		limit := upstreamrate.LimitFromMessage(message, now)
+		limit.Source = session.Remote().GetProcess()
+		limits = append(limits, limit)
 	}
 	for _, changed := range m.options.Limits.Apply(limits, now) {
 		m.options.Board.RecordLimited(changed.Upstream, now, 0)
@@ -32,12 +34,12 @@
 }
 
 // RequestPermit implements upstreamrate.Peers.
-func (m *Mesh) RequestPermit(ctx context.Context, process string, limit upstreamrate.Limit) (upstreamrate.Reply, error) {
+func (m *Mesh) RequestPermit(ctx context.Context, process string, limit upstreamrate.Limit, passedOn bool) (upstreamrate.Reply, error) {
 	session := m.session(process)
 	if session == nil {
 		return upstreamrate.Reply{}, errors.Errorf("process %s is not connected", process)
 	}
-	request := &wirev1.PermitRequest{Limit: limit.Message(time.Now())}
+	request := &wirev1.PermitRequest{Limit: limit.Message(time.Now()), PassedOn: passedOn}
 	reply := new(wirev1.PermitReply)
 	if err := session.Call(ctx, &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Permit{Permit: request}}, reply); err != nil {
 		m.options.Logger.Info("no answer to a permit request", zap.String("upstream", limit.Upstream), zap.String("peer", process), zap.String("error", err.Error()))
@@ -53,17 +55,17 @@
 func (m *Mesh) session(process string) *transport.Session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for session := range m.sessions {
-		if session.Remote().GetProcess() == process {
-			return session
-		}
+	if l := m.linkLocked(process); l != nil {
+		return l.session
 	}
 	return nil
 }
 
 // servePermit answers another process's request for a permit.
-func (m *Mesh) servePermit(session *transport.Session, request *wirev1.PermitRequest, stream *transport.Stream) {
-	reply := m.options.Limits.Serve(upstreamrate.LimitFromMessage(request.GetLimit(), time.Now()))
+func (m *Mesh) servePermit(ctx context.Context, session *transport.Session, request *wirev1.PermitRequest, stream *transport.Stream) {
+	limit := upstreamrate.LimitFromMessage(request.GetLimit(), time.Now())
+	limit.Source = session.Remote().GetProcess()
+	reply := m.options.Limits.Serve(ctx, limit, request.GetPassedOn())
 	message := &wirev1.PermitReply{Issuer: reply.Issuer, Granted: reply.Granted, RetryAfterMs: reply.Wait.Milliseconds()}
 	if err := stream.Send(message); err != nil {
 		m.options.Logger.Info("permit reply not sent", zap.String("peer", session.Remote().GetProcess()), zap.String("error", err.Error()))
--- a/internal/peering/numbers_test.go
+++ b/internal/peering/numbers_test.go
@@ -7,13 +7,14 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/relay"
 )
 
 // Guards against a heartbeat whose work overflows, so that an upstream looks idle or free, and against charges that are no amounts: one of them
 // filled or emptied the bucket of its account for good.
 func TestHeartbeatWithOddNumbers(t *testing.T) {
 	a, b := startNode(t, "a"), startNode(t, "b")
-	members := map[string]string{"a": a.address, "b": b.address}
+	members := map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}}
 	a.mesh.SetMembers(members)
 	b.mesh.SetMembers(members)
 	eventually(t, "connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
@@ -28,6 +29,7 @@
 	before := level()
 	for _, total := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e300, math.NaN(), 1e300, 5, math.NaN(), 5} {
 		a.mesh.onHeartbeat(session, &wirev1.Heartbeat{
+			Link: wirev1.Link_LINK_PEER, Coverage: wirev1.Coverage_COVERAGE_GROUP, Processes: 1, ChargesOfGroup: true,
 			HasAccountCharges: true, AccountCharges: []*wirev1.AccountCharges{{Account: "x", Total: total}},
 			ConfigRevision: math.MaxUint64, ConfigAgeMs: math.MinInt64,
 			Work: []*wirev1.UpstreamWork{
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -1,12 +1,11 @@
-// Package peering keeps one session with each other entry process. In heartbeats on these sessions, the processes
-// exchange their running work by upstream, the charges to accounts and their configuration version, so that processes
-// that place requests on the same engines know each other's load within milliseconds.
+// Package peering connects the entry processes. In heartbeats, they report their running work by upstream, the charges to accounts and their
+// configuration version, so that processes that place requests on the same engines know each other's load within tens of
+// milliseconds. In a large fleet, relays pass the reports on as sums; package relay decides which processes are relays.
 package peering
 
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +14,10 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
-	"github.com/fulmardoor/fulmardoor/internal/bounded"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
+	"github.com/fulmardoor/fulmardoor/internal/relay"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
@@ -28,19 +27,33 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout is the time without a heartbeat after which a connection counts as dead and is replaced.
 	heartbeatTimeout = 1600 * time.Millisecond
-	// chargesInterval is the time between two heartbeats that carry the charges to accounts.
-	chargesInterval = 500 * time.Millisecond
-	// changeBatchDelay is the delay before a change is sent, in which further changes are batched with it.
+	// chargesInterval is the least time between two heartbeats with the charges to accounts on one connection.
+	chargesInterval = 450 * time.Millisecond
+	// changeBatchDelay is the delay before a change is sent, in which further changes are batched with it. It grows by
+	// linkBatchDelay with each connection, because each change costs a message on each.
 	changeBatchDelay = 10 * time.Millisecond
+	linkBatchDelay   = 500 * time.Microsecond
+	// planInterval is how often the plan is made anew without an event.
+	planInterval = 500 * time.Millisecond
+	// connectTimeout is how long a connection may take to open before the process counts as lost.
+	connectTimeout = 1500 * time.Millisecond
+	// relayHandover is how long the reports of a lost relay are still used. Its subscribers need less time to go on to the next
+	// relay; without their work, engines would look free meanwhile.
+	relayHandover = 500 * time.Millisecond
+	// unknownShare is the share of the processes whose work may be unknown without reserving memory at the engines before prompts are
+	// read.
+	unknownShare = 0.1
 )
 
 // Options configures a Mesh.
 type Options struct {
 	Name, Host, DataCentre, Address string
-	Board                           *placement.Board
-	Limiter                         *quota.Limiter
-	Quarantine                      *quarantine.List
-	Limits                          *upstreamrate.Limits
+	// Cores is the processor time of this process's host, in cores.
+	Cores      float64
+	Board      *placement.Board
+	Limiter    *quota.Limiter
+	Quarantine *quarantine.List
+	Limits     *upstreamrate.Limits
 	// Version returns the version of the configuration in force; 0 for none.
 	Version func() int64
 	// Document returns the document of the configuration in force; nil for none.
@@ -50,30 +63,39 @@
 	Logger         *zap.Logger
 }
 
-// Mesh holds the sessions with the other entry processes. Create it with New.
+// Mesh holds the sessions with other entry processes. Create it with New.
 type Mesh struct {
 	options   Options
 	transport *transport.Options
 	changes   chan struct{}
 
-	mu          sync.Mutex // guards the fields below
+	mu      sync.Mutex // guards the fields below and those of the links
+	members map[string]relay.Member
+	plan    relay.Plan
+	// peers has the connections that this process opens, and wantedSince when they were first wanted.
 	peers       map[string]*transport.Peer
-	sessions    map[*transport.Session]bool
-	memberCount int
-	// includeCharges means that the heartbeats being sent carry the charges to accounts.
-	includeCharges bool
+	wantedSince map[string]time.Time
+	// lost has the processes whose connection ended or could not be opened, until one is open again.
+	lost  map[string]bool
+	links map[*transport.Session]*link
+	// expiring has the lost relays whose reports are still used, until the given time.
+	expiring map[string]time.Time
+	// subscriberCharges and otherCharges are the sums of the charges that subscribers and other processes reported, by account.
+	subscriberCharges, otherCharges map[string]float64
 }
 
 // New returns a mesh without peers.
 func New(options Options) *Mesh {
-	m := &Mesh{options: options, changes: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), sessions: make(map[*transport.Session]bool)}
+	m := &Mesh{options: options, changes: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), wantedSince: make(map[string]time.Time),
+		lost: make(map[string]bool), links: make(map[*transport.Session]*link), expiring: make(map[string]time.Time),
+		subscriberCharges: make(map[string]float64), otherCharges: make(map[string]float64)}
 	m.transport = &transport.Options{
 		Hello: transport.NewHello(wirev1.Role_ROLE_ENTRY,
 			&configv1.ProcessSettings{Name: options.Name, Host: options.Host, DataCentre: options.DataCentre}, options.Address),
 		HeartbeatInterval: heartbeatInterval, HeartbeatTimeout: heartbeatTimeout,
-		Heartbeat: m.buildHeartbeat, OnHeartbeat: m.onHeartbeat, OnOpen: m.onOpen, OnClose: m.onClose, Handler: transport.HandlerFunc(m.serveStream), Logger: options.Logger,
+		HeartbeatTo: m.buildHeartbeat, OnHeartbeat: m.onHeartbeat, OnOpen: m.onOpen, OnClose: m.onClose, Handler: transport.HandlerFunc(m.serveStream), Logger: options.Logger,
 	}
-	go m.sendHeartbeats()
+	go m.sendChanges()
 	return m
 }
 
@@ -89,53 +111,173 @@
 // Serve accepts connections of other processes on an open listener.
 func (m *Mesh) Serve(listener net.Listener) error { return transport.Serve(listener, m.transport) }
 
-// SetMembers sets the addresses of all processes by name. Of two processes, the one with the greater name connects to the
-// other.
-func (m *Mesh) SetMembers(addresses map[string]string) {
+// SetMembers sets all processes by name.
+func (m *Mesh) SetMembers(members map[string]relay.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.members = make(map[string]relay.Member, len(members))
+	for name, member := range members {
+		member.Name = name
+		m.members[name] = member
+	}
 	for name, peer := range m.peers {
-		if addresses[name] != peer.Address() {
+		if members[name].Address != peer.Address() {
+			m.closePeerLocked(name)
+		}
+	}
+	m.replanLocked()
+}
+
+// closePeerLocked ends a connection that this process opened and forgets what is known of it. m.mu must be held.
+func (m *Mesh) closePeerLocked(name string) {
+	go m.peers[name].Close()
+	delete(m.peers, name)
+	delete(m.wantedSince, name)
+	delete(m.lost, name)
+}
+
+// replanLocked opens and closes connections as the plan says, and tells the other processes what changed. m.mu must be held.
+func (m *Mesh) replanLocked() {
+	now := time.Now()
+	members := m.members
+	if len(members) > 0 {
+		members[m.options.Name] = relay.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Cores: m.options.Cores}
+	}
+	m.forgetLocked()
+	plan := relay.NewPlan(m.options.Name, members, m.stateLocked)
+	m.wantLocked(&plan, now)
+	m.dialLocked(&plan)
+	if plan.Relay != m.plan.Relay || plan.SubscribeTo != m.plan.SubscribeTo {
+		m.options.Logger.Info("reports", zap.Bool("relay", plan.Relay), zap.String("subscribed_to", plan.SubscribeTo), zap.Int("members", len(members)),
+			zap.Int("peers", len(plan.Peers)), zap.Int("lost", len(m.lost)))
+	}
+	m.plan = plan
+	for source, until := range m.expiring {
+		if now.After(until) {
+			m.dropSourceLocked(source)
+		}
+	}
+	for _, l := range m.links {
+		if m.wantsOf(l) != l.told {
+			l.session.TriggerHeartbeat()
+		}
+	}
+	m.updateKnownLocked()
+}
+
+// forgetLocked forgets processes that are no members any more. m.mu must be held.
+func (m *Mesh) forgetLocked() {
+	for name := range m.lost {
+		if _, ok := m.members[name]; !ok {
+			delete(m.lost, name)
+		}
+	}
+	for name := range m.wantedSince {
+		if _, ok := m.members[name]; !ok {
+			delete(m.wantedSince, name)
+		}
+	}
+}
+
+// stateLocked returns the state of the connection to a process. m.mu must be held.
+func (m *Mesh) stateLocked(name string) relay.State {
+	switch {
+	case m.linkLocked(name) != nil:
+		return relay.Connected
+	case m.lost[name]:
+		return relay.Lost
+	}
+	return relay.Unknown
+}
+
+// wantLocked notes when connections were first wanted, and counts those as lost that did not open in time. m.mu must be held.
+func (m *Mesh) wantLocked(plan *relay.Plan, now time.Time) {
+	wanted := make(map[string]bool, len(plan.Peers)+len(plan.Dial))
+	for name := range plan.Peers {
+		wanted[name] = true
+	}
+	for name := range plan.Dial {
+		wanted[name] = true
+	}
+	for name := range wanted {
+		since, ok := m.wantedSince[name]
+		if !ok {
+			m.wantedSince[name] = now
+		}
+		if ok && now.Sub(since) > connectTimeout && m.linkLocked(name) == nil {
+			m.lost[name] = true
+		}
+	}
+	for name := range m.wantedSince {
+		if !wanted[name] {
+			delete(m.wantedSince, name)
+		}
+	}
+}
+
+// dialLocked opens and closes this process's connections. Of two processes that dial each other, the one with the lesser name
+// closes its connection. m.mu must be held.
+func (m *Mesh) dialLocked(plan *relay.Plan) {
+	for name := range m.peers {
+		if _, ok := plan.Dial[name]; !ok || m.acceptedLocked(name) && m.options.Name < name {
+			go m.peers[name].Close()
 			delete(m.peers, name)
-			go peer.Close()
 		}
 	}
-	for name, address := range addresses {
-		if name >= m.options.Name || m.peers[name] != nil {
-			continue
+	for name, address := range plan.Dial {
+		if m.peers[name] == nil && !m.acceptedLocked(name) {
+			m.peers[name] = transport.NewPeer(address, transport.TCP{Dialer: &net.Dialer{}}, m.transport)
 		}
-		m.peers[name] = transport.NewPeer(address, transport.TCP{Dialer: &net.Dialer{}}, m.transport)
 	}
-	m.memberCount = len(addresses)
-	m.updatePeersIncompleteLocked()
 }
 
-// updatePeersIncompleteLocked marks the peers' work on the board as incomplete unless every other process is connected.
-// m.mu must be held.
-func (m *Mesh) updatePeersIncompleteLocked() {
-	m.options.Board.SetPeersIncomplete(len(m.sessions)+1 < m.memberCount)
+// acceptedLocked reports whether there is a session that the other process opened. m.mu must be held.
+func (m *Mesh) acceptedLocked(name string) bool {
+	for session, l := range m.links {
+		if l.process == name && !session.Dialled() {
+			return true
+		}
+	}
+	return false
 }
 
-// Connected returns the number of other processes that are connected.
-func (m *Mesh) Connected() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.sessions)
+// updateKnownLocked tells the board whether the work of too many processes is unknown. m.mu must be held.
+func (m *Mesh) updateKnownLocked() {
+	known := m.knownLocked(nil)
+	m.options.Board.SetPeersIncomplete(known < len(m.members)-int(unknownShare*float64(len(m.members))))
 }
 
-// ConnectedNames returns the names of the other processes that are connected.
+// Connected returns the number of other processes that are connected directly.
+func (m *Mesh) Connected() int { return len(m.ConnectedNames()) }
+
+// ConnectedNames returns the names of the connected processes that may issue permits: for a relay the other relays, otherwise the relay that
+// passes on requests.
 func (m *Mesh) ConnectedNames() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := make([]string, 0, len(m.sessions))
-	for session := range m.sessions {
-		if name := session.Remote().GetProcess(); !slices.Contains(names, name) {
-			names = append(names, name)
+	var names []string
+	for _, l := range m.currentLocked() {
+		if l.coverage() != wirev1.Coverage_COVERAGE_NONE && l.theirs != wirev1.Link_LINK_SUBSCRIBER {
+			names = append(names, l.process)
 		}
 	}
 	return names
 }
 
+// Issues reports whether this process may issue permits.
+func (m *Mesh) Issues() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.plan.Relay || m.plan.SubscribeTo == ""
+}
+
+// KnownProcesses returns the number of processes whose reports arrive, this one included.
+func (m *Mesh) KnownProcesses() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.knownLocked(nil)
+}
+
 // NotifyWorkChanged schedules heartbeats to the other processes after the running work of this process has changed.
 func (m *Mesh) NotifyWorkChanged() {
 	select {
@@ -144,89 +286,69 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat on all sessions after each change, and one with charges every chargesInterval.
-func (m *Mesh) sendHeartbeats() {
-	chargesTicker := time.NewTicker(chargesInterval)
+// sendChanges sends a heartbeat with each change, and makes the plan anew every planInterval.
+func (m *Mesh) sendChanges() {
+	planTicker := time.NewTicker(planInterval)
 	for {
-		includeCharges := false
 		select {
 		case <-m.changes:
-			time.Sleep(changeBatchDelay)
-		case <-chargesTicker.C:
-			includeCharges = true
+			m.mu.Lock()
+			delay := changeBatchDelay + time.Duration(len(m.links))*linkBatchDelay
+			m.mu.Unlock()
+			time.Sleep(delay)
+			m.mu.Lock()
+			m.flushLocked()
+			m.mu.Unlock()
+		case <-planTicker.C:
+			m.mu.Lock()
+			m.replanLocked()
+			m.mu.Unlock()
 		}
-		m.mu.Lock()
-		m.includeCharges = includeCharges
-		for session := range m.sessions {
-			session.TriggerHeartbeat()
-		}
-		m.mu.Unlock()
 	}
 }
 
-func (m *Mesh) buildHeartbeat() *wirev1.Heartbeat {
-	heartbeat := &wirev1.Heartbeat{ConfigRevision: uint64(m.options.Version())}
-	m.mu.Lock()
-	heartbeat.HasAccountCharges = m.includeCharges
-	m.mu.Unlock()
-	if heartbeat.HasAccountCharges {
-		for account, total := range m.options.Limiter.Spent() {
-			heartbeat.AccountCharges = append(heartbeat.AccountCharges, &wirev1.AccountCharges{Account: account, Total: total})
+// flushLocked triggers heartbeats on the links that have something to report. m.mu must be held.
+func (m *Mesh) flushLocked() {
+	m.markLocked(m.options.Board.TakeOwnChanges(), nil)
+	for _, l := range m.links {
+		if l.dirty() {
+			l.session.TriggerHeartbeat()
 		}
 	}
-	for id, share := range m.options.Board.Own() {
-		heartbeat.Work = append(heartbeat.Work, &wirev1.UpstreamWork{
-			Upstream: id, Running: uint32(share.Running), Reading: uint32(share.Prefills),
-			ReadTokens: uint64(share.PrefillTokens), MemoryTokens: uint64(share.Memory),
-		})
-	}
-	for _, limit := range m.options.Limits.Own(time.Now()) {
-		heartbeat.UpstreamLimits = append(heartbeat.UpstreamLimits, limit.Message(time.Now()))
-	}
-	return heartbeat
 }
 
-func (m *Mesh) onHeartbeat(session *transport.Session, heartbeat *wirev1.Heartbeat) {
-	if version := int64(heartbeat.GetConfigRevision()); version > m.options.Version() {
-		m.options.OnNewerVersion(session.Remote().GetProcess(), version)
-	}
-	if heartbeat.GetHasAccountCharges() {
-		if spent, ok := spentOf(heartbeat.GetAccountCharges()); ok {
-			m.options.Limiter.SetOthers(session.Remote().GetProcess(), spent)
-		}
+// markLocked notes that the work at some upstreams changed by a report of a link; nil for this process's own work. m.mu must be held.
+func (m *Mesh) markLocked(upstreams []string, from *link) {
+	if len(upstreams) == 0 {
+		return
 	}
-	m.applyLimits(session, heartbeat.GetUpstreamLimits())
-	shares := make(map[string]placement.Share, len(heartbeat.GetWork()))
-	for _, work := range heartbeat.GetWork() {
-		shares[work.GetUpstream()] = placement.Share{
-			Running: bounded.Count(work.GetRunning()), Prefills: bounded.Count(work.GetReading()),
-			PrefillTokens: bounded.Count(work.GetReadTokens()), Memory: bounded.Count(work.GetMemoryTokens()),
+	for _, l := range m.links {
+		if l != from && m.reports(l, from) {
+			for _, upstream := range upstreams {
+				l.pending[upstream] = true
+			}
 		}
 	}
-	m.options.Board.SetOthers(session.Remote().GetProcess(), shares)
 }
 
-// spentOf returns the total charges by account; ok is false if one is not an amount. The totals are then those of the last heartbeat, because the limiter
-// would take a missing total for zero.
-func spentOf(charges []*wirev1.AccountCharges) (spent map[string]float64, ok bool) {
-	spent = make(map[string]float64, len(charges))
-	for _, charge := range charges {
-		total := charge.GetTotal()
-		if !(total >= 0) || total > bounded.MaxExact {
-			return nil, false
-		}
-		spent[charge.GetAccount()] = total
+// reports reports whether heartbeats on a link cover what arrives on another one; nil is this process itself.
+func (m *Mesh) reports(l, from *link) bool {
+	switch l.coverage() {
+	case wirev1.Coverage_COVERAGE_ALL:
+		return from == nil || from.process != l.process
+	case wirev1.Coverage_COVERAGE_GROUP:
+		return from == nil || from.theirs == wirev1.Link_LINK_SUBSCRIBER
 	}
-	return spent, true
+	return false
 }
 
 // serveStream handles a stream that another process opened.
-func (m *Mesh) serveStream(_ context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream) {
+func (m *Mesh) serveStream(ctx context.Context, session *transport.Session, open *wirev1.StreamOpen, stream *transport.Stream) {
 	switch kind := open.GetKind().(type) {
 	case *wirev1.StreamOpen_PromptReport:
 		m.applyPromptReport(session, kind.PromptReport)
 	case *wirev1.StreamOpen_Permit:
-		m.servePermit(session, kind.Permit, stream)
+		m.servePermit(ctx, session, kind.Permit, stream)
 	case *wirev1.StreamOpen_ConfigPull:
 		m.serveConfig(session, stream)
 	}
@@ -235,22 +357,39 @@
 func (m *Mesh) onOpen(session *transport.Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sessions[session] = true
-	m.updatePeersIncompleteLocked()
-	m.options.Logger.Info("peer connected", zap.String("peer", session.Remote().GetProcess()))
-	if known := m.options.Quarantine.Known(); len(known.Crashes) > 0 {
-		go m.sendPromptReport(session, known)
-	}
+	name := session.Remote().GetProcess()
+	m.links[session] = &link{session: session, process: name, openedAt: time.Now(), pending: make(map[string]bool), charges: make(map[string]float64)}
+	delete(m.lost, name)
+	m.options.Logger.Info("peer connected", zap.String("peer", name))
+	m.replanLocked()
 }
 
 func (m *Mesh) onClose(session *transport.Session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.sessions, session)
-	m.updatePeersIncompleteLocked()
-	m.options.Logger.Info("peer lost", zap.String("peer", session.Remote().GetProcess()))
-	// The load of the process no longer counts: if it died, its requests ended with it, and if it is only cut off, the
-	// engines themselves refuse its requests.
-	m.options.Board.SetOthers(session.Remote().GetProcess(), nil)
-	m.options.Limiter.SetOthers(session.Remote().GetProcess(), nil)
+	l := m.links[session]
+	delete(m.links, session)
+	m.options.Logger.Info("peer lost", zap.String("peer", l.process))
+	if other := m.linkLocked(l.process); other != nil {
+		other.askResend = true // what it reported was ignored while the other session was the newer one
+		other.session.TriggerHeartbeat()
+		return
+	}
+	m.lost[l.process] = true
+	m.options.Limiter.SetOthers(l.process, nil)
+	if l.theirs != wirev1.Link_LINK_SUBSCRIBER && l.processes > 1 {
+		m.expiring[l.process] = time.Now().Add(relayHandover)
+	} else {
+		// The load of the process no longer counts: if it died, its requests ended with it, and if it is only cut off, the
+		// engines themselves refuse its requests.
+		m.dropSourceLocked(l.process)
+	}
+	m.replanLocked()
+}
+
+// dropSourceLocked removes the work that a process reported. m.mu must be held.
+func (m *Mesh) dropSourceLocked(process string) {
+	delete(m.expiring, process)
+	m.markLocked(m.options.Board.SetOthers(process, nil), &link{process: process, theirs: wirev1.Link_LINK_SUBSCRIBER})
+	m.NotifyWorkChanged()
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -6,12 +6,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
+	"github.com/fulmardoor/fulmardoor/internal/relay"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
@@ -25,24 +24,12 @@
 	newerVersion    atomic.Int64
 	capacityChanges atomic.Int64
 	address         string
+	listener        net.Listener
 }
 
 func startNode(t testing.TB, name string) *node {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	n := &node{board: placement.NewBoard("here", nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()), prompts: quarantine.NewList(), address: listener.Addr().String()}
-	n.mesh = New(Options{
-		Name: name, Host: name, DataCentre: "here", Address: n.address, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts, Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
-		Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
-	})
-	n.prompts.OnReport(n.mesh.SendPromptReport)
-	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
-	n.board.Update([]*fleet.Upstream{{ID: "d", Service: "model", Stage: fleet.StageDecode}})
-	go func() { _ = n.mesh.Serve(listener) }()
-	return n
+	return startMember(t, name, "here", 1)
 }
 
 func eventually(t testing.TB, what string, condition func() bool) {
@@ -59,7 +46,7 @@
 // configuration that is not announced, and against two processes that trigger each other's heartbeats endlessly.
 func TestExchange(t *testing.T) {
 	a, b := startNode(t, "a"), startNode(t, "b")
-	members := map[string]string{"a": a.address, "b": b.address}
+	members := map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}}
 	a.mesh.SetMembers(members)
 	b.mesh.SetMembers(members)
 	eventually(t, "both connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
@@ -90,7 +77,7 @@
 // connect later, and against a part that stays quarantined although a request of another process reached its first event.
 func TestPromptReportsReachAllProcesses(t *testing.T) {
 	a, b, late := startNode(t, "a"), startNode(t, "b"), startNode(t, "late")
-	members := map[string]string{"a": a.address, "b": b.address}
+	members := map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}}
 	a.mesh.SetMembers(members)
 	b.mesh.SetMembers(members)
 	eventually(t, "a and b connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
@@ -100,7 +87,7 @@
 	}
 	blocked := func(n *node) bool { return n.prompts.Check([]string{"bad"}, time.Now()).Blocked }
 	eventually(t, "a and b block", func() bool { return blocked(a) && blocked(b) })
-	members["late"] = late.address
+	members["late"] = relay.Member{Address: late.address}
 	for _, n := range []*node{a, b, late} {
 		n.mesh.SetMembers(members)
 	}
@@ -113,7 +100,7 @@
 // know the request.
 func TestProbesReachAllProcesses(t *testing.T) {
 	a, b, late := startNode(t, "a"), startNode(t, "b"), startNode(t, "late")
-	members := map[string]string{"a": a.address, "b": b.address}
+	members := map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}}
 	a.mesh.SetMembers(members)
 	b.mesh.SetMembers(members)
 	eventually(t, "a and b connected", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
@@ -128,7 +115,7 @@
 	}
 	eventually(t, "b lets no other one through", func() bool { return b.prompts.Check(parts, time.Now()).Blocked })
 	a.prompts.RecordCrash(quarantine.Crash{Upstream: "x", Request: "x", Parts: parts, At: time.Now()})
-	members["late"] = late.address
+	members["late"] = relay.Member{Address: late.address}
 	for _, n := range []*node{a, b, late} {
 		n.mesh.SetMembers(members)
 	}
@@ -145,13 +132,13 @@
 // BenchmarkPermit measures a request for a permit of another process, both ends.
 func BenchmarkPermit(b *testing.B) {
 	first, second := startNode(b, "a"), startNode(b, "b")
-	members := map[string]string{"a": first.address, "b": second.address}
+	members := map[string]relay.Member{"a": {Address: first.address}, "b": {Address: second.address}}
 	first.mesh.SetMembers(members)
 	second.mesh.SetMembers(members)
 	eventually(b, "both connected", func() bool { return first.mesh.Connected() == 1 && second.mesh.Connected() == 1 })
 	limit := upstreamrate.Limit{Key: upstreamrate.Key{Upstream: "i-limited"}, Statement: upstreamrate.Statement{Named: true, PerSecond: 2.7}, HeardAt: time.Now()}
 	for b.Loop() {
-		if _, err := first.mesh.RequestPermit(b.Context(), "b", limit); err != nil {
+		if _, err := first.mesh.RequestPermit(b.Context(), "b", limit, false); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -113,9 +114,11 @@
 	states map[string]*state
 	// peersIncomplete is set while the work of at least one other process is unknown.
 	peersIncomplete bool
-	// peers holds the work reported by each other process, by process and upstream.
-	peers   map[string]map[string]Share
-	leaving leavingStarts
+	// peers holds the work that each source reported, by source and upstream.
+	peers map[string]map[string]Share
+	// ownChangedAt has the upstreams at which the work of this process changed since the last call of TakeOwnChanges.
+	ownChangedAt map[string]bool
+	leaving      leavingStarts
 }
 
 // NewBoard returns an empty board for a process in dataCentre. With a nil source it uses a random seed.
@@ -124,7 +127,7 @@
 		source = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
 	return &Board{dataCentre: dataCentre, random: rand.New(source), states: make(map[string]*state),
-		peers: make(map[string]map[string]Share), ownChanged: func() {}, capacityChanged: func() {}}
+		peers: make(map[string]map[string]Share), ownChangedAt: make(map[string]bool), ownChanged: func() {}, capacityChanged: func() {}}
 }
 
 // OnChange sets the functions that are called after the work of this process changed, and after capacity may have become
@@ -146,22 +149,114 @@
 	return shares
 }
 
-// SetOthers replaces the in-flight work reported by another process; nil removes it.
-func (b *Board) SetOthers(process string, shares map[string]Share) {
+// TakeOwnChanges returns the upstreams at which the work of this process changed since the call before.
+func (b *Board) TakeOwnChanges() []string {
 	b.mu.Lock()
-	for id, share := range b.peers[process] {
+	defer b.mu.Unlock()
+	changed := slices.Collect(maps.Keys(b.ownChangedAt))
+	clear(b.ownChangedAt)
+	return changed
+}
+
+// Work returns the in-flight work of this process and of the sources that include selects, at some upstreams.
+func (b *Board) Work(upstreams []string, include func(source string) bool) map[string]Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	work := make(map[string]Share, len(upstreams))
+	for _, id := range upstreams {
+		var sum Share
 		if s := b.states[id]; s != nil {
-			s.others.add(share, -1)
+			sum = s.own
+		}
+		for source, shares := range b.peers {
+			if share, ok := shares[id]; ok && include(source) {
+				sum.add(share, 1)
+			}
+		}
+		work[id] = sum
+	}
+	return work
+}
+
+// Busy returns the upstreams at which this process or a source has in-flight work.
+func (b *Board) Busy() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy := make(map[string]bool)
+	for id, s := range b.states {
+		if s.own != (Share{}) {
+			busy[id] = true
+		}
+	}
+	for _, shares := range b.peers {
+		for id := range shares {
+			busy[id] = true
+		}
+	}
+	return slices.Collect(maps.Keys(busy))
+}
+
+// SetOthers replaces the in-flight work reported by a source, which is another process or a group of them; nil removes it. It returns the
+// upstreams at which the work changed.
+func (b *Board) SetOthers(source string, shares map[string]Share) (changed []string) {
+	b.mu.Lock()
+	old := b.peers[source]
+	if shares == nil {
+		delete(b.peers, source)
+	} else {
+		b.peers[source] = shares
+	}
+	for id, share := range old {
+		if new := shares[id]; new != share {
+			b.addOthersLocked(id, share, -1)
+			b.addOthersLocked(id, new, 1)
+			changed = append(changed, id)
 		}
 	}
-	b.peers[process] = shares
 	for id, share := range shares {
-		if s := b.states[id]; s != nil {
-			s.others.add(share, 1)
+		if _, known := old[id]; !known && share != (Share{}) {
+			b.addOthersLocked(id, share, 1)
+			changed = append(changed, id)
+		}
+	}
+	b.mu.Unlock()
+	if len(changed) > 0 {
+		b.capacityChanged()
+	}
+	return changed
+}
+
+// UpdateOthers replaces the in-flight work reported by a source at some upstreams. It returns the upstreams at which the work changed.
+func (b *Board) UpdateOthers(source string, shares map[string]Share) (changed []string) {
+	b.mu.Lock()
+	known := b.peers[source]
+	if known == nil {
+		known = make(map[string]Share)
+		b.peers[source] = known
+	}
+	for id, share := range shares {
+		old := known[id]
+		if old == share {
+			continue
+		}
+		b.addOthersLocked(id, old, -1)
+		b.addOthersLocked(id, share, 1)
+		changed = append(changed, id)
+		if known[id] = share; share == (Share{}) {
+			delete(known, id)
 		}
 	}
 	b.mu.Unlock()
-	b.capacityChanged()
+	if len(changed) > 0 {
+		b.capacityChanged()
+	}
+	return changed
+}
+
+func (b *Board) addOthersLocked(id string, share Share, sign int) {
+	if s := b.states[id]; s != nil {
+		s.others.add(share, sign)
+	}
 }
 
 // SetPeersIncomplete sets whether the work of at least one other process is unknown.
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -33,6 +33,9 @@
 	}
 	w.state.own.add(w.share, -1)
 	w.state.own.add(share, 1)
+	if share != w.share {
+		w.board.ownChangedAt[w.state.info.ID] = true
+	}
 	w.share = share
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,14 +49,20 @@
 	buckets   map[string]*bucket
 	// spent holds the total charges of this process since its start, by account.
 	spent map[string]float64
-	// peerCharges holds the total charges last reported by each other process, by process and account.
-	peerCharges map[string]map[string]float64
+	// sources holds what each source reported last.
+	sources map[string]source
 }
 
 // NewLimiter returns a limiter for a fleet of one process that started at began.
 func NewLimiter(tolerance Tolerance, began time.Time) *Limiter {
 	return &Limiter{tolerance: tolerance, began: began, processes: 1, buckets: make(map[string]*bucket), spent: make(map[string]float64),
-		peerCharges: make(map[string]map[string]float64)}
+		sources: make(map[string]source)}
+}
+
+// source is another process, or several, whose charges are reported as a sum.
+type source struct {
+	processes int
+	totals    map[string]float64 // by account
 }
 
 // SetProcesses sets the number of entry processes, this one included.
@@ -88,22 +94,34 @@
 // on. The first totals of a process are only the baseline for later ones, because until then an equal share of the rate was
 // left unused for that process.
 func (l *Limiter) SetOthers(process string, spent map[string]float64) {
+	l.SetGroup(process, 1, spent)
+}
+
+// SetGroup sets the total charges of a group of processes, as SetOthers does for one. Zero processes means that another source reports
+// their charges, so that the totals are only the baseline for later ones. It returns the charges since the last totals that were deducted.
+func (l *Limiter) SetGroup(name string, processes int, spent map[string]float64) (deducted map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	last, known := l.sources[name]
 	if spent == nil {
-		delete(l.peerCharges, process)
-		return
+		delete(l.sources, name)
+		return nil
 	}
-	last, known := l.peerCharges[process]
-	l.peerCharges[process] = spent
-	if !known {
-		return
+	l.sources[name] = source{processes, spent}
+	if !known || processes == 0 {
+		return nil
 	}
+	deducted = make(map[string]float64)
 	for account, amount := range spent {
-		if b := l.buckets[account]; b != nil && amount > last[account] {
-			b.level -= amount - last[account]
+		if amount <= last.totals[account] {
+			continue
+		}
+		deducted[account] = amount - last.totals[account]
+		if b := l.buckets[account]; b != nil {
+			b.level -= deducted[account]
 		}
 	}
+	return deducted
 }
 
 // Decision is the result of Admit and the values that led to it.
@@ -141,7 +159,13 @@
 }
 
 // knownProcesses returns the number of processes whose charges are known, this one included.
-func (l *Limiter) knownProcesses() int { return min(len(l.peerCharges)+1, l.processes) }
+func (l *Limiter) knownProcesses() int {
+	known := 1
+	for _, source := range l.sources {
+		known += source.processes
+	}
+	return min(known, l.processes)
+}
 
 // Refund gives back the charge of a request that did not run. The refund is not reported to other processes, which therefore
 // admit too little rather than too much.
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -72,6 +72,8 @@
 	HeartbeatTimeout time.Duration
 	// Heartbeat returns the next heartbeat to send. Nil sends empty heartbeats.
 	Heartbeat func() *wirev1.Heartbeat
+	// HeartbeatTo returns the next heartbeat to send on a session. Nil uses Heartbeat.
+	HeartbeatTo func(session *Session) *wirev1.Heartbeat
 	// OnHeartbeat is called for each heartbeat received. It must not block.
 	OnHeartbeat func(session *Session, heartbeat *wirev1.Heartbeat)
 	// OnOpen and OnClose are called once per session. They must not block.
@@ -114,6 +116,7 @@
 	mux     Mux
 	control *Stream
 	remote  *wirev1.Hello
+	dialled bool
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -134,7 +137,7 @@
 
 // ClientMux performs the handshake of the dialling process and starts the session.
 func ClientMux(mux Mux, opts *Options) (*Session, error) {
-	return startSession(mux, opts, mux.Open)
+	return startSession(mux, opts, true, mux.Open)
 }
 
 // Server starts yamux on an accepted connection, performs the handshake and starts the session.
@@ -150,7 +153,7 @@
 func ServerMux(mux Mux, opts *Options) (*Session, error) {
 	timer := time.AfterFunc(HandshakeTimeout, func() { _ = mux.Close() })
 	defer timer.Stop()
-	return startSession(mux, opts, mux.Accept)
+	return startSession(mux, opts, false, mux.Accept)
 }
 
 func muxConfig() *yamux.Config {
@@ -161,7 +164,7 @@
 	return cfg
 }
 
-func startSession(mux Mux, opts *Options, openControl func() (net.Conn, error)) (*Session, error) {
+func startSession(mux Mux, opts *Options, dialled bool, openControl func() (net.Conn, error)) (*Session, error) {
 	conn, err := openControl()
 	if err != nil {
 		_ = mux.Close()
@@ -174,7 +177,7 @@
 		return nil, err
 	}
 	control.counter = opts.Traffic.counter(trafficHeartbeat)
-	s := &Session{opts: opts, mux: mux, control: control, remote: remote, heartbeatNow: make(chan struct{}, 1)}
+	s := &Session{opts: opts, mux: mux, control: control, remote: remote, dialled: dialled, heartbeatNow: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.lastHeartbeatAt = time.Now()
 	if opts.OnOpen != nil {
@@ -211,6 +214,9 @@
 // Remote returns the Hello of the remote process.
 func (s *Session) Remote() *wirev1.Hello { return s.remote }
 
+// Dialled reports whether this process opened the connection.
+func (s *Session) Dialled() bool { return s.dialled }
+
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.ctx.Done() }
 
@@ -277,11 +283,7 @@
 	ticker := time.NewTicker(s.opts.heartbeatInterval())
 	defer ticker.Stop()
 	for {
-		heartbeat := &wirev1.Heartbeat{}
-		if s.opts.Heartbeat != nil {
-			heartbeat = s.opts.Heartbeat()
-		}
-		if err := s.control.Send(heartbeat); err != nil {
+		if err := s.control.Send(s.nextHeartbeat()); err != nil {
 			s.Close()
 			return
 		}
@@ -294,6 +296,16 @@
 	}
 }
 
+func (s *Session) nextHeartbeat() *wirev1.Heartbeat {
+	switch {
+	case s.opts.HeartbeatTo != nil:
+		return s.opts.HeartbeatTo(s)
+	case s.opts.Heartbeat != nil:
+		return s.opts.Heartbeat()
+	}
+	return &wirev1.Heartbeat{}
+}
+
 func (s *Session) receiveHeartbeats() {
 	for {
 		heartbeat := new(wirev1.Heartbeat)
--- a/internal/upstreamrate/limits.go
+++ b/internal/upstreamrate/limits.go
@@ -66,6 +66,8 @@
 	Statement
 	// HeardAt is when the answer with the statement arrived.
 	HeardAt time.Time
+	// Source is the process that told this one of it; empty for an answer to this process.
+	Source string
 }
 
 // rate returns the requests per second that may be sent.
@@ -73,8 +75,8 @@
 
 // entry is what is known of one upstream, and the permits issued for it.
 type entry struct {
-	// known is the latest statement that any process heard, own the latest one that this process heard itself.
-	known, own Limit
+	// known is the latest statement that any process heard.
+	known Limit
 	// issued has the permits of all processes, for the time in which this process issues them. share has those of this process alone.
 	issued bucket
 	share  slots
@@ -139,8 +141,7 @@
 		return false
 	}
 	changed := e.known.Statement != statement
-	e.own = Limit{key, statement, now}
-	e.known = e.own
+	e.known = Limit{Key: key, Statement: statement, HeardAt: now}
 	return changed
 }
 
@@ -170,15 +171,14 @@
 	return changed
 }
 
-// Own returns the statements that this process heard itself within the last reportTime. Those of other processes are not passed
-// on, because their age would be lost on the way.
-func (l *Limits) Own(now time.Time) []Limit {
+// Recent returns the statements that any process heard within the last reportTime.
+func (l *Limits) Recent(now time.Time) []Limit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var limits []Limit
 	for _, e := range l.entries {
-		if !e.own.HeardAt.IsZero() && now.Sub(e.own.HeardAt) < reportTime {
-			limits = append(limits, e.own)
+		if !e.known.HeardAt.IsZero() && now.Sub(e.known.HeardAt) < reportTime {
+			limits = append(limits, e.known)
 		}
 	}
 	return limits
--- a/internal/upstreamrate/message_test.go
+++ b/internal/upstreamrate/message_test.go
@@ -34,7 +34,7 @@
 		if changed := limits.Apply([]Limit{limit}, now.Add(time.Second)); len(changed) > 0 {
 			t.Errorf("%v per second: the limit is now %+v", perSecond, changed)
 		}
-		if reply := limits.Serve(limit); reply.Wait < 0 || reply.Wait > time.Minute {
+		if reply := limits.Serve(t.Context(), limit, false); reply.Wait < 0 || reply.Wait > time.Minute {
 			t.Errorf("%v per second: wait of %v", perSecond, reply.Wait)
 		}
 		if known := limits.entries[limit.Key].known.PerSecond; known != 2 {
--- a/internal/upstreamrate/permits.go
+++ b/internal/upstreamrate/permits.go
@@ -25,10 +25,15 @@
 
 // Peers are the other entry processes.
 type Peers interface {
-	// ConnectedNames returns the names of the processes that are connected.
+	// ConnectedNames returns the names of the connected processes that may issue permits. In a large fleet these are the relays; a
+	// process that is none asks its relay, which passes the request on.
 	ConnectedNames() []string
-	// RequestPermit asks a connected process for a permit.
-	RequestPermit(ctx context.Context, process string, limit Limit) (Reply, error)
+	// KnownProcesses returns the number of processes that are connected, directly or through relays, this one included.
+	KnownProcesses() int
+	// Issues reports whether this process is one of those that may issue permits.
+	Issues() bool
+	// RequestPermit asks a connected process for a permit. passedOn says that another process asked this one for it.
+	RequestPermit(ctx context.Context, process string, limit Limit, passedOn bool) (Reply, error)
 }
 
 // Reply is the answer to a request for a permit.
@@ -74,7 +79,7 @@
 		return permit
 	}
 	if ask {
-		reply, err := l.request(ctx, issuer, limit)
+		reply, err := l.request(ctx, issuer, limit, false)
 		if err == nil && reply.Issuer {
 			// The random part keeps all processes from asking again at the same moment.
 			permit.OK, permit.Wait = reply.Granted, reply.Wait+rand.N(reply.Wait+time.Millisecond)
@@ -92,15 +97,18 @@
 // issuerLocked returns the name of the process that issues the permits for an upstream: one of those that are connected, if they are more
 // than half of all. Otherwise there is none, as the other half may have an issuer too, and each process uses its own share.
 func (l *Limits) issuerLocked(key Key) string {
-	names := append(l.peers.ConnectedNames(), l.name)
-	if 2*len(names) <= l.processes {
+	names := l.peers.ConnectedNames()
+	if l.peers.Issues() {
+		names = append(names, l.name)
+	}
+	if 2*l.peers.KnownProcesses() <= l.processes || len(names) == 0 {
 		return ""
 	}
 	return prefix.Rendezvous(xxhash.Sum64String(key.Upstream), names, 1)[0]
 }
 
 // request asks a process for a permit. The call may block on a connection that went silent, so it is left behind when the time is over.
-func (l *Limits) request(ctx context.Context, process string, limit Limit) (Reply, error) {
+func (l *Limits) request(ctx context.Context, process string, limit Limit, passedOn bool) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	type result struct {
 		reply Reply
@@ -109,7 +117,7 @@
 	done := make(chan result, 1)
 	go func() {
 		defer cancel()
-		reply, err := l.peers.RequestPermit(ctx, process, limit)
+		reply, err := l.peers.RequestPermit(ctx, process, limit, passedOn)
 		done <- result{reply, err}
 	}()
 	select {
@@ -126,13 +134,21 @@
 	l.noRequestsUntil[process] = time.Now().Add(requestBackoff)
 }
 
-// Serve answers another process's request for a permit.
-func (l *Limits) Serve(limit Limit) Reply {
+// Serve answers another process's request for a permit. One that was not passed on yet is passed on to the issuer if that is not this
+// process.
+func (l *Limits) Serve(ctx context.Context, limit Limit, passedOn bool) Reply {
 	now := time.Now()
 	l.mu.Lock()
-	if l.issuerLocked(limit.Key) != l.name {
+	if issuer := l.issuerLocked(limit.Key); issuer != l.name {
 		l.mu.Unlock()
-		return Reply{}
+		if issuer == "" || passedOn || !l.peers.Issues() {
+			return Reply{}
+		}
+		reply, err := l.request(ctx, issuer, limit, true)
+		if err != nil {
+			return Reply{}
+		}
+		return reply
 	}
 	l.applyLocked(limit, now)
 	e := l.entries[limit.Key]
@@ -149,7 +165,7 @@
 // issue takes one of the permits that this process issues. For each process that is not connected, an equal share of the rate is left
 // for the permits that it may use meanwhile.
 func (l *Limits) issue(limit Limit, now time.Time) (wait time.Duration, ok bool) {
-	connected := len(l.peers.ConnectedNames()) + 1
+	connected := l.peers.KnownProcesses()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	rate := limit.rate() * float64(connected) / float64(max(connected, l.processes))
@@ -171,4 +187,10 @@
 
 func (noPeers) ConnectedNames() []string { return nil }
 
-func (noPeers) RequestPermit(context.Context, string, Limit) (Reply, error) { return Reply{}, nil }
+func (noPeers) KnownProcesses() int { return 1 }
+
+func (noPeers) Issues() bool { return true }
+
+func (noPeers) RequestPermit(context.Context, string, Limit, bool) (Reply, error) {
+	return Reply{}, nil
+}
--- a/internal/upstreamrate/permits_test.go
+++ b/internal/upstreamrate/permits_test.go
@@ -77,7 +77,11 @@
 	return names
 }
 
-func (p *process) RequestPermit(ctx context.Context, name string, limit Limit) (Reply, error) {
+func (p *process) KnownProcesses() int { return len(p.ConnectedNames()) + 1 }
+
+func (p *process) Issues() bool { return true }
+
+func (p *process) RequestPermit(ctx context.Context, name string, limit Limit, passedOn bool) (Reply, error) {
 	time.Sleep(latency)
 	p.network.mu.Lock()
 	var other *process
@@ -96,7 +100,7 @@
 	case closed:
 		return Reply{}, errLost
 	}
-	reply := limits.Serve(limit)
+	reply := limits.Serve(ctx, limit, passedOn)
 	time.Sleep(latency)
 	return reply, nil
 }
