router: one process reads the list of upstreams, and followers share an outage of the store

Cause: each of 103 routers read the list every 2 s, waited for the configuration in calls of 10 s, and asked a store that did not answer four times every 0.4 s.

Change: the first relay reads the list; relays and then the other processes get it as a stream of changes with its age. A process whose list is late by a fifth of the interval (relays) or two fifths (others) reads the store itself, so that the age stays within the drain time. Calls that wait for the configuration last 25 s. A newer version that another process reports is pulled from it, if the own watch has not delivered it after 0.15 to 0.3 s. While the store does not answer, the followers of a process make one call at a time, at most 0.4 s (reader) or 1.5 s apart, and all go on when a call is answered here or another process reports contact again.

Tests: lists reach 20 processes after readers and relays were lost; an outage of 20 s costs at most 24 calls; a follower that fails alone does not spin; contact is told once.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,17 +36,24 @@
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
+	"github.com/fulmardoor/fulmardoor/internal/wait"
 	"github.com/fulmardoor/fulmardoor/platform"
 )
 
 const (
 	// storeCallTimeout is 250 times the usual response time of the store, so that a slow store can still respond.
 	storeCallTimeout = time.Second
+	// readerStorePause and otherStorePause are the longest pauses between two calls to a store that does not answer.
+	readerStorePause = 400 * time.Millisecond
+	otherStorePause  = 1500 * time.Millisecond
 	// configWatchWait is how long one watch call waits for a change while other processes are connected. If the watch hangs on
 	// a dead connection, those processes report a newer configuration within half a second. A process without connections to
 	// others notices a dead connection only after configWatchWaitAlone plus storeCallTimeout.
-	configWatchWait      = 10 * time.Second
+	configWatchWait      = 25 * time.Second
 	configWatchWaitAlone = 1500 * time.Millisecond
+	// newerConfigDelay is the least time that this process's watch has to deliver a version that another process reported; up to as
+	// much again is added at random, so that the processes do not all ask the same one at once.
+	newerConfigDelay = 150 * time.Millisecond
 	// configPullTimeout limits the transfer of a configuration from another process.
 	configPullTimeout = time.Second
 	// upstreamReadFraction times Settings.DrainTime, the time for which a leaving upstream may still be sent requests, is the
@@ -111,19 +119,22 @@
 	// settingsPath is the path of the settings file; it is read again by reloadSettings.
 	settingsPath string
 	// settings has the settings that the process started with.
-	settings  *platform.Settings
-	logger    *zap.Logger
-	store     *platform.Store
-	board     *placement.Board
-	limiter   *quota.Limiter
-	budgets   *gateway.Budgets
-	limits    *upstreamrate.Limits
-	pool      *upstreamconn.Pool
-	gateway   *gateway.Gateway
-	mesh      *peering.Mesh
-	members   *follow.Members
-	prompts   *follow.Quarantine
-	upstreams *upstreamEntries
+	settings *platform.Settings
+	logger   *zap.Logger
+	store    *platform.Store
+	board    *placement.Board
+	limiter  *quota.Limiter
+	budgets  *gateway.Budgets
+	limits   *upstreamrate.Limits
+	pool     *upstreamconn.Pool
+	gateway  *gateway.Gateway
+	mesh     *peering.Mesh
+	members  *follow.Members
+	prompts  *follow.Quarantine
+	// storeStatus is shared by all that follows the store.
+	storeStatus follow.Status
+	upstreams   *upstreamEntries
+	feed        *upstreamFeed
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
 	// newerConfig is the last version that another process reported as newer, and document the document of the current one.
@@ -171,6 +182,7 @@
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
 		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
+	r.storeStatus = follow.Status{Logger: logger, Health: follow.NewHealth(r.storePause, func(bool) { r.mesh.NotifyStatusChanged() })}
 	r.mesh = peering.New(peering.Options{
 		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Cores: s.Cores, Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
 		Version: r.configVersion, Document: r.configDocument, OnNewerVersion: func(process string, version int64) {
@@ -180,14 +192,18 @@
 			default:
 			}
 		},
+		OnUpstreams: r.applyUpstreams, StoreContact: r.storeStatus.Health.Available, OnStoreRegained: r.storeStatus.Health.TryNow,
 	})
+	r.feed = &upstreamFeed{
+		interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(s.DrainTime))), source: r.mesh.ListsFrom,
+	}
 	r.members = follow.NewMembers(follow.MemberOptions{
 		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(formatMember(r.peerAddress(), s)), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
-		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Logger: logger,
+		ShrinkDelay: memberLossDelay, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
 	}, r.setProcesses, r.setMembers)
 	r.board.OnChange(r.mesh.NotifyWorkChanged, r.gateway.CapacityChanged)
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
-		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, HistoryChanged: r.store.HistoryChanged, Logger: logger,
+		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
 	})
 	r.limits.Connect(r.mesh)
 	prompts.OnReport(r.mesh.SendPromptReport)
@@ -254,6 +270,15 @@
 	r.limits.SetProcesses(count)
 }
 
+// storePause returns the longest pause between two calls to a store that does not answer. The process that reads for the others tries often; the others
+// hear from it when the store answers again.
+func (r *router) storePause() time.Duration {
+	if process, _ := r.mesh.ListsFrom(); process == "" {
+		return readerStorePause
+	}
+	return otherStorePause
+}
+
 // watchWait returns how long a watch call for the configuration waits for a change.
 func (r *router) watchWait() time.Duration {
 	if r.mesh.Connected() > 0 {
@@ -284,26 +309,46 @@
 	return nil
 }
 
-// readConfig reads and applies the configuration. It is called when another process reports a newer version, because this
-// process's watch may hang on a dead connection. If the store does not have that version, as it cannot be reached or went back to a copy
-// from before, the document of the other process is applied.
+// readConfig brings the configuration up to date after another process reported a newer version, because this process's watch may hang on a dead
+// connection. Usually the watch delivers that version meanwhile. Otherwise the other process sends its document, which saves a call to the
+// store by each process, and is also there if the store cannot be reached or went back to a copy from before.
 func (r *router) readConfig(ctx context.Context) error {
-	pair, err := r.store.Get(ctx, platform.KeyConfig)
-	if err == nil {
-		r.applyConfig(pair)
+	newer := r.newerConfig.Load()
+	if newer == nil {
+		return nil
+	}
+	wait.For(ctx, newerConfigDelay+rand.N(newerConfigDelay))
+	if r.configVersion() >= newer.version {
+		return nil
 	}
-	newer, current := r.newerConfig.Load(), r.configVersion()
 	// A process without any configuration waits for the store, which also tells it the upstreams.
-	if newer == nil || current == 0 || current >= newer.version {
+	if r.configVersion() > 0 {
+		err := r.pullConfig(ctx, newer)
+		if err == nil {
+			return nil
+		}
+		r.logger.Info("configuration not pulled from another process", zap.String("peer", newer.process), zap.Int64("config", newer.version), zap.String("error", err.Error()))
+	}
+	pair, err := r.store.Get(ctx, platform.KeyConfig)
+	if err != nil {
 		return err
 	}
-	pullCtx, cancel := context.WithTimeout(ctx, configPullTimeout)
+	r.applyConfig(pair)
+	if version := r.configVersion(); version < newer.version {
+		return errors.Errorf("version %d is not in the store, which has %d", newer.version, version)
+	}
+	return nil
+}
+
+// pullConfig gets and applies the document of a process that reported a newer version.
+func (r *router) pullConfig(ctx context.Context, newer *newerConfig) error {
+	ctx, cancel := context.WithTimeout(ctx, configPullTimeout)
 	defer cancel()
-	document, pullErr := r.mesh.PullConfig(pullCtx, newer.process)
-	if pullErr != nil {
-		return errors.Wrapf(pullErr, "version %d is not in the store (%v)", newer.version, err)
+	document, err := r.mesh.PullConfig(ctx, newer.process)
+	if err != nil {
+		return err
 	}
-	r.logger.Info("configuration pulled from another process", zap.String("peer", newer.process), zap.Int64("config", newer.version), zap.NamedError("store_error", err))
+	r.logger.Info("configuration pulled from another process", zap.String("peer", newer.process), zap.Int64("config", newer.version))
 	r.applyConfig(kv.Pair{Key: platform.KeyConfig, Value: document})
 	if version := r.configVersion(); version < newer.version {
 		return errors.Errorf("%s sent no configuration of version %d, the current one is %d", newer.process, newer.version, version)
@@ -328,12 +373,12 @@
 // followStore follows the configuration, the upstreams and the members in the store until ctx ends. It also runs the stage
 // controller and the periodic cleanup.
 func (r *router) followStore(ctx context.Context) {
-	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.logger, r.applyConfig)
+	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.storeStatus, r.applyConfig)
 	go follow.PollList(ctx, follow.PollOptions{
-		List: r.upstreams.list,
-		Name: "store: upstreams", Interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(r.settings.DrainTime))), MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Logger: r.logger,
-	}, r.applyUpstreams)
-	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.logger, r.readConfig)
+		List: r.upstreams.list, Due: r.feed.due, Interval: r.feed.interval,
+		Name: "store: upstreams", MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
+	}, r.applyRead)
+	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.storeStatus, r.readConfig)
 	go r.members.Run(ctx)
 	go r.prompts.Run(ctx)
 	controller := &gateway.StageController{Gateway: r.gateway, Leadership: r.members.Leadership(), Holder: r.settings.Name}
@@ -361,6 +406,7 @@
 	}
 	if r.gateway.Apply(config) {
 		r.document.Store(&pair.Value)
+		r.mesh.NotifyStatusChanged()
 		r.logger.Info("configuration applied", zap.Int64("config", config.Version), zap.Int64("revision", pair.ModRevision))
 	}
 }
--- a/cmd/fulmardoor-router/upstreams.go
+++ b/cmd/fulmardoor-router/upstreams.go
@@ -5,12 +5,15 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/platform"
 )
 
@@ -29,6 +32,8 @@
 	reserved map[netip.AddrPort]bool
 	// odd is the number of odd entries that was logged last.
 	odd int
+	// readAt is when the last list began to be read.
+	readAt time.Time
 }
 
 // upstreamEntry is an entry that names an upstream, or an odd one that names none because of a problem.
@@ -59,6 +64,7 @@
 
 // list reads the entries. The returned pairs have no values.
 func (e *upstreamEntries) list(ctx context.Context) ([]kv.Pair, error) {
+	began := time.Now()
 	var pairs []kv.Pair
 	listed := make(map[string]upstreamEntry, len(e.known))
 	err := e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
@@ -75,6 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.readAt = began
 	e.logOdd(pairs, listed)
 	maps.Copy(e.known, listed)
 	return pairs, nil
@@ -128,14 +135,69 @@
 	return list
 }
 
-// applyUpstreams updates the upstreams. missing has entries that have been missing since an outage of the store.
-func (r *router) applyUpstreams(present, missing []kv.Pair) {
-	for _, change := range r.board.Update(r.upstreams.upstreams(present, missing)) {
+// upstreamFeed keeps the newest list of upstreams, which this process reads from the store or gets from another one.
+type upstreamFeed struct {
+	// interval is the time between two reads of the store.
+	interval time.Duration
+	// source returns the process that passes on the lists to this one, empty for none, and whether this process is a relay.
+	source func() (process string, relay bool)
+
+	mu     sync.Mutex // guards readAt and serializes apply
+	readAt time.Time  // when the applied list was read from the store
+}
+
+// The lists that another process passes on may be older than the interval by these shares of it before this process reads the store itself. Relays
+// begin, so that the other processes get the list from them.
+const (
+	relayLateShare = 0.2
+	otherLateShare = 0.4
+)
+
+// due returns how long this process needs no read of its own.
+func (f *upstreamFeed) due() time.Duration {
+	process, relay := f.source()
+	if process == "" {
+		return 0
+	}
+	late := otherLateShare
+	if relay {
+		late = relayLateShare
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.interval + time.Duration(late*float64(f.interval)) - time.Since(f.readAt)
+}
+
+// update calls apply if a list is newer than the last one. It reports whether it is.
+func (f *upstreamFeed) update(readAt time.Time, apply func()) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !readAt.After(f.readAt) {
+		return false
+	}
+	f.readAt = readAt
+	apply()
+	return true
+}
+
+// applyRead applies the entries of a list that this process read. missing has entries that have been missing since an outage of the store.
+func (r *router) applyRead(present, missing []kv.Pair) {
+	r.applyUpstreams(r.upstreams.upstreams(present, missing), r.upstreams.readAt)
+}
+
+// applyUpstreams updates the upstreams from a list that was read from the store at some time, by this process or another one.
+func (r *router) applyUpstreams(list []*fleet.Upstream, readAt time.Time) {
+	var changes []placement.Change
+	if !r.feed.update(readAt, func() { changes = r.board.Update(list) }) {
+		return
+	}
+	r.mesh.PublishUpstreams(list, readAt)
+	for _, change := range changes {
 		if change.Kind != "joined" {
 			r.pool.CloseIdle(change.Upstream.Address)
 		}
 		r.logger.Info("upstream", zap.String("change", change.Kind), zap.String("upstream", change.Upstream.ID),
 			zap.String("service", change.Upstream.Service), zap.String("address", change.Upstream.Address),
-			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)))
+			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)), zap.Duration("list_age", time.Since(readAt)))
 	}
 }
--- a/cmd/fulmardoor-router/upstreams_test.go
+++ b/cmd/fulmardoor-router/upstreams_test.go
@@ -133,7 +133,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				follow.PollList(ctx, follow.PollOptions{List: entries.list, Interval: time.Second, MissingGrace: upstreamGrace, Logger: zap.NewNop()},
+				follow.PollList(ctx, follow.PollOptions{List: entries.list, Interval: time.Second, MissingGrace: upstreamGrace, Status: follow.Status{Logger: zap.NewNop()}},
 					func(present, missing []kv.Pair) { board.Update(entries.upstreams(present, missing)); board.Sweep() })
 			}()
 			picked := func() bool {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/wait"
@@ -20,37 +19,10 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
-// dependency tracks whether a service can be reached. It logs each loss and each recovery once.
-type dependency struct {
-	logger           *zap.Logger
-	name             string
-	unavailable      bool
-	unavailableSince time.Time
-	retryDelay       time.Duration
-}
-
-// failed records a failed call and returns the delay before the next call.
-func (d *dependency) failed(err error) time.Duration {
-	if !d.unavailable {
-		d.unavailable, d.unavailableSince, d.retryDelay = true, time.Now(), minRetryDelay
-		d.logger.Warn("dependency lost", zap.String("dependency", d.name), zap.String("error", err.Error()))
-	}
-	delay := d.retryDelay
-	d.retryDelay = min(2*d.retryDelay, maxRetryDelay)
-	return delay
-}
-
-func (d *dependency) succeeded() {
-	if d.unavailable {
-		d.unavailable = false
-		d.logger.Info("dependency regained", zap.String("dependency", d.name), zap.Duration("away", time.Since(d.unavailableSince)))
-	}
-}
-
 // WatchKey watches one key. It calls apply with the current value and then with each new one, until ctx ends. It ignores
 // the deletion of the key.
-func WatchKey(ctx context.Context, store kv.Store, key string, logger *zap.Logger, apply func(kv.Pair)) {
-	dep := &dependency{logger: logger, name: "store: " + key}
+func WatchKey(ctx context.Context, store kv.Store, key string, status Status, apply func(kv.Pair)) {
+	dep := &dependency{Status: status, name: "store: " + key}
 	for ctx.Err() == nil {
 		// The watch starts after the store's current revision, because the store may have compacted the pair's revision.
 		pairs, revision, err := store.List(ctx, key)
@@ -64,7 +36,7 @@
 			err = applyChanges(ctx, store, key, revision+1, apply)
 		}
 		if ctx.Err() == nil && !errors.Is(err, kv.ErrCompacted) {
-			wait.For(ctx, dep.failed(err))
+			dep.failed(ctx, err)
 		}
 	}
 }
@@ -97,28 +69,36 @@
 	// Name identifies the dependency in log lines.
 	Name     string
 	Interval time.Duration
+	// Due returns how long no read is needed, because the pairs come from elsewhere; nil if they never do.
+	Due func() time.Duration
 	// MissingGrace is the time after an outage in which missing pairs are still passed to apply: their writers may not
 	// have reconnected to the service yet.
 	MissingGrace time.Duration
 	// HistoryChanged returns a channel that is closed when the store went back to a copy; nil if it cannot. That counts as an outage.
 	HistoryChanged func() <-chan struct{}
-	Logger         *zap.Logger
+	Status
 }
 
 // PollList reads the pairs every Interval until ctx ends and calls apply with them. For MissingGrace after an outage, it
 // also passes the pairs that were known before and are now missing. It does not call apply after a failed read.
 func PollList(ctx context.Context, options PollOptions, apply func(present, missing []kv.Pair)) {
-	dep := &dependency{logger: options.Logger, name: options.Name}
+	dep := &dependency{Status: options.Status, name: options.Name}
 	known := make(map[string]kv.Pair)
 	var recoveredAt time.Time
 	var historyChanged <-chan struct{}
 	for ctx.Err() == nil {
+		if options.Due != nil {
+			if due := options.Due(); due > 0 {
+				wait.For(ctx, due)
+				continue
+			}
+		}
 		if historyChanged == nil && options.HistoryChanged != nil {
 			historyChanged = options.HistoryChanged()
 		}
 		pairs, err := options.List(ctx)
 		if err != nil {
-			wait.For(ctx, dep.failed(err))
+			dep.failed(ctx, err)
 			continue
 		}
 		if dep.unavailable || wait.IsClosed(historyChanged) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -28,7 +28,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			WatchKey(ctx, store, "config", zap.NewNop(), func(pair kv.Pair) { seen = append(seen, string(pair.Value)) })
+			WatchKey(ctx, store, "config", Status{Logger: zap.NewNop()}, func(pair kv.Pair) { seen = append(seen, string(pair.Value)) })
 		}()
 		time.Sleep(10 * time.Second)
 		before := store.Calls().Total()
@@ -62,7 +62,7 @@
 					pairs, _, err := store.List(ctx, "up/")
 					return pairs, err
 				},
-				Interval: time.Second, MissingGrace: 2 * time.Second, Logger: zap.NewNop(),
+				Interval: time.Second, MissingGrace: 2 * time.Second, Status: Status{Logger: zap.NewNop()},
 			}, func(p, m []kv.Pair) {
 				present.Store(int64(len(p)))
 				missing.Store(int64(len(m)))
--- /dev/null
+++ b/internal/follow/health_test.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmardoor/fulmardoor/internal/kv"
+)
+
+// Guards against followers that each ask a service which does not answer, and against those that go on late or never after it
+// answers again.
+func TestFollowersShareOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var changes []bool
+		health := NewHealth(func() time.Duration { return 2 * time.Second }, func(available bool) { changes = append(changes, available) })
+		var down atomic.Bool
+		var calls [4]atomic.Int64
+		for i := range calls {
+			go PollList(ctx, PollOptions{
+				Name: "list", Interval: time.Second, Status: Status{Logger: zap.NewNop(), Health: health},
+				List: func(context.Context) ([]kv.Pair, error) {
+					calls[i].Add(1)
+					if down.Load() {
+						return nil, kv.ErrUnavailable
+					}
+					return nil, nil
+				},
+			}, func(_, _ []kv.Pair) {})
+		}
+		total := func() (sum int64) {
+			for i := range calls {
+				sum += calls[i].Load()
+			}
+			return sum
+		}
+		time.Sleep(1500 * time.Millisecond)
+		down.Store(true)
+		before := total()
+		time.Sleep(20 * time.Second)
+		if made := total() - before; made < 10 || made > 24 {
+			t.Errorf("%d calls in an outage of 20 s", made)
+		}
+		if health.Available() {
+			t.Error("the service counts as available")
+		}
+		down.Store(false)
+		for i := range calls {
+			calls[i].Store(0)
+		}
+		health.TryNow()
+		time.Sleep(10 * time.Millisecond)
+		for i := range calls {
+			if calls[i].Load() != 1 {
+				t.Errorf("follower %d made %d calls when the service answered again", i, calls[i].Load())
+			}
+		}
+		if len(changes) != 2 || changes[0] || !changes[1] {
+			t.Errorf("changes %v", changes)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a follower that asks all the time because only its own calls fail.
+func TestFollowerThatFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		health := NewHealth(func() time.Duration { return 2 * time.Second }, func(bool) {})
+		calls := 0
+		poll := func(list func(context.Context) ([]kv.Pair, error)) {
+			go PollList(ctx, PollOptions{Name: "list", Interval: 10 * time.Millisecond, Status: Status{Logger: zap.NewNop(), Health: health}, List: list}, func(_, _ []kv.Pair) {})
+		}
+		poll(func(context.Context) ([]kv.Pair, error) { return nil, nil })
+		poll(func(context.Context) ([]kv.Pair, error) { calls++; return nil, kv.ErrUnavailable })
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if calls > 30 {
+			t.Errorf("%d calls in 10 s", calls)
+		}
+	})
+}
--- a/internal/follow/members.go
+++ b/internal/follow/members.go
@@ -34,7 +34,7 @@
 	ShrinkDelay time.Duration
 	// HistoryChanged returns a channel that is closed when the store went back to a copy. It then lost the keys of this process.
 	HistoryChanged func() <-chan struct{}
-	Logger         *zap.Logger
+	Status
 }
 
 // Members registers this process as a member and tracks all members. Create it with NewMembers.
@@ -55,7 +55,7 @@
 // onList with the value of each member after each read.
 func NewMembers(options MemberOptions, onCount func(count int), onList func(values map[string]string)) *Members {
 	return &Members{
-		options: options, storeStatus: &dependency{logger: options.Logger, name: "store: members"},
+		options: options, storeStatus: &dependency{Status: options.Status, name: "store: members"},
 		onCount: onCount, onList: onList,
 	}
 }
@@ -68,7 +68,7 @@
 	for ctx.Err() == nil {
 		historyChanged := m.options.HistoryChanged()
 		if err := m.renew(ctx); err != nil {
-			wait.For(ctx, m.storeStatus.failed(err))
+			m.storeStatus.failed(ctx, err)
 			continue
 		}
 		m.storeStatus.succeeded()
--- a/internal/follow/members_test.go
+++ b/internal/follow/members_test.go
@@ -31,7 +31,7 @@
 		members := NewMembers(MemberOptions{
 			Store: store, List: store.List, Prefix: "entries/", Name: "front-1", Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: 9 * time.Second,
 			Check: func(value []byte) error { return fleet.CheckAddress(string(value)) }, ShrinkDelay: time.Second,
-			HistoryChanged: func() <-chan struct{} { return nil }, Logger: zap.New(core),
+			HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.New(core)},
 		}, func(n int) { count = n }, func(list map[string]string) { values = list })
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -77,7 +77,7 @@
 			}
 			members := NewMembers(MemberOptions{
 				Store: store, List: store.List, Prefix: "entries/", Name: "front-1", Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: 9 * time.Second,
-				HistoryChanged: func() <-chan struct{} { return nil }, Logger: zap.NewNop(),
+				HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.NewNop()},
 			}, func(int) {}, func(map[string]string) {})
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
--- a/internal/follow/quarantine.go
+++ b/internal/follow/quarantine.go
@@ -11,7 +11,6 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
-	"github.com/fulmardoor/fulmardoor/internal/wait"
 )
 
 // QuarantineOptions configures a Quarantine.
@@ -23,7 +22,7 @@
 	TTL time.Duration
 	// HistoryChanged returns a channel that is closed when the store went back to a copy; nil if it cannot.
 	HistoryChanged func() <-chan struct{}
-	Logger         *zap.Logger
+	Status
 }
 
 // Quarantine keeps the quarantined prompt parts in the store, for processes that start while no other process knows them. The
@@ -49,19 +48,19 @@
 // Run restores the list from the store, and then writes the list after each change until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) {
 	const name = "store: quarantine"
-	dep := &dependency{logger: q.options.Logger, name: name}
+	dep := &dependency{Status: q.options.Status, name: name}
 	for ctx.Err() == nil {
 		err := q.restore(ctx)
 		if err == nil {
 			dep.succeeded()
 			break
 		}
-		wait.For(ctx, dep.failed(err))
+		dep.failed(ctx, err)
 	}
 	if q.options.HistoryChanged != nil {
 		go q.saveAfterReturns(ctx)
 	}
-	Refresh(ctx, q.changes, name, q.options.Logger, func(ctx context.Context) error {
+	Refresh(ctx, q.changes, name, q.options.Status, func(ctx context.Context) error {
 		err := q.save(ctx)
 		if err != nil {
 			q.NotifyChanged()
--- a/internal/follow/quarantine_test.go
+++ b/internal/follow/quarantine_test.go
@@ -17,7 +17,7 @@
 func startQuarantine(t *testing.T, store kv.Store) *quarantine.List {
 	t.Helper()
 	list := quarantine.NewList()
-	q := NewQuarantine(QuarantineOptions{Store: store, List: list, Key: "quarantine", TTL: time.Minute, Logger: zap.NewNop()})
+	q := NewQuarantine(QuarantineOptions{Store: store, List: list, Key: "quarantine", TTL: time.Minute, Status: Status{Logger: zap.NewNop()}})
 	list.OnChange(q.NotifyChanged)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -1,18 +1,12 @@
 package follow
 
-import (
-	"context"
-
-	"go.uber.org/zap"
-
-	"github.com/fulmardoor/fulmardoor/internal/wait"
-)
+import "context"
 
 // Refresh calls read for each request until ctx ends. After a failure it waits with the same delays as WatchKey and
 // PollList: while this process cannot reach the service but other processes can, each of their messages requests a read,
 // about 70 times a second.
-func Refresh(ctx context.Context, requests <-chan struct{}, name string, logger *zap.Logger, read func(ctx context.Context) error) {
-	dep := &dependency{logger: logger, name: name}
+func Refresh(ctx context.Context, requests <-chan struct{}, name string, status Status, read func(ctx context.Context) error) {
+	dep := &dependency{Status: status, name: name}
 	for {
 		select {
 		case <-ctx.Done():
@@ -20,7 +14,7 @@
 		case <-requests:
 		}
 		if err := read(ctx); err != nil {
-			wait.For(ctx, dep.failed(err))
+			dep.failed(ctx, err)
 			continue
 		}
 		dep.succeeded()
--- a/internal/follow/refresh_test.go
+++ b/internal/follow/refresh_test.go
@@ -22,7 +22,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			Refresh(ctx, requests, "store", zap.NewNop(), func(context.Context) error {
+			Refresh(ctx, requests, "store", Status{Logger: zap.NewNop()}, func(context.Context) error {
 				calls.Add(1)
 				if !answering.Load() {
 					return errors.New("refused")
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -51,7 +51,11 @@
 	n.mesh = New(Options{
 		Name: name, Host: name, DataCentre: dataCentre, Address: n.address, Cores: cores, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts,
 		Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
-		Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
+		OnUpstreams: func(list []*fleet.Upstream, readAt time.Time) {
+			n.fed.set(list, readAt)
+			n.mesh.PublishUpstreams(list, readAt)
+		},
+		StoreContact: func() bool { return !n.storeLost.Load() }, OnStoreRegained: func() { n.storeRegained.Add(1) }, Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
 	})
 	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -22,6 +22,8 @@
 	// its first heartbeat.
 	theirs, told wirev1.Link
 	heard        bool
+	// storeContact is set if the store answers the other process.
+	storeContact bool
 	// processes is the number of processes whose work the other end reports.
 	processes int
 	// chargesOfGroup says which totals of charges the other end sent last; charges has the sum of those that were deducted, by account.
@@ -113,7 +115,7 @@
 
 // buildHeartbeat returns the next heartbeat on a session.
 func (m *Mesh) buildHeartbeat(session *transport.Session) *wirev1.Heartbeat {
-	heartbeat := &wirev1.Heartbeat{ConfigRevision: uint64(m.options.Version())}
+	heartbeat := &wirev1.Heartbeat{ConfigRevision: uint64(m.options.Version()), StoreContact: m.options.StoreContact()}
 	limits := m.options.Limits.Recent(time.Now()) // not under m.mu, because Limits calls this mesh under its own mutex
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -224,6 +226,10 @@
 	if l == nil || l != m.linkLocked(process) {
 		return
 	}
+	if l.heard && !l.storeContact && heartbeat.GetStoreContact() {
+		m.options.OnStoreRegained()
+	}
+	l.storeContact = heartbeat.GetStoreContact()
 	before := l.coverage()
 	theirsBefore, processesBefore := l.theirs, l.processes
 	l.heard, l.theirs = true, heartbeat.GetLink()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -14,6 +14,7 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
@@ -60,7 +61,13 @@
 	Document func() []byte
 	// OnNewerVersion is called when another process has a newer configuration. It must not block.
 	OnNewerVersion func(process string, version int64)
-	Logger         *zap.Logger
+	// OnUpstreams is called with each list of upstreams that another process passes on, and the time when it was read from the store.
+	OnUpstreams func(upstreams []*fleet.Upstream, readAt time.Time)
+	// StoreContact reports whether the store answers this process, and OnStoreRegained is called when it answers another one again. Both must
+	// not block.
+	StoreContact    func() bool
+	OnStoreRegained func()
+	Logger          *zap.Logger
 }
 
 // Mesh holds the sessions with other entry processes. Create it with New.
@@ -80,6 +87,9 @@
 	links map[*transport.Session]*link
 	// expiring has the lost relays whose reports are still used, until the given time.
 	expiring map[string]time.Time
+	// upstreams is the newest list of upstreams; nil for none. upstreamsChanged and planChanged are closed and replaced with each change.
+	upstreams                     *upstreamList
+	upstreamsChanged, planChanged chan struct{}
 	// subscriberCharges and otherCharges are the sums of the charges that subscribers and other processes reported, by account.
 	subscriberCharges, otherCharges map[string]float64
 }
@@ -88,7 +98,8 @@
 func New(options Options) *Mesh {
 	m := &Mesh{options: options, changes: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), wantedSince: make(map[string]time.Time),
 		lost: make(map[string]bool), links: make(map[*transport.Session]*link), expiring: make(map[string]time.Time),
-		subscriberCharges: make(map[string]float64), otherCharges: make(map[string]float64)}
+		subscriberCharges: make(map[string]float64), otherCharges: make(map[string]float64),
+		upstreamsChanged: make(chan struct{}), planChanged: make(chan struct{})}
 	m.transport = &transport.Options{
 		Hello: transport.NewHello(wirev1.Role_ROLE_ENTRY,
 			&configv1.ProcessSettings{Name: options.Name, Host: options.Host, DataCentre: options.DataCentre}, options.Address),
@@ -96,6 +107,7 @@
 		HeartbeatTo: m.buildHeartbeat, OnHeartbeat: m.onHeartbeat, OnOpen: m.onOpen, OnClose: m.onClose, Handler: transport.HandlerFunc(m.serveStream), Logger: options.Logger,
 	}
 	go m.sendChanges()
+	go m.followUpstreams()
 	return m
 }
 
@@ -152,6 +164,8 @@
 			zap.Int("peers", len(plan.Peers)), zap.Int("lost", len(m.lost)))
 	}
 	m.plan = plan
+	close(m.planChanged)
+	m.planChanged = make(chan struct{})
 	for source, until := range m.expiring {
 		if now.After(until) {
 			m.dropSourceLocked(source)
@@ -286,6 +300,15 @@
 	}
 }
 
+// NotifyStatusChanged tells the other processes that this one has a newer configuration, or lost or regained the store.
+func (m *Mesh) NotifyStatusChanged() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for session := range m.links {
+		session.TriggerHeartbeat()
+	}
+}
+
 // sendChanges sends a heartbeat with each change, and makes the plan anew every planInterval.
 func (m *Mesh) sendChanges() {
 	planTicker := time.NewTicker(planInterval)
@@ -351,6 +374,8 @@
 		m.servePermit(ctx, session, kind.Permit, stream)
 	case *wirev1.StreamOpen_ConfigPull:
 		m.serveConfig(session, stream)
+	case *wirev1.StreamOpen_UpstreamFeed:
+		m.serveUpstreams(ctx, stream)
 	}
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -25,6 +25,9 @@
 	capacityChanges atomic.Int64
 	address         string
 	listener        net.Listener
+	fed             fedList
+	storeLost       atomic.Bool
+	storeRegained   atomic.Int64
 }
 
 func startNode(t testing.TB, name string) *node {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	Peers map[string]bool
 	// SubscribeTo is the relay that passes on this process's reports; empty for a relay and for a process that is alone.
 	SubscribeTo string
+	// ListFrom is the process that passes on the list of upstreams; empty for the one process that reads it for the fleet.
+	ListFrom string
 	// Dial has the addresses of the processes to which this process opens connections, by name.
 	Dial map[string]string
 }
@@ -77,6 +79,7 @@
 	if !plan.Relay {
 		wanted, plan.Peers, plan.SubscribeTo = own, map[string]bool{}, subscribeTo(own, state)
 	}
+	plan.ListFrom = listFrom(self, &plan, members, state)
 	for _, m := range wanted {
 		// Of two relays, the one with the greater name dials. If that fails, the other one tries too.
 		if m.Name != self && (!plan.Relay || m.Name < self || state(m.Name) == Lost) {
@@ -93,13 +96,16 @@
 		ranked[m.DataCentre] = append(ranked[m.DataCentre], m)
 	}
 	for _, list := range ranked {
-		slices.SortFunc(list, func(a, b Member) int {
-			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortFunc(list, compare)
 	}
 	return ranked
 }
 
+// compare orders members by preference as relays.
+func compare(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
+}
+
 // choose returns the first members that are available, up to a number, and those that were considered for it.
 func choose(ranked []Member, count int, available func(name string) bool) (considered, chosen []Member) {
 	for _, m := range ranked {
@@ -123,3 +129,21 @@
 	}
 	return ""
 }
+
+// listFrom returns the process that passes on the list of upstreams to this one: its relay, or the first of the connected relays in an order that is
+// the same everywhere. It is empty for the first one itself.
+func listFrom(self string, plan *Plan, members map[string]Member, state func(name string) State) string {
+	if !plan.Relay {
+		return plan.SubscribeTo
+	}
+	first := members[self]
+	for name := range plan.Peers {
+		if state(name) == Connected && compare(members[name], first) < 0 {
+			first = members[name]
+		}
+	}
+	if first.Name == self {
+		return ""
+	}
+	return first.Name
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -86,6 +86,21 @@
 
 func (n *network) check(t *testing.T) {
 	t.Helper()
+	readers := 0
+	for name, plan := range n.plans {
+		if plan.ListFrom == "" {
+			readers++
+		}
+		for hops := 0; plan.ListFrom != ""; hops++ {
+			if hops > 2 {
+				t.Fatalf("the list of upstreams reaches %s over more than two processes", name)
+			}
+			plan = n.plans[plan.ListFrom]
+		}
+	}
+	if len(n.plans) > 0 && readers != 1 {
+		t.Fatalf("%d processes read the list of upstreams", readers)
+	}
 	for from := range n.plans {
 		got := n.reports(from)
 		for to := range n.plans {
