--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -51,8 +51,8 @@
 	// others notices a dead connection only after configWatchWaitAlone plus storeCallTimeout.
 	configWatchWait      = 25 * time.Second
 	configWatchWaitAlone = 1500 * time.Millisecond
-	// newerConfigDelay is the least time that this process's watch has to deliver a version that another process reported; up to as
-	// much again is added at random, so that the processes do not all ask the same one at once.
+	// newerConfigDelay is the least time that this process's watch, if there is one, has to deliver a version that another process reported. Up to as
+	// much is added at random, so that the processes do not all ask the same one at once.
 	newerConfigDelay = 150 * time.Millisecond
 	// configPullTimeout limits the transfer of a configuration from another process.
 	configPullTimeout = time.Second
@@ -279,6 +279,9 @@
 	return otherStorePause
 }
 
+// configFollowed reports whether this process hears of new configurations from the relays of its data centre, which watch the store.
+func (r *router) configFollowed() bool { return r.configVersion() > 0 && r.mesh.RelayHasStore() }
+
 // watchWait returns how long a watch call for the configuration waits for a change.
 func (r *router) watchWait() time.Duration {
 	if r.mesh.Connected() > 0 {
@@ -317,7 +320,11 @@
 	if newer == nil {
 		return nil
 	}
-	wait.For(ctx, newerConfigDelay+rand.N(newerConfigDelay))
+	delay := rand.N(newerConfigDelay)
+	if !r.configFollowed() {
+		delay += newerConfigDelay
+	}
+	wait.For(ctx, delay)
 	if r.configVersion() >= newer.version {
 		return nil
 	}
@@ -373,7 +380,7 @@
 // followStore follows the configuration, the upstreams and the members in the store until ctx ends. It also runs the stage
 // controller and the periodic cleanup.
 func (r *router) followStore(ctx context.Context) {
-	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.storeStatus, r.applyConfig)
+	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.storeStatus, r.configFollowed, r.applyConfig)
 	go follow.PollList(ctx, follow.PollOptions{
 		List: r.upstreams.list, Due: r.feed.due, Interval: r.feed.interval,
 		Name: "store: upstreams", MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,11 +19,19 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
+// elsewherePollInterval is how often WatchKey checks whether other processes still follow the key.
+const elsewherePollInterval = 250 * time.Millisecond
+
 // WatchKey watches one key. It calls apply with the current value and then with each new one, until ctx ends. It ignores
-// the deletion of the key.
-func WatchKey(ctx context.Context, store kv.Store, key string, status Status, apply func(kv.Pair)) {
+// the deletion of the key. It makes no call while elsewhere reports that other processes follow the key and tell this one of new
+// values; nil means that none do.
+func WatchKey(ctx context.Context, store kv.Store, key string, status Status, elsewhere func() bool, apply func(kv.Pair)) {
 	dep := &dependency{Status: status, name: "store: " + key}
 	for ctx.Err() == nil {
+		if elsewhere != nil && elsewhere() {
+			wait.For(ctx, elsewherePollInterval)
+			continue
+		}
 		// The watch starts after the store's current revision, because the store may have compacted the pair's revision.
 		pairs, revision, err := store.List(ctx, key)
 		if err == nil {
@@ -33,6 +41,9 @@
 					apply(pair)
 				}
 			}
+			if elsewhere != nil && elsewhere() {
+				continue
+			}
 			err = applyChanges(ctx, store, key, revision+1, apply)
 		}
 		if ctx.Err() == nil && !errors.Is(err, kv.ErrCompacted) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -28,7 +28,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			WatchKey(ctx, store, "config", Status{Logger: zap.NewNop()}, func(pair kv.Pair) { seen = append(seen, string(pair.Value)) })
+			WatchKey(ctx, store, "config", Status{Logger: zap.NewNop()}, nil, func(pair kv.Pair) { seen = append(seen, string(pair.Value)) })
 		}()
 		time.Sleep(10 * time.Second)
 		before := store.Calls().Total()
--- a/internal/peering/feed.go
+++ b/internal/peering/feed.go
@@ -39,6 +39,14 @@
 	return m.plan.ListFrom, m.plan.Relay
 }
 
+// RelayHasStore reports whether this process subscribes to a relay that the store answers.
+func (m *Mesh) RelayHasStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.linkLocked(m.plan.SubscribeTo)
+	return l != nil && l.heard && l.storeContact
+}
+
 // serveUpstreams sends the list of upstreams to another process until that closes the stream.
 func (m *Mesh) serveUpstreams(ctx context.Context, stream *transport.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
