router: processes with a relay do not watch the configuration; charges are told ten times a second

And charges, told twice a second, take up to 1.5 s over two relays, in which an account at several times its rate runs ahead.

Change: a process that subscribes to a relay with contact to the store hears of versions in its heartbeats and pulls them; relays go on watching, so that the loss of one process does not hide a version. Heartbeats carry only the accounts whose totals changed, at most every 100 ms.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -44,23 +44,35 @@
 			if elsewhere != nil && elsewhere() {
 				continue
 			}
-			err = applyChanges(ctx, store, key, revision+1, apply)
+			err = applyChanges(ctx, store, key, revision+1, elsewhere, apply)
 		}
-		if ctx.Err() == nil && !errors.Is(err, kv.ErrCompacted) {
+		if ctx.Err() == nil && err != nil && !errors.Is(err, kv.ErrCompacted) {
 			dep.failed(ctx, err)
 		}
 	}
 }
 
-// applyChanges watches the key and applies each new value until the watch ends, and returns the reason.
-func applyChanges(ctx context.Context, store kv.Store, key string, revision int64, apply func(kv.Pair)) error {
+// applyChanges watches the key and applies each new value until the watch ends, and returns the reason. It returns nil once other processes follow the
+// key.
+func applyChanges(ctx context.Context, store kv.Store, key string, revision int64, elsewhere func() bool, apply func(kv.Pair)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if elsewhere != nil {
+		go func() {
+			for ctx.Err() == nil && !elsewhere() {
+				wait.For(ctx, elsewherePollInterval)
+			}
+			cancel()
+		}()
+	}
 	updates, err := store.Watch(ctx, key, revision)
 	if err != nil {
 		return err
 	}
 	for update := range updates {
+		if ctx.Err() != nil {
+			return nil
+		}
 		if update.Err != nil {
 			return update.Err
 		}
@@ -70,7 +82,7 @@
 			}
 		}
 	}
-	return ctx.Err()
+	return nil
 }
 
 // PollOptions configures PollList.
--- a/internal/follow/health_test.go
+++ b/internal/follow/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
 // Guards against followers that each ask a service which does not answer, and against those that go on late or never after it
@@ -87,3 +89,33 @@
 		}
 	})
 }
+
+// Guards against processes that watch a key although others tell them of new values, and against those that do not watch it again when
+// the others do not any more.
+func TestKeyThatOthersFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.New(memory.Options{})
+		store.Put("config", []byte("1"))
+		var elsewhere atomic.Bool
+		var values []string
+		go WatchKey(ctx, store, "config", Status{Logger: zap.NewNop()}, elsewhere.Load, func(pair kv.Pair) { values = append(values, string(pair.Value)) })
+		change := func(value string, want ...string) {
+			t.Helper()
+			time.Sleep(time.Second)
+			store.Put("config", []byte(value))
+			time.Sleep(time.Second)
+			if !slices.Equal(values, want) {
+				t.Errorf("after %q: got %q, want %q", value, values, want)
+			}
+		}
+		change("2", "1", "2")
+		elsewhere.Store(true)
+		change("3", "1", "2")
+		change("4", "1", "2")
+		elsewhere.Store(false)
+		change("5", "1", "2", "4", "5")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -26,16 +26,20 @@
 	storeContact bool
 	// processes is the number of processes whose work the other end reports.
 	processes int
-	// chargesOfGroup says which totals of charges the other end sent last; charges has the sum of those that were deducted, by account.
-	chargesOfGroup bool
-	charges        map[string]float64
+	// chargesOfGroup says which totals of charges the other end sent last, and totals are these totals; charges has the sum of those that were
+	// deducted, by account.
+	chargesOfGroup  bool
+	totals, charges map[string]float64
 
 	// reported is the coverage of the last heartbeat that was sent, and pending the upstreams at which the work has changed since.
 	reported wirev1.Coverage
 	pending  map[string]bool
 	// resend is set if the next heartbeat must have all work, and askResend if the other end must be asked to do the same.
 	resend, askResend bool
-	chargesSentAt     time.Time
+	// chargesSent are the totals of charges that were sent last, ofAll says of which processes, and chargesSentAt when.
+	chargesSent   map[string]float64
+	ofAll         bool
+	chargesSentAt time.Time
 	// promptsSent is set once the other end has got what this process knows about prompts that crash engines.
 	promptsSent bool
 }
@@ -187,8 +191,11 @@
 	}
 	heartbeat.HasAccountCharges, heartbeat.ChargesOfGroup = true, !ofAll
 	for account, total := range totals {
-		heartbeat.AccountCharges = append(heartbeat.AccountCharges, &wirev1.AccountCharges{Account: account, Total: max(0, total)})
+		if sent, ok := l.chargesSent[account]; !ok || sent != total || l.ofAll != ofAll {
+			heartbeat.AccountCharges = append(heartbeat.AccountCharges, &wirev1.AccountCharges{Account: account, Total: max(0, total)})
+		}
 	}
+	l.chargesSent, l.ofAll = totals, ofAll
 }
 
 func addAmounts(to, amounts map[string]float64, sign float64) {
@@ -309,14 +316,20 @@
 	if !heartbeat.GetHasAccountCharges() {
 		return
 	}
-	totals, ok := spentOf(heartbeat.GetAccountCharges())
+	changes, ok := spentOf(heartbeat.GetAccountCharges())
 	if !ok {
 		return
 	}
 	if l.chargesOfGroup != heartbeat.GetChargesOfGroup() { // totals of more or fewer processes than before
-		l.chargesOfGroup = heartbeat.GetChargesOfGroup()
+		l.chargesOfGroup, l.totals = heartbeat.GetChargesOfGroup(), nil
 		m.options.Limiter.SetOthers(l.process, nil)
 	}
+	totals := maps.Clone(l.totals)
+	if totals == nil {
+		totals = make(map[string]float64)
+	}
+	maps.Copy(totals, changes)
+	l.totals = totals
 	deducted := m.options.Limiter.SetGroup(l.process, l.processes, totals)
 	addAmounts(l.charges, deducted, 1)
 	if l.theirs == wirev1.Link_LINK_SUBSCRIBER {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -28,8 +28,9 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout is the time without a heartbeat after which a connection counts as dead and is replaced.
 	heartbeatTimeout = 1600 * time.Millisecond
-	// chargesInterval is the least time between two heartbeats with the charges to accounts on one connection.
-	chargesInterval = 450 * time.Millisecond
+	// chargesInterval is the least time between two heartbeats with the charges to accounts on one connection. Charges pass up to three
+	// connections, and an account at seven times its rate runs ahead of them.
+	chargesInterval = 100 * time.Millisecond
 	// changeBatchDelay is the delay before a change is sent, in which further changes are batched with it. It grows by
 	// linkBatchDelay with each connection, because each change costs a message on each.
 	changeBatchDelay = 10 * time.Millisecond
