--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -16,9 +16,13 @@
 )
 
 const (
-	dialTimeout      = time.Second
-	minRedialDelay   = 50 * time.Millisecond
-	maxRedialDelay   = 2 * time.Second
+	dialTimeout    = time.Second
+	minRedialDelay = 50 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+	// quickRedialTime is how long a lost connection is dialled with quickRedialDelay at most, because processes that stopped together
+	// are back after one to three seconds at slightly different times.
+	quickRedialTime  = 5 * time.Second
+	quickRedialDelay = 200 * time.Millisecond
 	redialGrowth     = 2
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -124,13 +128,16 @@
 
 func (p *Peer) run(ctx context.Context) {
 	defer close(p.done)
-	delay := minRedialDelay
+	delay, lostAt := minRedialDelay, time.Now()
 	for ctx.Err() == nil {
 		session, err := p.dial(ctx)
 		if err != nil {
 			p.opts.Logger.Debug("dial failed", zap.String("address", p.address), zap.Error(err))
 			wait.For(ctx, jitter(delay))
 			delay = min(delay*redialGrowth, maxRedialDelay)
+			if time.Since(lostAt) < quickRedialTime {
+				delay = min(delay, quickRedialDelay)
+			}
 			continue
 		}
 		delay = minRedialDelay
@@ -141,6 +148,7 @@
 		case <-session.Done():
 		}
 		p.setSession(nil)
+		lostAt = time.Now()
 	}
 }
 
