router: metrics to compare routers; engines of the same cost are drawn

Cause: with 103 routers an operator could not tell which one is off.

Change: gauges of the configuration version, store contact, age of the list of upstreams, relay, members, known and connected routers and running requests. Candidates are shuffled.

--- /dev/null
+++ b/cmd/fulmardoor-router/metrics.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// registerMetrics registers what an operator compares over all routers to find the one that differs.
+func (r *router) registerMetrics() {
+	for _, gauge := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"fulmardoor_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 { return float64(r.configVersion()) }},
+		{"fulmardoor_router_store_contact", "Whether the store answered the last call.", func() float64 { return number(r.storeStatus.Health.Available()) }},
+		{"fulmardoor_router_upstream_list_age_seconds", "Time since the list of upstreams was read from the store, by any router.", func() float64 { return r.feed.age().Seconds() }},
+		{"fulmardoor_router_relay", "Whether this router passes on the reports of others.", func() float64 { return number(r.mesh.Status().Relay) }},
+		{"fulmardoor_router_members", "Routers in the store.", func() float64 { return float64(r.mesh.Status().Members) }},
+		{"fulmardoor_router_known", "Routers whose reports arrive, this one included.", func() float64 { return float64(r.mesh.Status().Known) }},
+		{"fulmardoor_router_connections", "Routers that are connected directly.", func() float64 { return float64(r.mesh.Status().Connections) }},
+		{"fulmardoor_router_requests_running", "Requests in flight.", func() float64 { return float64(r.gateway.Running()) }},
+	} {
+		r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
+	}
+}
+
+// number returns 1 for true and 0 for false.
+func number(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// age returns the time since the applied list was read from the store; zero before the first.
+func (f *upstreamFeed) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.readAt)
+}
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -205,6 +205,7 @@
 	r.prompts = follow.NewQuarantine(follow.QuarantineOptions{
 		Store: r.store, List: prompts, Key: quarantineKey, TTL: quarantineTTL, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
 	})
+	r.registerMetrics()
 	r.limits.Connect(r.mesh)
 	prompts.OnReport(r.mesh.SendPromptReport)
 	prompts.OnChange(r.prompts.NotifyChanged)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -293,6 +293,23 @@
 	return m.knownLocked(nil)
 }
 
+// Status describes the place of this process in the fleet.
+type Status struct {
+	// Relay is set if this process passes on the reports of others, and SubscribedTo is the relay that does so for it; empty for none.
+	Relay        bool
+	SubscribedTo string
+	// Members is the number of processes in the store, Known of those whose reports arrive, this one included, and Connections of those
+	// that are connected directly.
+	Members, Known, Connections int
+}
+
+// Status returns the place of this process in the fleet.
+func (m *Mesh) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Status{Relay: m.plan.Relay, SubscribedTo: m.plan.SubscribeTo, Members: len(m.members), Known: m.knownLocked(nil), Connections: len(m.currentLocked())}
+}
+
 // NotifyWorkChanged schedules heartbeats to the other processes after the running work of this process has changed.
 func (m *Mesh) NotifyWorkChanged() {
 	select {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -69,7 +69,8 @@
 }
 
 // candidates returns the upstreams of the service that may get the request. Unconfirmed ones, whose entry is missing from
-// the store since an outage, are used only if there are no others.
+// the store since an outage, are used only if there are no others. The order is random, so that of several with the same cost each is as likely to be the
+// first: many processes that see the same idle engines must not all choose the same one.
 func (b *Board) candidates(q *Query, stage fleet.Stage) []*state {
 	var confirmed, unconfirmed []*state
 	for id, s := range b.states {
@@ -83,8 +84,9 @@
 		}
 	}
 	if len(confirmed) == 0 {
-		return unconfirmed
+		confirmed = unconfirmed
 	}
+	b.random.Shuffle(len(confirmed), func(i, j int) { confirmed[i], confirmed[j] = confirmed[j], confirmed[i] })
 	return confirmed
 }
 
