soak: a router that is down is not started twice

Now the second signal only ends the process, and a suspension ends at the process at which it began.

--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -239,3 +239,56 @@
 	}
 	t.Logf("asked: %v", issuers)
 }
+
+// Guards against charges that are deducted twice while the processes of a large fleet, relays among them, are restarted one after the other: accounts within
+// their rate were refused.
+func TestChargesAreCountedOnceInRollingRestart(t *testing.T) {
+	f := startFleet(t, 20, 3)
+	account := &fleet.Account{Name: "x", Rate: 1e-6, Burst: 2e9}
+	level := func(n *node) float64 { return n.limiter.Admit(account, 1e12, time.Now()).Level }
+	charged := 0.0
+	charge := func(n *node) {
+		if n.limiter.Admit(account, 1000, time.Now()).OK {
+			charged += 1000
+		}
+	}
+	observers := f.nodes[12:]
+	before := make(map[*node]float64)
+	for _, n := range f.nodes {
+		before[n] = level(n)
+	}
+	for round := range 8 {
+		old := f.nodes[0]
+		f.stop(t, 0)
+		for range 20 {
+			for _, n := range f.nodes {
+				charge(n)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		n := startMember(t, old.mesh.options.Name, old.mesh.options.DataCentre, old.mesh.options.Cores)
+		n.limiter.SetProcesses(20)
+		f.members[n.mesh.options.Name] = relay.Member{Address: n.address, DataCentre: n.mesh.options.DataCentre, Cores: n.mesh.options.Cores}
+		f.nodes = append(f.nodes, n)
+		for _, other := range f.nodes {
+			other.mesh.SetMembers(f.members)
+		}
+		for range 20 {
+			for _, n := range f.nodes {
+				charge(n)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, n := range observers {
+			if deducted := before[n] - level(n); deducted > charged+1 {
+				t.Errorf("round %d: %s deducted %.0f of %.0f", round, n.mesh.options.Name, deducted, charged)
+			}
+		}
+	}
+	time.Sleep(time.Second)
+	for _, n := range observers {
+		if deducted := before[n] - level(n); deducted > charged+1 || deducted < 0.75*charged {
+			t.Errorf("at the end: %s deducted %.0f of %.0f", n.mesh.options.Name, deducted, charged)
+		}
+	}
+}
--- a/internal/processtest/soak_faults_test.go
+++ b/internal/processtest/soak_faults_test.go
@@ -93,8 +93,7 @@
 		router.restart(c, syscall.SIGTERM, duration)
 	case 2:
 		c.recordEvent("%s suspended for %v", router.name, duration)
-		router.signal(syscall.SIGSTOP)
-		c.runAfter(duration, func() { router.signal(syscall.SIGCONT) })
+		router.suspend(c, duration)
 	default:
 		c.recordEvent("%s received SIGHUP, the configuration changes", router.name)
 		router.signal(syscall.SIGHUP)
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -36,8 +36,9 @@
 	name, callerAddress, readyAddress, settingsFile string
 	storeRelay                                      *relay
 
-	mu      sync.Mutex // guards process
-	process *process
+	mu         sync.Mutex // guards the fields below
+	process    *process
+	restarting bool
 }
 
 // soakCluster is the store, the routers and the runners of one seed.
@@ -91,21 +92,35 @@
 func (r *soakRouter) start(c *soakCluster) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.process = startProcess(c.t, c.dir, r.name, "fulmardoor-router", "run", "--settings", r.settingsFile, "--metrics-port", "0")
+	r.process, r.restarting = startProcess(c.t, c.dir, r.name, "fulmardoor-router", "run", "--settings", r.settingsFile, "--metrics-port", "0"), false
 }
 
-// restart sends a signal that ends the router and starts it again after a pause, once it has exited. It returns at once.
+// restart sends a signal that ends the router and starts it again after a pause, once it has exited. It returns at once. A router that is
+// to be started again already gets the signal only: a second start could not listen, and later signals would go to the wrong one of two processes.
 func (r *soakRouter) restart(c *soakCluster, sig syscall.Signal, pause time.Duration) {
 	r.mu.Lock()
-	p := r.process
+	p, restarting := r.process, r.restarting
+	r.restarting = true
 	r.mu.Unlock()
 	p.signal(sig)
+	if restarting {
+		return
+	}
 	c.runAfter(pause, func() {
 		<-p.done
 		r.start(c)
 	})
 }
 
+// suspend suspends the current process of the router for a time.
+func (r *soakRouter) suspend(c *soakCluster, duration time.Duration) {
+	r.mu.Lock()
+	p := r.process
+	r.mu.Unlock()
+	p.signal(syscall.SIGSTOP)
+	c.runAfter(duration, func() { p.signal(syscall.SIGCONT) })
+}
+
 func (r *soakRouter) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
