--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -339,8 +339,7 @@
 	}
 }
 
-// spentOf returns the total charges by account; ok is false if one is not an amount. The totals are then those of the last heartbeat, because the limiter
-// would take a missing total for zero.
+// spentOf returns the total charges by account; ok is false if one is not an amount. All of the heartbeat are ignored then.
 func spentOf(charges []*wirev1.AccountCharges) (spent map[string]float64, ok bool) {
 	spent = make(map[string]float64, len(charges))
 	for _, charge := range charges {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -147,7 +147,7 @@
 	m.options.Board.SetPeersIncomplete(known < len(m.members)-int(unknownShare*float64(len(m.members))))
 }
 
-// Connected returns the number of other processes that are connected directly.
+// Connected returns the number of processes that ConnectedNames returns.
 func (m *Mesh) Connected() int { return len(m.ConnectedNames()) }
 
 // ConnectedNames returns the names of the connected processes that may issue permits: for a relay the other relays, otherwise the relay that
@@ -257,7 +257,7 @@
 	}
 }
 
-// reports reports whether heartbeats on a link cover what arrives on another one; nil is this process itself.
+// reports says whether heartbeats on a link cover what arrives on another one; nil is this process itself.
 func (m *Mesh) reports(l, from *link) bool {
 	switch l.coverage() {
 	case wirev1.Coverage_COVERAGE_ALL:
