--- a/review/standin/case2/main.go
+++ b/review/standin/case2/main.go
@@ -29,15 +29,15 @@
 	// clientMbps keeps all clients together below the machine's link of 1,000 Mbit/s, so that no packet waits there.
 	clientMbps = 45
 	burstTime  = 4 * time.Second
-	dayLength  = 34 * time.Second
+	dayLength  = 66 * time.Second
 	// faultEnds and faultMachines are the ends by themselves, and the machines with so many, from which the day counts 0.
 	faultEnds, faultMachines = 3, 2
 	// lostAllowed is the number of requests that may be passed on from kept connections and closed without an answer.
 	lostAllowed = 3
 )
 
-// bursts are the starts of the bursts of the sheet's days.
-var bursts = []time.Duration{6 * time.Second, 17 * time.Second, 27 * time.Second}
+// bursts are the starts of the bursts: the first three are those of the sheet's days, which are half as long.
+var bursts = []time.Duration{6 * time.Second, 17 * time.Second, 27 * time.Second, 38 * time.Second, 49 * time.Second, 60 * time.Second}
 
 var (
 	root    = flag.String("root", ".", "repository")
