follow, peering: callbacks are not called under a mutex

Callers saw: after an outage of the store of a second, some routers kept the configuration that they had.

Cause: follow.Health asked for its longest pause while it was locked, which locks the mesh, and the mesh called Health.TryNow while it was locked. A heartbeat that reports the store's return during a failed call made both wait for each other.

--- a/internal/follow/health.go
+++ b/internal/follow/health.go
@@ -15,7 +15,7 @@
 // Health is what all followers in a process know of the service. While it does not answer, they make one call at a time to find out when it does
 // again, and go on at once after the first answer. Without that, an outage of nine seconds costs each process about 100 calls.
 type Health struct {
-	// maxPause returns the longest pause between two such calls.
+	// maxPause returns the longest pause between two such calls. It is called without mu, because it may take mutexes of its own.
 	maxPause func() time.Duration
 	// onChange is called when the service is lost or regained.
 	onChange func(available bool)
@@ -52,12 +52,13 @@
 
 // failed records a call without an answer.
 func (h *Health) failed() {
+	maxPause := h.maxPause()
 	h.mu.Lock()
 	lost := !h.failing
 	if lost {
 		h.failing, h.pause = true, minRetryDelay
 	} else {
-		h.pause = min(2*h.pause, h.maxPause())
+		h.pause = min(2*h.pause, maxPause)
 	}
 	h.nextTry = time.Now().Add(h.pause)
 	h.mu.Unlock()
@@ -84,11 +85,12 @@
 // wait returns when the service answers again, when it is the caller's turn to find out, or when ctx ends.
 func (h *Health) wait(ctx context.Context) {
 	for ctx.Err() == nil {
+		maxPause := h.maxPause()
 		h.mu.Lock()
 		now := time.Now()
 		left, recovered := h.nextTry.Sub(now), h.recovered
 		if h.failing && left <= 0 {
-			h.nextTry = now.Add(h.maxPause()) // the other followers wait for the result of this call
+			h.nextTry = now.Add(maxPause) // the other followers wait for the result of this call
 		}
 		if !h.failing || left <= 0 {
 			h.mu.Unlock()
--- a/internal/follow/health_test.go
+++ b/internal/follow/health_test.go
@@ -119,3 +119,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against followers that hang because the pause between two calls is looked up, under the mutex of another component, while Health is
+// locked, and that component calls Health.
+func TestPauseIsLookedUpWithoutLock(t *testing.T) {
+	var health *Health
+	health = NewHealth(func() time.Duration {
+		health.TryNow()
+		return time.Millisecond
+	}, func(bool) {})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		health.failed()
+		health.failed()
+		health.wait(t.Context())
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the followers hang")
+	}
+}
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -55,7 +55,10 @@
 			n.fed.set(list, readAt)
 			n.mesh.PublishUpstreams(list, readAt)
 		},
-		StoreContact: func() bool { return !n.storeLost.Load() }, OnStoreRegained: func() { n.storeRegained.Add(1) }, Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
+		StoreContact: func() bool { return !n.storeLost.Load() }, OnStoreRegained: func() {
+			n.mesh.ListsFrom() // as the followers of the store do
+			n.storeRegained.Add(1)
+		}, Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
 	})
 	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -227,15 +227,20 @@
 		m.options.OnNewerVersion(process, version)
 	}
 	m.applyLimits(session, heartbeat.GetUpstreamLimits())
+	if m.applyHeartbeat(session, heartbeat) {
+		m.options.OnStoreRegained() // not under m.mu, because the followers of the store call this mesh
+	}
+}
+
+// applyHeartbeat records what a heartbeat says. It reports whether the store answers the other process again.
+func (m *Mesh) applyHeartbeat(session *transport.Session, heartbeat *wirev1.Heartbeat) (storeRegained bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.links[session]
-	if l == nil || l != m.linkLocked(process) {
-		return
-	}
-	if l.heard && !l.storeContact && heartbeat.GetStoreContact() {
-		m.options.OnStoreRegained()
+	if l == nil || l != m.linkLocked(session.Remote().GetProcess()) {
+		return false
 	}
+	storeRegained = l.heard && !l.storeContact && heartbeat.GetStoreContact()
 	l.storeContact = heartbeat.GetStoreContact()
 	before := l.coverage()
 	theirsBefore, processesBefore := l.theirs, l.processes
@@ -258,6 +263,7 @@
 		session.TriggerHeartbeat()
 	}
 	m.sendKnownPromptsLocked(l)
+	return storeRegained
 }
 
 // resendGroupLocked makes the next heartbeats to other relays have all work. m.mu must be held.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -65,7 +65,7 @@
 	// OnUpstreams is called with each list of upstreams that another process passes on, and the time when it was read from the store.
 	OnUpstreams func(upstreams []*fleet.Upstream, readAt time.Time)
 	// StoreContact reports whether the store answers this process, and OnStoreRegained is called when it answers another one again. Both must
-	// not block.
+	// not block. They may call this mesh.
 	StoreContact    func() bool
 	OnStoreRegained func()
 	Logger          *zap.Logger
