gateway, upstreamconn: large answers of all requests share a budget of memory

Callers would see: faulty runners that send many requests at once bytes that are no answer make the router exceed its memory.

Cause: each answer had a limit (64 KiB of head, 1 MiB an event, 256 KiB kept of a plain answer), but nothing bounded them together.

Change: internal/membudget counts what buffers hold above 16 KiB. Answers have an eighth of the memory. When it is in use, a plain answer is forwarded as it arrives, and an event or head counts as malformed. A head takes memory for its worst case while it is parsed.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -27,6 +27,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/follow"
 	"github.com/fulmardoor/fulmardoor/internal/gateway"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/peering"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/process"
@@ -99,6 +100,9 @@
 	exitMargin = 600 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit in the settings that is the Go runtime's soft memory limit.
 	memoryLimitFraction = 0.7
+	// answerMemoryFraction is the fraction of the memory limit for large heads of answers and for the bodies that are kept until they, or one of
+	// their events, are complete.
+	answerMemoryFraction = 0.125
 	// idleTimeout is longer than any idle timeout in a configuration, so that clients close idle connections first.
 	idleTimeout = 5 * time.Minute
 	// readHeaderTimeout limits how long a client may take to send its request headers.
@@ -176,11 +180,13 @@
 		},
 	})
 	prompts := quarantine.NewList()
+	answerMemory := membudget.New(int64(answerMemoryFraction * float64(s.MemoryMB) * 1e6))
+	pool.HeadMemory = answerMemory
 	r.upstreams = newUpstreamEntries(r.store.Each, logger)
 	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
-		Metrics: gateway.NewMetrics(r.registry), Logger: logger,
+		AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.storeStatus = follow.Status{Logger: logger, Health: follow.NewHealth(r.storePause, func(bool) { r.mesh.NotifyStatusChanged() })}
 	r.mesh = peering.New(peering.Options{
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -54,10 +55,13 @@
 	}
 	e.continuing = e.lastID != ""
 	reader := bufio.NewReaderSize(response.Body, 4096)
+	buffer := e.r.g.AnswerMemory.NewBuffer()
+	defer buffer.Release()
 	seen := false
 	for {
 		e.eventTimer.start() // it stands while the caller is sent an event
-		event, err := readEvent(reader)
+		err := readEvent(reader, buffer)
+		event := buffer.Bytes()
 		e.eventTimer.stop()
 		if len(event) > 0 && err == nil {
 			if !seen {
@@ -91,28 +95,30 @@
 	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: failureReason(err), Detail: "the stream was cut off: " + err.Error()}
 }
 
-// readEvent reads one event up to and including the empty line that ends it, with the empty lines before it. Lines end with a
-// line feed, which a carriage return may precede. On an error it also returns the partial event.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var event []byte
+// readEvent reads one event into a buffer, up to and including the empty line that ends it, with the empty lines before it. Lines end with
+// a line feed, which a carriage return may precede. On an error the buffer has the partial event.
+func readEvent(reader *bufio.Reader, event *membudget.Buffer) error {
+	event.Reset()
 	lineStart, hasText := 0, false
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		if event.Append(line) != nil {
+			return errors.Wrapf(upstreamconn.ErrMalformed, "no memory for an event of more than %d bytes", event.Len())
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event, err
+			return err
 		}
-		if len(event) > maxEventBytes {
-			return event, errors.Wrapf(upstreamconn.ErrMalformed, "event exceeds %d bytes", maxEventBytes)
+		if event.Len() > maxEventBytes {
+			return errors.Wrapf(upstreamconn.ErrMalformed, "event exceeds %d bytes", maxEventBytes)
 		}
 		if err != nil {
 			continue // the line is longer than the buffer of the reader
 		}
-		empty := len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0
+		empty := len(bytes.TrimRight(event.Bytes()[lineStart:], "\r\n")) == 0
 		if empty && hasText {
-			return event, nil
+			return nil
 		}
-		lineStart, hasText = len(event), !empty
+		lineStart, hasText = event.Len(), !empty
 	}
 }
 
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 )
 
 // Guards against an event that is split, or joined with the next one, because a line ends at the end of a read buffer.
@@ -21,12 +23,15 @@
 				"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader,
 			} {
 				reader := bufio.NewReaderSize(wrap(strings.NewReader(strings.Join(want, ""))), size)
+				buffer := membudget.New(0).NewBuffer()
 				for i, event := range want {
-					if got, err := readEvent(reader); err != nil || string(got) != event {
+					err := readEvent(reader, buffer)
+					if got := buffer.Bytes(); err != nil || string(got) != event {
 						t.Errorf("line of %d bytes, line end %q, %s: event %d is %q (%v), want %q", length+5, lineEnd, name, i, got, err, event)
 					}
 				}
-				if got, err := readEvent(reader); err != io.EOF || len(got) > 0 {
+				err := readEvent(reader, buffer)
+				if got := buffer.Bytes(); err != io.EOF || len(got) > 0 {
 					t.Errorf("line of %d bytes, line end %q, %s: %q (%v) after the last event", length+5, lineEnd, name, got, err)
 				}
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
@@ -50,9 +51,11 @@
 	// Quarantine has the prompts that crash engines.
 	Quarantine *quarantine.List
 	// Limits has the rates to which upstreams limit their requests.
-	Limits  *upstreamrate.Limits
-	Metrics *Metrics
-	Logger  *zap.Logger
+	Limits *upstreamrate.Limits
+	// AnswerMemory bounds what all requests keep of the bodies of answers at a time; nil for no bound.
+	AnswerMemory *membudget.Budget
+	Metrics      *Metrics
+	Logger       *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers. Create it with New.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -430,6 +430,7 @@
 // stream has already started.
 func (r *request) forwardEngineError(answer *plainAnswer, out *eventWriter) error {
 	if out.headerSent || r.route.Repeatable() && r.possibleRuns+1 < r.route.Attempts {
+		answer.body.Release()
 		return &verdict.Refusal{Verdict: verdict.Ran, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "the engine answered with an error"}
 	}
 	return r.deliver(answer)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -13,6 +13,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
@@ -88,7 +89,7 @@
 type plainAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *membudget.Buffer
 	rest   *upstreamconn.Response // the rest of a large answer; nil if body is complete
 	work   *placement.Work        // ended after rest was sent
 	// upstream is the one that sent the answer, and purpose the one of the call in metrics.
@@ -96,10 +97,14 @@
 	purpose  string
 }
 
-// readAnswer reads an answer up to its end, or the beginning of a large one. An upstream whose answer is cut off becomes suspect.
+// readAnswer reads an answer up to its end, or the beginning of a large one. While the memory for answers is in use, smaller ones count as
+// large, and are not retried if they are cut off. An upstream whose answer is cut off becomes suspect.
 func (r *request) readAnswer(response *upstreamconn.Response, upstream *fleet.Upstream, work *placement.Work, purpose string) (*plainAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
-	if err != nil {
+	body := r.g.AnswerMemory.NewBuffer()
+	err := body.Fill(response.Body, maxBufferedAnswer)
+	large := err == nil && body.Len() == maxBufferedAnswer || errors.Is(err, membudget.ErrExhausted)
+	if err != nil && !large {
+		body.Release()
 		if !errors.Is(r.ctx.Err(), context.Canceled) { // the caller is still there
 			r.g.Board.MarkSuspect(upstream.ID, time.Now())
 		}
@@ -107,14 +112,15 @@
 		return nil, truncatedAnswer(err)
 	}
 	answer := &plainAnswer{status: response.Status, header: response.Header, body: body, work: work, upstream: upstream, purpose: purpose}
-	if len(body) == maxBufferedAnswer {
+	if large {
 		answer.rest = response
 	}
 	return answer, nil
 }
 
-// close drops the rest of a large answer.
+// close frees the answer and drops the rest of a large one.
 func (a *plainAnswer) close() {
+	a.body.Release()
 	if a.rest != nil {
 		a.rest.Close()
 		a.work.End()
@@ -173,27 +179,27 @@
 	return answer, nil
 }
 
-// deliver sends an answer to the caller.
+// deliver sends an answer to the caller and closes it.
 func (r *request) deliver(answer *plainAnswer) error {
+	defer answer.close()
 	header := r.w.Header()
 	for name, values := range r.g.Protocol.ResponseHeader(answer.header) {
 		header[name] = values
 	}
 	r.status = answer.status
 	if answer.rest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+		header.Set("Content-Length", strconv.Itoa(answer.body.Len()))
 		r.written = true
 		r.writeHeader(answer.status)
-		return wrapForwardError(r.w.Write(answer.body))
+		return wrapForwardError(r.w.Write(answer.body.Bytes()))
 	}
-	defer answer.close()
 	r.written = true
 	r.writeHeader(answer.status)
-	rest := &restReader{body: answer.rest.Body, left: maxUnsizedAnswer - len(answer.body)}
+	rest := &restReader{body: answer.rest.Body, left: maxUnsizedAnswer - answer.body.Len()}
 	if answer.rest.Length >= 0 {
 		rest.left = math.MaxInt
 	}
-	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body), rest))
+	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(answer.body.Bytes()), rest))
 	if rest.err == nil {
 		r.g.Metrics.CountSend(answer.purpose, "answered")
 		if err == nil {
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -56,17 +56,21 @@
 }
 
 func startNamedRouter(t *testing.T, name string, store *memory.Store, stopGrace time.Duration) *soakRouter {
+	t.Helper()
+	return startRouterWith(t, store, platformtest.RouterSettings{Name: name, StopGraceS: int(stopGrace.Seconds())})
+}
+
+// startRouterWith starts a router process with some settings, to which it adds the addresses.
+func startRouterWith(t *testing.T, store *memory.Store, settings platformtest.RouterSettings) *soakRouter {
 	t.Helper()
 	trackSources()
 	server := httptest.NewServer(platformtest.NewStore(store))
 	t.Cleanup(server.Close)
 	c := &soakCluster{t: t, dir: t.TempDir()}
-	r := &soakRouter{name: name, callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, name+".conf")}
+	r := &soakRouter{name: settings.Name, callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, settings.Name+".conf")}
 	host, port := splitAddress(t, freeAddress(t))
-	settings := platformtest.RouterSettings{
-		Name: r.name, Host: host, Zone: "here", Store: server.Listener.Addr().String(), Callers: r.callerAddress, Ready: r.readyAddress,
-		Ports: port + "," + port, StopGraceS: int(stopGrace.Seconds()), RateSlack: soakRateSlack,
-	}
+	settings.Host, settings.Zone, settings.Store, settings.RateSlack = host, "here", server.Listener.Addr().String(), soakRateSlack
+	settings.Callers, settings.Ready, settings.Ports = r.callerAddress, r.readyAddress, port+","+port
 	if err := os.WriteFile(r.settingsFile, settings.Text(), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -2,14 +2,14 @@
 
 import (
 	"bufio"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 )
 
 // readBufferBytes is enough for the headers of most responses. Larger headers take several reads.
@@ -19,8 +19,8 @@
 type conn struct {
 	net.Conn
 	address string
-	// received limits the bytes that reader may still read from Conn.
-	received *io.LimitedReader
+	// received limits what reader reads from Conn while it reads a head.
+	received *headLimit
 	reader   *bufio.Reader
 	// expires is when the connection must no longer be reused.
 	expires time.Time
@@ -30,8 +30,8 @@
 	responded bool
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	c := &conn{Conn: raw, address: address, received: &io.LimitedReader{R: raw, N: math.MaxInt64}}
+func newConn(raw net.Conn, address string, memory *membudget.Budget) *conn {
+	c := &conn{Conn: raw, address: address, received: &headLimit{source: raw, memory: memory}}
 	c.reader = bufio.NewReaderSize(c.received, readBufferBytes)
 	return c
 }
--- a/internal/upstreamconn/endless_test.go
+++ b/internal/upstreamconn/endless_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 )
 
 // endlessUpstream is a Dialer with one connection to an upstream that responds to the first request with start, and then sends
@@ -79,3 +81,32 @@
 		checkEndless(t, name, u, 2*maxStaleBodyBytes)
 	}
 }
+
+// Guards against large heads of many responses that together take more memory than the budget, against memory that is not returned, and against an
+// ordinary head that needs any.
+func TestLargeHeadsShareMemory(t *testing.T) {
+	large := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nA: " + strings.Repeat("a", 30_000) + "\r\n\r\nok"
+	const enough = headGrowth * 32 << 10
+	for _, c := range []struct {
+		name     string
+		budget   int64
+		response string
+		want     bool
+	}{
+		{"ordinary head", 0, okResponse("1", "ok"), true},
+		{"large head", enough, large, true},
+		{"large head, too little memory", enough / 2, large, false},
+		{"after a large head of another response", enough, strings.Replace(large, "Id: 1", "Id: other", 1) + large, true},
+		{"head without end", enough, large[:20_000], false},
+	} {
+		pool := New(nil)
+		pool.HeadMemory = membudget.New(c.budget)
+		body, err := get(t, pool, startScripted(t, []string{c.response}).address, http.MethodGet, "1")
+		if got := err == nil && body == "ok"; got != c.want {
+			t.Errorf("%s: %q, %v, want an answer: %v", c.name, body, err, c.want)
+		}
+		if used := pool.HeadMemory.Used(); used != 0 {
+			t.Errorf("%s: %d bytes are taken after the end of the response", c.name, used)
+		}
+	}
+}
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,9 +25,6 @@
 // maxStaleBodyBytes is the size from which the body of a response to an earlier request is not skipped: the request fails.
 const maxStaleBodyBytes = 1 << 20
 
-// maxHeadBytes limits the status line and headers of a response, including the informational responses before it.
-const maxHeadBytes = 64 << 10
-
 // Request is a request to one upstream. Apart from Host and Content-Length, Header has every header that is sent.
 type Request struct {
 	Address string
@@ -82,6 +78,7 @@
 	response, err := c.exchange(ctx, r)
 	if err != nil {
 		stop()
+		c.received.release()
 		_ = c.Close()
 		if !c.writeStarted {
 			err = errors.Join(ErrNotSent, err)
@@ -128,13 +125,20 @@
 }
 
 // readHead reads the status and headers of the next response. It skips informational responses.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.received.N = maxHeadBytes
-	defer func() { c.received.N = math.MaxInt64 }()
+func (c *conn) readHead(method string) (raw *http.Response, err error) {
+	c.received.release()
+	c.received.begin()
+	defer func() {
+		var header http.Header
+		if raw != nil {
+			header = raw.Header
+		}
+		c.received.end(header)
+	}()
 	for {
-		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil && c.received.N <= 0 {
-			return nil, errors.Wrapf(ErrMalformed, "head exceeds %d bytes", maxHeadBytes)
+		raw, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.received.exceeded {
+			return nil, errors.Wrapf(ErrMalformed, "head exceeds %d bytes, or the memory for heads", c.received.read)
 		}
 		if err != nil || raw.StatusCode >= http.StatusOK {
 			return raw, markMalformed(err)
@@ -215,6 +219,7 @@
 func (r *Response) Discard() {
 	r.closeOnce.Do(func() {
 		r.stopCancel()
+		r.conn.received.release()
 		_ = r.conn.Close()
 	})
 }
@@ -223,6 +228,7 @@
 // it otherwise.
 func (r *Response) Close() {
 	r.closeOnce.Do(func() {
+		r.conn.received.release()
 		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.bodyWritten() && r.conn.reader.Buffered() == 0
 		if !reusable {
 			_ = r.conn.Close()
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 )
 
 const (
@@ -40,6 +42,9 @@
 
 // Pool holds idle connections by address. Its methods may be called concurrently.
 type Pool struct {
+	// HeadMemory bounds the memory of all large heads of responses at a time; nil for no bound. It is set before the first request.
+	HeadMemory *membudget.Budget
+
 	dialer Dialer
 
 	mu   sync.Mutex // guards idle
@@ -110,7 +115,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errors.Join(ErrNotSent, err), "dial")
 	}
-	return newConn(raw, address), nil
+	return newConn(raw, address, p.HeadMemory), nil
 }
 
 func (p *Pool) takeIdle(address string) *conn {
