call: answers that are kept for repeated requests have a bound

Callers would see: a service that sends the answer to a booking without end makes its sidecar exceed its memory; it ends with the calls of all callers.

Cause: of a call with an idempotency key, the sidecar keeps all acknowledged frames for 60 s to answer a repeat. Nothing bounded them, neither of one call nor of all.

Change: frames are kept up to 4 MiB a call and 32 MiB of all calls, apart from the first 4 KiB of each, so that ordinary answers are kept whatever the others take. A repeat of a call whose answer is not kept is refused at once with earlier_run_unknown and the verdict of the first run; it never runs again.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 )
 
 // Observer is the generation of streams that only read the answer, besides the stream that delivers it to the caller.
@@ -17,6 +18,15 @@
 // MaxBufferedBytes is the limit of unacknowledged answer bytes of one call, above which Emit blocks.
 const MaxBufferedBytes = 1 << 20
 
+const (
+	// MaxKeptBytes is the size up to which an answer is kept for repeated requests. A larger one is not sent again.
+	MaxKeptBytes = 4 << 20
+	// keptMemoryBytes is the size of all kept answers together, apart from the first keptUncountedBytes of each. Ordinary answers are therefore
+	// kept whatever the others take.
+	keptMemoryBytes    = 32 << 20
+	keptUncountedBytes = 4 << 10
+)
+
 // Errors of a Call.
 var (
 	// ErrSuperseded means that the stream no longer delivers the answer: a newer one has taken over, or it was detached.
@@ -43,10 +53,13 @@
 	cancel context.CancelCauseFunc
 	// resumeWindow is how long the call goes on without an attached stream; 0 means until it ends.
 	resumeWindow time.Duration
-	// keepFrames is set if acknowledged frames are kept to deliver the answer again to a repeated request.
-	keepFrames bool
 
-	mu           sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// keepFrames is set if acknowledged frames are kept to deliver the answer again to a repeated request. keptBytes is their size; what is
+	// above keptUncountedBytes is taken from keptMemory.
+	keepFrames   bool
+	keptBytes    int
+	keptMemory   *membudget.Budget
 	frames       []*wirev1.Frame
 	firstNumber  uint64 // number of frames[0]
 	ackedNumber  uint64
@@ -59,9 +72,10 @@
 	changed      chan struct{} // closed at the next change; nil while no goroutine waits
 }
 
-func newCall(id ID, account string, resumeWindow time.Duration, keepFrames bool) *Call {
+// newCall returns a call. With a budget, acknowledged frames are kept while it has memory for them.
+func newCall(id ID, account string, resumeWindow time.Duration, keptMemory *membudget.Budget) *Call {
 	c := &Call{
-		ID: id, Account: account, resumeWindow: resumeWindow, keepFrames: keepFrames,
+		ID: id, Account: account, resumeWindow: resumeWindow, keepFrames: keptMemory != nil, keptMemory: keptMemory,
 		firstNumber: 1,
 	}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
@@ -145,10 +159,15 @@
 	if number <= c.ackedNumber || number >= c.firstNumber+uint64(len(c.frames)) {
 		return
 	}
+	acked := 0
 	for n := c.ackedNumber + 1; n <= number; n++ {
-		c.unackedBytes -= proto.Size(c.frames[n-c.firstNumber])
+		acked += proto.Size(c.frames[n-c.firstNumber])
 	}
+	c.unackedBytes -= acked
 	c.ackedNumber = number
+	if c.keepFrames && !c.keep(acked) {
+		c.forgetKept()
+	}
 	if !c.keepFrames {
 		dropped := number + 1 - c.firstNumber
 		clear(c.frames[:dropped]) // frees the frames, as the array stays allocated
@@ -161,6 +180,32 @@
 	c.notify()
 }
 
+// keep counts further bytes of acknowledged frames. It returns false if there is no memory to keep them. The caller holds mu.
+func (c *Call) keep(bytes int) bool {
+	before := max(0, c.keptBytes-keptUncountedBytes)
+	after := max(0, c.keptBytes+bytes-keptUncountedBytes)
+	if c.keptBytes+bytes > MaxKeptBytes || !c.keptMemory.Take(int64(after-before)) {
+		return false
+	}
+	c.keptBytes += bytes
+	return true
+}
+
+// forgetKept returns the memory of the kept frames, which are not kept any more. The caller holds mu.
+func (c *Call) forgetKept() {
+	c.keptMemory.Return(int64(max(0, c.keptBytes-keptUncountedBytes)))
+	c.keepFrames, c.keptBytes = false, 0
+}
+
+// Forget frees the memory of a call that is no longer registered.
+func (c *Call) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.keepFrames {
+		c.forgetKept()
+	}
+}
+
 // Attach registers a new stream as the one that delivers the answer and returns its generation.
 func (c *Call) Attach() int {
 	c.mu.Lock()
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,7 +119,7 @@
 // Guards against unbounded buffering of an upstream's answer while the entry acknowledges nothing.
 func TestBackpressure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCall(ID{}, "a", time.Second, false)
+		c := newCall(ID{}, "a", time.Second, nil)
 		emitted := 0
 		go func() {
 			for c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpBody{HttpBody: make([]byte, 64<<10)}}) == nil {
@@ -175,3 +176,49 @@
 		}
 	})
 }
+
+// Guards against answers that are kept for repeated requests and take ever more memory: a long one, and many together. Ordinary answers
+// are kept all the same.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	issuer := transport.NewNonceIssuer(1)
+	r := NewRegistry(issuer, 0)
+	answer := func(sequence uint64, bytes int) *Call {
+		t.Helper()
+		req := execute(issuer, sequence)
+		req.Work = &wirev1.Work{Kind: &wirev1.Work_Http{Http: &wirev1.HTTPWork{IdempotencyKey: fmt.Sprint(sequence)}}}
+		c, _, err := r.Start(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for number := uint64(1); bytes > 0; number++ {
+			chunk := min(bytes, 32<<10)
+			if err := c.Emit(&wirev1.Frame{Body: &wirev1.Frame_HttpBody{HttpBody: make([]byte, chunk)}}); err != nil {
+				t.Fatal(err)
+			}
+			c.Ack(number)
+			bytes -= chunk
+		}
+		c.Finish(&wirev1.Outcome{Verdict: wirev1.Verdict_VERDICT_RAN})
+		return c
+	}
+	kept := func(c *Call) bool {
+		_, err := c.Next(t.Context(), Observer, 1)
+		return err == nil
+	}
+	if long := answer(1, 100<<20); kept(long) || len(long.frames) > 1 {
+		t.Errorf("an answer of 100 MB is kept, with %d frames", len(long.frames))
+	}
+	const count, size = 100, 900 << 10
+	memory := 0
+	for i := range count {
+		if kept(answer(uint64(10+i), size)) {
+			memory += size
+		}
+	}
+	if memory > keptMemoryBytes || memory < keptMemoryBytes-2*size {
+		t.Errorf("%d MB of answers of 900 KB are kept, the limit is %d", memory>>20, keptMemoryBytes>>20)
+	}
+	if !kept(answer(2, 800)) {
+		t.Error("an ordinary answer is not kept")
+	}
+}
--- a/internal/call/registry.go
+++ b/internal/call/registry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
@@ -32,6 +33,7 @@
 type Registry struct {
 	issuer       *transport.NonceIssuer
 	resumeWindow time.Duration
+	keptMemory   *membudget.Budget
 
 	mu               sync.Mutex // guards the fields below
 	calls            map[ID]*Call
@@ -46,7 +48,7 @@
 		resumeWindow = DefaultResumeWindow
 	}
 	return &Registry{
-		issuer: issuer, resumeWindow: resumeWindow, lastSweep: time.Now(),
+		issuer: issuer, resumeWindow: resumeWindow, keptMemory: membudget.New(keptMemoryBytes), lastSweep: time.Now(),
 		calls: make(map[ID]*Call), barred: make(map[ID]time.Time), byIdempotencyKey: make(map[idempotencyKey]*Call),
 	}
 }
@@ -71,7 +73,11 @@
 	if earlier, ok := r.byIdempotencyKey[key]; ok && key.key != "" {
 		return earlier, false, nil
 	}
-	c = newCall(id, req.GetAccount(), r.resumeWindowFor(req.GetWork()), key.key != "")
+	var keptMemory *membudget.Budget
+	if key.key != "" {
+		keptMemory = r.keptMemory
+	}
+	c = newCall(id, req.GetAccount(), r.resumeWindowFor(req.GetWork()), keptMemory)
 	r.calls[id] = c
 	if key.key != "" {
 		r.byIdempotencyKey[key] = c
@@ -199,6 +205,7 @@
 	for id, c := range r.calls {
 		if c.expired(now) {
 			delete(r.calls, id)
+			c.Forget()
 		}
 	}
 	for key, c := range r.byIdempotencyKey {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -266,7 +266,7 @@
 		defer cancel()
 		receiveAcks(c, stream)
 	}()
-	s.sendFrames(ctx, c, stream, generation, next)
+	_, _ = s.sendFrames(ctx, c, stream, generation, next)
 	if c.Outcome() != nil {
 		<-ctx.Done() // the last acknowledgement or the end of the stream
 	}
@@ -282,19 +282,21 @@
 	}
 }
 
+// sendFrames sends the frames of a call, starting at number next, up to its outcome. On an error it returns the number of the first frame that
+// was not sent.
 func (s *Sidecar) sendFrames(
 	ctx context.Context, c *call.Call, stream *transport.Stream, generation int, next uint64,
-) {
+) (unsent uint64, err error) {
 	for {
 		frame, err := c.Next(ctx, generation, next)
 		if err != nil {
-			return
+			return next, err
 		}
 		if err := stream.Send(frame); err != nil {
-			return
+			return next, err
 		}
 		if frame.GetOutcome() != nil {
-			return
+			return 0, nil
 		}
 		next++
 	}
@@ -311,7 +313,16 @@
 			continue
 		}
 	}()
-	s.sendFrames(ctx, c, stream, call.Observer, 1)
+	if unsent, err := s.sendFrames(ctx, c, stream, call.Observer, 1); errors.Is(err, call.ErrFramesDropped) {
+		outcome := &wirev1.Outcome{
+			Verdict: wirev1.Verdict_VERDICT_MAY_HAVE_RUN, Reason: wirev1.Reason_REASON_EARLIER_RUN_UNKNOWN, Nonce: s.issuer.Issue(),
+			Detail: "the response of the first attempt with this idempotency key is too large to be sent again",
+		}
+		if first := c.Outcome(); first != nil {
+			outcome.Verdict = first.GetVerdict()
+		}
+		s.reply(stream, &wirev1.Frame{Number: unsent, Body: &wirev1.Frame_Outcome{Outcome: outcome}})
+	}
 	<-ctx.Done()
 }
 
