httpengine, sidecar: responses of upstreams have limits by their kind

Callers would see: an engine or service that sends bytes that are no answer, in a head or a body, makes its sidecar exceed its memory; it ends with the calls of all callers.

Cause: heads had net/http's limit of 10 MB, which are over a hundred as parsed headers; each response of an engine 64 MiB, read whole and then decoded, several at a time; an event 1 MiB.

--- a/internal/engine/httpengine/answers_test.go
+++ b/internal/engine/httpengine/answers_test.go
@@ -117,3 +117,43 @@
 		}
 	}
 }
+
+// Guards against a cache state that is read wrongly, or taken for whole although it is cut off or too large, and against events that are
+// too many to be read and are asked for again for good.
+func TestCacheStates(t *testing.T) {
+	var body string
+	e := startRawEngine(t, func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(conn, rawResponse("200 OK", "application/json", body))
+	})
+	many := func(count int) string {
+		return `{"number":7,"hashes":[` + strings.Repeat("1,", count-1) + `1]}`
+	}
+	for _, c := range []struct {
+		body   string
+		hashes int // -1 for an error
+	}{
+		{`{"number":7,"hashes":[]}`, 0},
+		{`{"number":7,"hashes":null}`, 0},
+		{` { "hashes" : [ 1 , 18446744073709551615 ] , "number" : 7 }`, 2},
+		{`{"number":7,"new":{"list":[1,"]}"]},"hashes":[1]}`, 1},
+		{many(300_000), 300_000},
+		{many(3_000_000), -1},
+		{`{"number":7,"new":"` + strings.Repeat("x", 1<<20) + `","hashes":[1]}`, -1},
+		{`{"number":7,"hashes":[1,2`, -1},
+		{`{"number":7,"hashes":[1]`, -1},
+		{`{"number":7,"hashes":[-1]}`, -1},
+		{`{"number":7,"hashes":5}`, -1},
+		{`[]`, -1},
+		{``, -1},
+	} {
+		body = c.body
+		state, err := e.CacheState(t.Context())
+		if (err == nil) != (c.hashes >= 0) || err == nil && (state.Number != 7 || len(state.Hashes) != c.hashes) {
+			t.Errorf("%.40s: %d hashes, number %d, %v, want %d", c.body, len(state.Hashes), state.Number, err, c.hashes)
+		}
+	}
+	body = `{"events":[` + strings.Repeat(`{"number":1},`, 400_000) + `{"number":1}]}`
+	if _, err := e.CacheEvents(t.Context(), 0, 0); !errors.Is(err, engine.ErrEventsLost) {
+		t.Errorf("too many events: %v, want ErrEventsLost", err)
+	}
+}
--- a/internal/engine/httpengine/call.go
+++ b/internal/engine/httpengine/call.go
@@ -18,27 +18,40 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a response that is read into memory. A cache state with a million hashes has
-	// 21 MB.
-	maxResponseBytes = 64 << 20
+	// maxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB, which take a hundred as parsed headers.
+	maxHeadBytes = 64 << 10
+	// maxControlBytes is the maximum size of a response that is not a stream, apart from those about the prefix cache. Many are read at
+	// a time, and the values in them take up to 30 times the memory of their text.
+	maxControlBytes = 64 << 10
+	// maxCacheEventsBytes is the maximum size of a response with events of the prefix cache, about 90,000 events.
+	maxCacheEventsBytes = 4 << 20
 	// maxErrorBodyBytes is the maximum size of an error body that is read.
 	maxErrorBodyBytes = 64 << 10
 )
 
-// call sends a request and decodes the JSON response. With a nil requestBody it sends no body; with a nil responseBody it
-// discards the response.
-func (e *Engine) call(ctx context.Context, client *http.Client, method, path, requestID string, requestBody, responseBody any) error {
+// errTooLarge means that a response exceeds its maximum size.
+var errTooLarge = errors.New("response too large")
+
+// call sends a request and decodes the JSON response, which has at most maxBytes. With a nil requestBody it sends no body; with a nil
+// responseBody it discards the response.
+func (e *Engine) call(ctx context.Context, client *http.Client, method, path, requestID string, requestBody, responseBody any, maxBytes int64) error {
 	response, err := e.send(ctx, client, method, path, requestID, requestBody)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if responseBody == nil {
+		if _, err := io.CopyN(io.Discard, response.Body, maxBytes); err != nil && err != io.EOF {
+			return brokenError(ctx, err)
+		}
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
 	if err != nil {
 		return brokenError(ctx, err)
 	}
-	if responseBody == nil {
-		return nil
+	if int64(len(data)) > maxBytes {
+		return errors.Wrapf(errTooLarge, "%s: more than %d bytes", path, maxBytes)
 	}
 	if err := json.Unmarshal(data, responseBody); err != nil {
 		return errors.Wrapf(err, "decode response of %s", path)
--- a/internal/engine/httpengine/engine.go
+++ b/internal/engine/httpengine/engine.go
@@ -36,21 +36,25 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Engine{baseURL: strings.TrimSuffix(baseURL, "/"), client: client, singleUse: withoutKeepAlive(client)}
+	limited := withTransport(client, func(t *http.Transport) { t.MaxResponseHeaderBytes = maxHeadBytes })
+	return &Engine{
+		baseURL: strings.TrimSuffix(baseURL, "/"), client: limited,
+		singleUse: withTransport(limited, func(t *http.Transport) { t.DisableKeepAlives = true }),
+	}
 }
 
-// withoutKeepAlive returns a copy of a client that opens a connection for each request, unless its transport is not net/http's.
-func withoutKeepAlive(client *http.Client) *http.Client {
-	single := *client
-	if single.Transport == nil {
-		single.Transport = http.DefaultTransport
+// withTransport returns a copy of a client whose transport is changed, unless that is not net/http's.
+func withTransport(client *http.Client, change func(*http.Transport)) *http.Client {
+	changed := *client
+	if changed.Transport == nil {
+		changed.Transport = http.DefaultTransport
 	}
-	if transport, ok := single.Transport.(*http.Transport); ok {
+	if transport, ok := changed.Transport.(*http.Transport); ok {
 		transport = transport.Clone()
-		transport.DisableKeepAlives = true
-		single.Transport = transport
+		change(transport)
+		changed.Transport = transport
 	}
-	return &single
+	return &changed
 }
 
 // Prefill implements engine.Engine.
@@ -64,7 +68,7 @@
 		KVTransfer: &vllm.KVTransfer{DoRemoteDecode: true},
 	}
 	response := new(vllm.CompletionResponse)
-	if err := e.call(ctx, e.singleUse, http.MethodPost, "/v1/completions", requestID, request, response); err != nil {
+	if err := e.call(ctx, e.singleUse, http.MethodPost, "/v1/completions", requestID, request, response, maxControlBytes); err != nil {
 		return engine.PrefillResult{}, err
 	}
 	return prefillResult(response)
@@ -131,12 +135,12 @@
 
 // Release implements engine.Engine.
 func (e *Engine) Release(ctx context.Context, handle string) error {
-	return e.call(ctx, e.client, http.MethodPost, "/release", "", &vllm.ReleaseRequest{Handle: handle}, nil)
+	return e.call(ctx, e.client, http.MethodPost, "/release", "", &vllm.ReleaseRequest{Handle: handle}, nil, maxControlBytes)
 }
 
 // AbortAll implements engine.Engine.
 func (e *Engine) AbortAll(ctx context.Context) error {
-	return e.call(ctx, e.client, http.MethodPost, "/abort_requests", "", struct{}{}, nil)
+	return e.call(ctx, e.client, http.MethodPost, "/abort_requests", "", struct{}{}, nil, maxControlBytes)
 }
 
 // CacheEvents implements engine.Engine.
@@ -145,7 +149,11 @@
 	query.Set("after", strconv.FormatUint(after, 10))
 	query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	response := new(vllm.CacheEvents)
-	if err := e.call(ctx, e.client, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, response); err != nil {
+	err := e.call(ctx, e.client, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, response, maxCacheEventsBytes)
+	if errors.Is(err, errTooLarge) { // the full cache state replaces them
+		return nil, errors.Wrap(engine.ErrEventsLost, err.Error())
+	}
+	if err != nil {
 		return nil, err
 	}
 	events := make([]engine.CacheEvent, 0, len(response.Events))
@@ -157,11 +165,16 @@
 
 // CacheState implements engine.Engine.
 func (e *Engine) CacheState(ctx context.Context) (engine.CacheState, error) {
-	response := new(vllm.CacheState)
-	if err := e.call(ctx, e.client, http.MethodGet, "/kv_cache", "", nil, response); err != nil {
+	response, err := e.send(ctx, e.client, http.MethodGet, "/kv_cache", "", nil)
+	if err != nil {
 		return engine.CacheState{}, err
 	}
-	return engine.CacheState{Number: response.Number, Hashes: response.Hashes}, nil
+	defer response.Body.Close()
+	state, err := readCacheState(response.Body)
+	if err != nil {
+		return engine.CacheState{}, errors.Wrap(wrapWithKind(ctx, engine.ErrBroken, err), "cache state")
+	}
+	return state, nil
 }
 
 // Order implements engine.Engine.
@@ -178,5 +191,5 @@
 	case wirev1.EngineRole_ENGINE_ROLE_DECODE:
 		requestBody.ChangeRole = vllm.RoleDecode
 	}
-	return e.call(ctx, e.singleUse, http.MethodPost, "/orders", "", requestBody, nil)
+	return e.call(ctx, e.singleUse, http.MethodPost, "/orders", "", requestBody, nil, maxControlBytes)
 }
--- a/internal/engine/httpengine/load.go
+++ b/internal/engine/httpengine/load.go
@@ -14,6 +14,9 @@
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
 )
 
+// maxMetricsBytes is the maximum size of the metrics of an engine, which have some KB.
+const maxMetricsBytes = 4 << 20
+
 // Load implements engine.Engine.
 func (e *Engine) Load(ctx context.Context) (engine.Load, error) {
 	response, err := e.send(ctx, e.client, http.MethodGet, "/metrics", "", nil)
@@ -21,7 +24,7 @@
 		return engine.Load{}, err
 	}
 	defer response.Body.Close()
-	values, err := readGauges(io.LimitReader(response.Body, maxResponseBytes))
+	values, err := readGauges(io.LimitReader(response.Body, maxMetricsBytes))
 	if err != nil {
 		return engine.Load{}, brokenError(ctx, err)
 	}
--- a/internal/engine/httpengine/stream.go
+++ b/internal/engine/httpengine/stream.go
@@ -13,8 +13,9 @@
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one event of a stream, which has the text of one token. As many are read at a time as the engine has
+// places.
+const maxEventBytes = 128 << 10
 
 var dataPrefix = []byte("data:")
 
--- a/internal/processtest/answer_memory_test.go
+++ b/internal/processtest/answer_memory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -92,18 +91,7 @@
 	if a.name == "error body" {
 		status, head = "500 Internal Server Error", "\r\n"
 	}
-	if _, err := io.WriteString(c, r.ResponseHead(in, status)+head); err != nil {
-		return
-	}
-	for sent := 0; sent < a.size; {
-		n, err := io.WriteString(c, a.line)
-		if err != nil {
-			return
-		}
-		sent += n
-	}
-	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
-	_, _ = io.Copy(io.Discard, c) // until the caller closes
+	sendUntilClosed(c, r.ResponseHead(in, status)+head, a.line, a.size)
 }
 
 // Guards against a router that runs out of memory, and ends with the requests of all callers, because faulty runners send many requests
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -19,6 +19,8 @@
 const (
 	bodyChunkBytes     = 32 << 10
 	serviceDialTimeout = 2 * time.Second
+	// maxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB, which take a hundred as parsed headers.
+	maxHeadBytes = 64 << 10
 )
 
 // ServiceUpstream runs calls of a plain HTTP service.
@@ -41,7 +43,7 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &ServiceUpstream{
 		baseURL:   baseURL,
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
 	}
 }
 
