gateway: bodies of requests in flight share a budget of memory

Cause: each body was read whole, with growing buffers, and copied once more for the head of the request to the runner; nothing bounded all bodies together.

Evidence: 40 callers with bodies of 4 MiB,: 252 MB, limit 134.

Change: bodies have 34% of the memory. What does not fit is refused at once with 503 and Retry-After, before it is read if its length is known; the rest is dropped, so that the caller can read the refusal. The copy is gone. A body that is larger than this memory is refused with 413.

--- a/cmd/fulmardoor-router/metrics.go
+++ b/cmd/fulmardoor-router/metrics.go
@@ -19,6 +19,7 @@
 		{"fulmardoor_router_members", "Routers in the store.", func() float64 { return float64(r.mesh.Status().Members) }},
 		{"fulmardoor_router_known", "Routers whose reports arrive, this one included.", func() float64 { return float64(r.mesh.Status().Known) }},
 		{"fulmardoor_router_connections", "Routers that are connected directly.", func() float64 { return float64(r.mesh.Status().Connections) }},
+		{"fulmardoor_router_body_memory_bytes", "Memory taken by large bodies of requests in flight.", func() float64 { return float64(r.gateway.BodyMemory.Used()) }},
 		{"fulmardoor_router_answer_memory_bytes", "Memory taken by large answers that are not complete.", func() float64 { return float64(r.gateway.AnswerMemory.Used()) }},
 		{"fulmardoor_router_requests_running", "Requests in flight.", func() float64 { return float64(r.gateway.Running()) }},
 	} {
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -103,6 +103,9 @@
 	// answerMemoryFraction is the fraction of the memory limit for large heads of answers and for the bodies that are kept until they, or one of
 	// their events, are complete.
 	answerMemoryFraction = 0.125
+	// bodyMemoryFraction is the fraction of the memory limit for the bodies of requests in flight. With answerMemoryFraction and what a
+	// process needs without bodies, it stays below memoryLimitFraction.
+	bodyMemoryFraction = 0.34
 	// idleTimeout is longer than any idle timeout in a configuration, so that clients close idle connections first.
 	idleTimeout = 5 * time.Minute
 	// readHeaderTimeout limits how long a client may take to send its request headers.
@@ -180,13 +183,13 @@
 		},
 	})
 	prompts := quarantine.NewList()
-	answerMemory := membudget.New(int64(answerMemoryFraction * float64(s.MemoryMB) * 1e6))
+	answerMemory := memoryShare(s, answerMemoryFraction)
 	pool.HeadMemory = answerMemory
 	r.upstreams = newUpstreamEntries(r.store.Each, logger)
 	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
-		AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
+		BodyMemory: memoryShare(s, bodyMemoryFraction), AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.storeStatus = follow.Status{Logger: logger, Health: follow.NewHealth(r.storePause, func(bool) { r.mesh.NotifyStatusChanged() })}
 	r.mesh = peering.New(peering.Options{
@@ -218,6 +221,11 @@
 	return r
 }
 
+// memoryShare returns a budget of a fraction of the memory limit.
+func memoryShare(s *platform.Settings, fraction float64) *membudget.Budget {
+	return membudget.New(int64(fraction * float64(s.MemoryMB) * 1e6))
+}
+
 // listMembers lists the keys of the processes. Values that are too long for an address are not kept.
 func (r *router) listMembers(ctx context.Context, prefix string) (pairs []kv.Pair, revision int64, err error) {
 	err = r.store.EachStale(ctx, prefix, func(pair kv.Pair) {
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/membudget"
+	"github.com/fulmardoor/fulmardoor/internal/verdict"
+)
+
+const (
+	// A caller refused because the memory for bodies is in use is asked to retry after minMemoryRetry to maxMemoryRetry: a body in flight is
+	// freed when its request ends, which takes some hundred milliseconds for most.
+	minMemoryRetry = 300 * time.Millisecond
+	maxMemoryRetry = 700 * time.Millisecond
+	// nearLimitBytes is more than the memory that remains beside a body that alone fills it.
+	nearLimitBytes = 64 << 10
+	// maxDiscardTime limits how long the rest of a refused body is read.
+	maxDiscardTime = 5 * time.Second
+)
+
+// readBody reads the body of a request, which has at most limit bytes. While many large bodies are in flight together, as in a burst of uploads, the
+// memory of the process decides how many: a further one is refused before it is read, or when it turns out to be large.
+func (r *request) readBody(httpRequest *http.Request, limit int64) error {
+	limit = min(limit, r.g.BodyMemory.Largest())
+	if httpRequest.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	if httpRequest.Body == nil || httpRequest.Body == http.NoBody {
+		return nil
+	}
+	err := r.body.Grow(int(max(0, httpRequest.ContentLength)))
+	if err == nil && httpRequest.ContentLength >= 0 {
+		err = r.body.Fill(httpRequest.Body, int(httpRequest.ContentLength))
+	} else if err == nil {
+		err = r.body.Fill(httpRequest.Body, int(limit)+1)
+	}
+	switch {
+	case errors.Is(err, membudget.ErrExhausted) && int64(r.body.Len()) > limit-nearLimitBytes:
+		return tooLarge(limit) // the limit is that of the memory
+	case errors.Is(err, membudget.ErrExhausted):
+		return r.refuseForMemory()
+	case err != nil:
+		return verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "the body could not be read: %v", err)
+	case int64(r.body.Len()) > limit:
+		return tooLarge(limit)
+	}
+	r.call.Body = r.body.Bytes()
+	return nil
+}
+
+func tooLarge(limit int64) error {
+	return verdict.Refuse(wirev1.Reason_REASON_BODY_TOO_LARGE, "the body is larger than %d bytes", limit)
+}
+
+// refuseForMemory returns the refusal of a request for whose body there is no memory.
+func (r *request) refuseForMemory() error {
+	r.body.Release()
+	// The server otherwise reads the rest of the body before it sends the refusal, or closes the connection while the caller still sends.
+	r.discardBody = http.NewResponseController(r.w).EnableFullDuplex() == nil
+	refusal := verdict.Refuse(wirev1.Reason_REASON_NO_PLACE, "the memory for request bodies is in use")
+	refusal.RetryAfter = minMemoryRetry + rand.N(maxMemoryRetry-minMemoryRetry)
+	return refusal
+}
+
+// discardRest sends the refusal and reads the rest of the body.
+func (r *request) discardRest(httpRequest *http.Request) {
+	controller := http.NewResponseController(r.w)
+	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, httpRequest.Body) // the caller may have left
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,10 +52,10 @@
 	Quarantine *quarantine.List
 	// Limits has the rates to which upstreams limit their requests.
 	Limits *upstreamrate.Limits
-	// AnswerMemory bounds what all requests keep of the bodies of answers at a time; nil for no bound.
-	AnswerMemory *membudget.Budget
-	Metrics      *Metrics
-	Logger       *zap.Logger
+	// BodyMemory bounds the bodies of all requests in flight, and AnswerMemory what is kept of the bodies of all answers at a time; nil for no bound.
+	BodyMemory, AnswerMemory *membudget.Budget
+	Metrics                  *Metrics
+	Logger                   *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers. Create it with New.
@@ -178,6 +178,10 @@
 	// noTimeLeft is set when a stopping process would have ended before the stream at an engine that had capacity.
 	noTimeLeft bool
 	status     int
+	// body has the memory of Call.Body. discardBody is set if the rest of the body must be read after the request was refused, because a
+	// caller may read the refusal only then.
+	body        *membudget.Buffer
+	discardBody bool
 	// written is set once the status or body of an answer was sent to the caller.
 	written bool
 	// events is the number of events sent to the caller, and lastEventAt the time of the last one.
@@ -190,7 +194,8 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	began := time.Now()
-	req := &request{g: g, began: began, w: w, excluded: make(map[string]bool)}
+	req := &request{g: g, began: began, w: w, excluded: make(map[string]bool), body: g.BodyMemory.NewBuffer()}
+	defer req.body.Release()
 	err := req.prepare(r)
 	if err == nil {
 		var cancel context.CancelFunc
@@ -204,6 +209,9 @@
 		err = req.serve()
 	}
 	req.finish(r, err)
+	if req.discardBody {
+		req.discardRest(r)
+	}
 }
 
 // prepare parses the request and makes all checks that come before its admission.
@@ -234,7 +242,7 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	if call.Body, err = readBody(httpRequest, limit); err != nil {
+	if err := r.readBody(httpRequest, limit); err != nil {
 		return err
 	}
 	// The caller may have taken long to send the body.
@@ -276,23 +284,6 @@
 	return nil
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_BODY_TOO_LARGE, "the body is larger than %d bytes", limit)
-	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "the body could not be read: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, verdict.Refuse(wirev1.Reason_REASON_BODY_TOO_LARGE, "the body is larger than %d bytes", limit)
-	}
-	return body, nil
-}
-
 // chooseService selects one of the route's targets at random, by weight.
 func (r *request) chooseService() error {
 	total := 0.0
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -6,6 +6,7 @@
 
 import (
 	"io"
+	"math"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -17,8 +18,12 @@
 // uncountedBytes is the part of each Buffer that is not counted.
 const uncountedBytes = 16 << 10
 
-// minBufferBytes is the smallest capacity of a Buffer with content.
-const minBufferBytes = 512
+const (
+	// minBufferBytes is the smallest capacity of a Buffer with content.
+	minBufferBytes = 512
+	// fillStepBytes is the least by which Fill enlarges a large buffer when there is no memory to double it.
+	fillStepBytes = 32 << 10
+)
 
 // Budget is the memory for bodies of one kind. Its methods may be called concurrently. A nil Budget has no limit.
 type Budget struct {
@@ -48,6 +53,14 @@
 	}
 }
 
+// Largest returns the size of the largest body that a Buffer can hold.
+func (b *Budget) Largest() int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return b.size + uncountedBytes
+}
+
 // Used returns the number of bytes that are taken.
 func (b *Budget) Used() int64 {
 	if b == nil {
@@ -118,8 +131,10 @@
 // then has all that was read.
 func (b *Buffer) Fill(r io.Reader, limit int) error {
 	for len(b.data) < limit {
-		if err := b.growForMore(1); err != nil {
-			return err
+		if len(b.data) == cap(b.data) {
+			if err := b.growForMore(min(limit-len(b.data), max(minBufferBytes, min(len(b.data), fillStepBytes)))); err != nil {
+				return err
+			}
 		}
 		n, err := r.Read(b.data[len(b.data):min(cap(b.data), limit)])
 		b.data = b.data[:len(b.data)+n]
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -185,10 +185,13 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// encodeHead returns the request line and headers as sent. It leaves capacity for the body.
+// encodeHead returns the request line and headers as sent. It leaves capacity for a body that is written with them.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
+	if len(r.Body) <= maxInlineBodyBytes {
+		b.Grow(512 + len(r.Body))
+	}
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // writes to a bytes.Buffer never fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
