etcdhttp, httpsd: responses of the key-value service have a limit

Callers would see: a faulty key-value service or host list that sends bytes without end makes each entry and sidecar process exceed its memory.

Evidence: etcdhttp.TestResponsesWithoutEnd before: 268 MB read of a list, of a string and after a response (the test's end), 122 MB of a watch message, 10 MB of a head.

Change: a response or watch message has 32 MiB, a head 64 KiB. The limits that httpengine had got are now in package readlimit, for all clients.

Failed before: the test, in all five places.

--- a/internal/engine/httpengine/cachestate.go
+++ b/internal/engine/httpengine/cachestate.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 const (
@@ -17,28 +18,12 @@
 	maxCacheValueBytes = 64 << 10
 )
 
-// valueLimit limits what is read for the next value.
-type valueLimit struct {
-	source io.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (l *valueLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errTooLarge
-	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // readCacheState decodes a vllm.CacheState as it arrives, because its text takes several times the memory of its values.
 func readCacheState(body io.Reader) (engine.CacheState, error) {
-	limit := &valueLimit{source: body, left: maxCacheValueBytes}
+	limit := &readlimit.Reader{Source: body, Left: maxCacheValueBytes}
 	decoder := json.NewDecoder(limit)
 	next := func(value any) error {
-		limit.left = maxCacheValueBytes
+		limit.Left = maxCacheValueBytes
 		return decoder.Decode(value)
 	}
 	var state vllm.CacheState
@@ -46,7 +31,7 @@
 		return engine.CacheState{}, err
 	}
 	for decoder.More() {
-		limit.left = maxCacheValueBytes
+		limit.Left = maxCacheValueBytes
 		name, err := decoder.Token()
 		if err != nil {
 			return engine.CacheState{}, err
@@ -84,7 +69,7 @@
 			return nil, err
 		}
 		if hashes = append(hashes, hash); len(hashes) > maxCacheBlocks {
-			return nil, errors.Wrapf(errTooLarge, "more than %d blocks", maxCacheBlocks)
+			return nil, errors.Wrapf(readlimit.ErrTooLarge, "more than %d blocks", maxCacheBlocks)
 		}
 	}
 	return hashes, expectDelim(decoder, ']')
--- a/internal/engine/httpengine/call.go
+++ b/internal/engine/httpengine/call.go
@@ -15,11 +15,10 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 const (
-	// maxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB, which take a hundred as parsed headers.
-	maxHeadBytes = 64 << 10
 	// maxControlBytes is the maximum size of a response that is not a stream, apart from those about the prefix cache. Many are read at
 	// a time, and the values in them take up to 30 times the memory of their text.
 	maxControlBytes = 64 << 10
@@ -29,9 +28,6 @@
 	maxErrorBodyBytes = 64 << 10
 )
 
-// errTooLarge means that a response exceeds its maximum size.
-var errTooLarge = errors.New("response too large")
-
 // call sends a request and decodes the JSON response, which has at most maxBytes. With a nil requestBody it sends no body; with a nil
 // responseBody it discards the response.
 func (e *Engine) call(ctx context.Context, client *http.Client, method, path, requestID string, requestBody, responseBody any, maxBytes int64) error {
@@ -51,7 +47,7 @@
 		return brokenError(ctx, err)
 	}
 	if int64(len(data)) > maxBytes {
-		return errors.Wrapf(errTooLarge, "%s: more than %d bytes", path, maxBytes)
+		return errors.Wrapf(readlimit.ErrTooLarge, "%s: more than %d bytes", path, maxBytes)
 	}
 	if err := json.Unmarshal(data, responseBody); err != nil {
 		return errors.Wrapf(err, "decode response of %s", path)
--- a/internal/engine/httpengine/engine.go
+++ b/internal/engine/httpengine/engine.go
@@ -14,6 +14,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 var _ engine.Engine = (*Engine)(nil)
@@ -33,30 +34,13 @@
 // New returns a client of the engine at a base URL, for example "http://127.0.0.1:8000". The HTTP client should have no
 // Timeout, because that would end long streams; nil means http.DefaultClient.
 func New(baseURL string, client *http.Client) *Engine {
-	if client == nil {
-		client = http.DefaultClient
-	}
-	limited := withTransport(client, func(t *http.Transport) { t.MaxResponseHeaderBytes = maxHeadBytes })
+	limited := readlimit.Client(client)
 	return &Engine{
 		baseURL: strings.TrimSuffix(baseURL, "/"), client: limited,
-		singleUse: withTransport(limited, func(t *http.Transport) { t.DisableKeepAlives = true }),
+		singleUse: readlimit.WithTransport(limited, func(t *http.Transport) { t.DisableKeepAlives = true }),
 	}
 }
 
-// withTransport returns a copy of a client whose transport is changed, unless that is not net/http's.
-func withTransport(client *http.Client, change func(*http.Transport)) *http.Client {
-	changed := *client
-	if changed.Transport == nil {
-		changed.Transport = http.DefaultTransport
-	}
-	if transport, ok := changed.Transport.(*http.Transport); ok {
-		transport = transport.Clone()
-		change(transport)
-		changed.Transport = transport
-	}
-	return &changed
-}
-
 // Prefill implements engine.Engine.
 func (e *Engine) Prefill(ctx context.Context, requestID string, work *wirev1.PrefillWork) (engine.PrefillResult, error) {
 	request := &vllm.CompletionRequest{
@@ -150,7 +134,7 @@
 	query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	response := new(vllm.CacheEvents)
 	err := e.call(ctx, e.client, http.MethodGet, "/kv_events?"+query.Encode(), "", nil, response, maxCacheEventsBytes)
-	if errors.Is(err, errTooLarge) { // the full cache state replaces them
+	if errors.Is(err, readlimit.ErrTooLarge) { // the full cache state replaces them
 		return nil, errors.Wrap(engine.ErrEventsLost, err.Error())
 	}
 	if err != nil {
--- a/internal/hostlist/httpsd/source.go
+++ b/internal/hostlist/httpsd/source.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/hostlist"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 // Labels of a target group.
@@ -37,10 +38,7 @@
 // New returns a source that reads the list from url. A nil client means http.DefaultClient. The caller's context limits
 // the time of a read.
 func New(url string, client *http.Client) hostlist.Source {
-	if client == nil {
-		client = http.DefaultClient
-	}
-	return &source{url: url, client: client}
+	return &source{url: url, client: readlimit.Client(client)}
 }
 
 // Hosts implements hostlist.Source. A host without a state is live. Any other state than live counts as leaving, so that
--- a/internal/kv/etcdhttp/call.go
+++ b/internal/kv/etcdhttp/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdwire"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 const maxErrorBodyBytes = 64 << 10
@@ -46,11 +47,12 @@
 		return err
 	}
 	defer httpResponse.Body.Close()
-	if err := json.NewDecoder(httpResponse.Body).Decode(response); err != nil {
+	body := &readlimit.Reader{Source: httpResponse.Body, Left: maxResponseBytes}
+	if err := json.NewDecoder(body).Decode(response); err != nil {
 		return kind.noResponseError("read response: " + err.Error())
 	}
-	// The connection is only reused if the body was read to its end.
-	_, _ = io.Copy(io.Discard, httpResponse.Body)
+	// The connection is only reused if the body was read to its end, which is a line feed away.
+	_, _ = io.CopyN(io.Discard, httpResponse.Body, maxErrorBodyBytes)
 	return nil
 }
 
--- a/internal/kv/etcdhttp/client.go
+++ b/internal/kv/etcdhttp/client.go
@@ -12,8 +12,12 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdwire"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
+// maxResponseBytes is the maximum size of one response or watch message. All documents of a deployment are listed in one.
+const maxResponseBytes = 32 << 20
+
 // Client implements kv.Store. Create it with New.
 type Client struct {
 	baseURL     string
@@ -26,10 +30,7 @@
 // New returns a client of the gateway at baseURL, for example "http://10.0.0.1:2379". client must have no Timeout, as
 // that would end watches; nil means http.DefaultClient. callTimeout limits each call except watches; 0 means no limit.
 func New(baseURL string, client *http.Client, callTimeout time.Duration) *Client {
-	if client == nil {
-		client = http.DefaultClient
-	}
-	return &Client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: client, callTimeout: callTimeout}
+	return &Client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: readlimit.Client(client), callTimeout: callTimeout}
 }
 
 // Get implements kv.Store.
--- a/internal/kv/etcdhttp/watch.go
+++ b/internal/kv/etcdhttp/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdwire"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 )
 
 // MinWatchIdleTimeout is the minimum time without any message, progress notifications included, after which a watch
@@ -42,6 +43,7 @@
 	idleTimer   *time.Timer
 	body        io.Closer
 	decoder     *json.Decoder
+	limit       *readlimit.Reader // of one message
 	updates     chan kv.WatchUpdate
 }
 
@@ -53,7 +55,8 @@
 		return err
 	}
 	w.body = httpResponse.Body
-	w.decoder = json.NewDecoder(httpResponse.Body)
+	w.limit = &readlimit.Reader{Source: httpResponse.Body}
+	w.decoder = json.NewDecoder(w.limit)
 	confirmation, err := w.receive()
 	if err != nil {
 		return err
@@ -101,6 +104,7 @@
 func (w *watch) receive() (*etcdwire.WatchResponse, error) {
 	w.idleTimer.Reset(w.idleTimeout)
 	defer w.idleTimer.Stop()
+	w.limit.Left = maxResponseBytes
 	var message etcdwire.Streamed[etcdwire.WatchResponse]
 	if err := w.decoder.Decode(&message); err != nil {
 		return nil, errors.Wrap(kv.ErrUnavailable, "read watch: "+err.Error())
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -13,14 +13,13 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/call"
 	"github.com/fulmardoor/fulmardoor/internal/headers"
+	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 )
 
 const (
 	bodyChunkBytes     = 32 << 10
 	serviceDialTimeout = 2 * time.Second
-	// maxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB, which take a hundred as parsed headers.
-	maxHeadBytes = 64 << 10
 )
 
 // ServiceUpstream runs calls of a plain HTTP service.
@@ -43,7 +42,7 @@
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &ServiceUpstream{
 		baseURL:   baseURL,
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
+		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHeadBytes},
 	}
 }
 
