ledger: a record that another program overwrote does not leave its shard without an owner

Cause: a node may replace a record only if it knows who held the shard, and the odd value does not say it.

Change: nodes read the record before the odd one, at the revision before it, and go on with that at the revision of the odd one, so that each change still compares with what the node has seen. kv.HistoryReader, for etcd and the memory store.

--- a/internal/kv/etcdhttp/call.go
+++ b/internal/kv/etcdhttp/call.go
@@ -111,6 +111,8 @@
 	switch {
 	case body.Message == etcdwire.MessageLeaseNotFound:
 		return kv.ErrLeaseNotFound
+	case body.Message == etcdwire.MessageCompacted:
+		return kv.ErrCompacted
 	case body.Message == etcdwire.MessageNoLeader,
 		body.Message == etcdwire.MessageTooManyRequests,
 		status == http.StatusTooManyRequests:
--- a/internal/kv/etcdhttp/client.go
+++ b/internal/kv/etcdhttp/client.go
@@ -25,7 +25,10 @@
 	callTimeout time.Duration
 }
 
-var _ kv.Store = (*Client)(nil)
+var (
+	_ kv.Store         = (*Client)(nil)
+	_ kv.HistoryReader = (*Client)(nil)
+)
 
 // New returns a client of the gateway at baseURL, for example "http://10.0.0.1:2379". client must have no Timeout, as
 // that would end watches; nil means http.DefaultClient. callTimeout limits each call except watches; 0 means no limit.
@@ -35,7 +38,10 @@
 
 // Get implements kv.Store.
 func (c *Client) Get(ctx context.Context, key string) (kv.Pair, error) {
-	request := etcdwire.RangeRequest{Key: []byte(key)}
+	return c.get(ctx, etcdwire.RangeRequest{Key: []byte(key)})
+}
+
+func (c *Client) get(ctx context.Context, request etcdwire.RangeRequest) (kv.Pair, error) {
 	var response etcdwire.RangeResponse
 	if err := c.call(ctx, callRead, etcdwire.PathRange, request, &response); err != nil {
 		return kv.Pair{}, err
@@ -46,6 +52,11 @@
 	return toPair(response.KVs[0]), nil
 }
 
+// GetAt implements kv.HistoryReader.
+func (c *Client) GetAt(ctx context.Context, key string, revision int64) (kv.Pair, error) {
+	return c.get(ctx, etcdwire.RangeRequest{Key: []byte(key), Revision: revision})
+}
+
 // List implements kv.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
 	var request etcdwire.RangeRequest
--- a/internal/kv/etcdwire/messages.go
+++ b/internal/kv/etcdwire/messages.go
@@ -24,6 +24,7 @@
 	CodeInvalidArgument   = 3
 	CodeNotFound          = 5
 	CodeResourceExhausted = 8
+	CodeOutOfRange        = 11
 	CodeUnimplemented     = 12
 	CodeInternal          = 13
 	CodeUnavailable       = 14
@@ -35,6 +36,7 @@
 	MessageNoLeader        = "etcdserver: no leader"
 	MessageTooManyRequests = "etcdserver: too many requests"
 	MessageTooLarge        = "etcdserver: request is too large"
+	MessageCompacted       = "etcdserver: mvcc: required revision has been compacted"
 )
 
 // Error is the body of an error response.
@@ -60,6 +62,8 @@
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// Revision is that of the store at which the keys are read; 0 for the current one.
+	Revision int64 `json:"revision,omitempty,string"`
 }
 
 // RangeResponse is the response to a RangeRequest.
--- a/internal/kv/kvtest/gate.go
+++ b/internal/kv/kvtest/gate.go
@@ -77,6 +77,11 @@
 	return callIfOpen(g, func() (kv.Pair, error) { return g.Store.Get(ctx, key) })
 }
 
+// GetAt implements kv.HistoryReader.
+func (g *Gate) GetAt(ctx context.Context, key string, revision int64) (kv.Pair, error) {
+	return callIfOpen(g, func() (kv.Pair, error) { return g.Store.(kv.HistoryReader).GetAt(ctx, key, revision) })
+}
+
 // List implements kv.Store.
 func (g *Gate) List(ctx context.Context, prefix string) (pairs []kv.Pair, revision int64, err error) {
 	pairs, err = callIfOpen(g, func() ([]kv.Pair, error) {
--- a/internal/kv/memory/store.go
+++ b/internal/kv/memory/store.go
@@ -83,7 +83,10 @@
 	endedWatchSeconds uint64
 }
 
-var _ kv.Store = (*Store)(nil)
+var (
+	_ kv.Store         = (*Store)(nil)
+	_ kv.HistoryReader = (*Store)(nil)
+)
 
 // New returns an empty store.
 func New(options Options) *Store {
@@ -125,6 +128,28 @@
 	})
 }
 
+// GetAt implements kv.HistoryReader.
+func (s *Store) GetAt(ctx context.Context, key string, revision int64) (kv.Pair, error) {
+	return call(ctx, s, callRead, func() (kv.Pair, error) {
+		if pair, ok := s.pairs[key]; ok && pair.ModRevision <= revision {
+			return clonePair(pair), nil
+		}
+		for _, event := range slices.Backward(s.log) {
+			switch {
+			case event.Pair.Key != key || event.Pair.ModRevision > revision:
+			case event.Deleted:
+				return kv.Pair{}, kv.ErrNotFound
+			default:
+				return clonePair(event.Pair), nil
+			}
+		}
+		if s.compactedRevision > 0 { // an event that was dropped may have set the value
+			return kv.Pair{}, kv.ErrCompacted
+		}
+		return kv.Pair{}, kv.ErrNotFound
+	})
+}
+
 // listing is the result of List.
 type listing struct {
 	pairs    []kv.Pair
--- a/internal/kv/store.go
+++ b/internal/kv/store.go
@@ -19,7 +19,7 @@
 	ErrUnavailable = errors.New("key-value service unavailable")
 	// ErrOutcomeUnknown means that no usable response to a write arrived; the write may have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome of write unknown")
-	// ErrCompacted means that a watch needs a revision that the service has compacted.
+	// ErrCompacted means that a watch or a read of an earlier value needs a revision that the service has compacted.
 	ErrCompacted = errors.New("revision compacted")
 	// ErrLeaseNotFound means that the lease does not exist: it expired, was revoked or was never granted.
 	ErrLeaseNotFound = errors.New("lease not found")
@@ -50,6 +50,12 @@
 	Err error
 }
 
+// HistoryReader is implemented by a Store that keeps earlier values for some time.
+type HistoryReader interface {
+	// GetAt returns the pair that key had at a revision of the store. Errors: ErrNotFound, ErrUnavailable, ErrCompacted.
+	GetAt(ctx context.Context, key string, revision int64) (Pair, error)
+}
+
 // Store is the platform's key-value service. All methods are safe for concurrent use.
 type Store interface {
 	// Get returns the pair of key. Errors: ErrNotFound, ErrUnavailable.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -49,8 +49,11 @@
 			continue
 		}
 		s := n.shards[number]
+		earlier, odd := n.recordBefore(ctx, s, pair)
 		s.mu.Lock()
-		if !s.writing {
+		if !s.writing && odd {
+			n.applyEarlierRecord(s, earlier, pair.ModRevision, sent)
+		} else if !s.writing {
 			n.applyRecord(s, pair, sent)
 		}
 		s.mu.Unlock()
@@ -61,6 +64,54 @@
 	return nil
 }
 
+// maxOddRecords is how many records in a row that cannot be decoded are looked past.
+const maxOddRecords = 32
+
+// recordBefore returns the last record before one that another program replaced by one that cannot be decoded. ok is false if pair can be
+// decoded, was handled before, or the store does not keep the record before it.
+func (n *Node) recordBefore(ctx context.Context, s *shard, pair kv.Pair) (earlier record, ok bool) {
+	reader, hasHistory := n.cfg.Store.(kv.HistoryReader)
+	s.mu.Lock()
+	known := pair.ModRevision <= s.revision
+	s.mu.Unlock()
+	if _, err := decodeRecord(pair.Value); err == nil || known || !hasHistory {
+		return record{}, false
+	}
+	for range maxOddRecords {
+		before, err := reader.GetAt(ctx, pair.Key, pair.ModRevision-1)
+		if err != nil {
+			n.cfg.Logger.Debug("no record before the one that cannot be decoded", zap.Uint32("shard", s.number), zap.Error(err))
+			return record{}, false
+		}
+		if earlier, err = decodeRecord(before.Value); err == nil {
+			return earlier, true
+		}
+		pair = before
+	}
+	return record{}, false
+}
+
+// applyEarlierRecord handles a record that cannot be decoded, of which the one before it is known. The odd one changes nothing: whoever it named may
+// still grant, and any change has to replace the odd one. It is called with s.mu held.
+func (n *Node) applyEarlierRecord(s *shard, earlier record, revision int64, sent time.Time) {
+	if revision <= s.revision {
+		return
+	}
+	if s.oddRevision != revision {
+		s.oddRevision = revision
+		n.cfg.Logger.Error("shard record cannot be decoded; the one before it holds", zap.Uint32("shard", s.number), zap.Int64("revision", revision),
+			zap.String("owner", earlier.Owner), zap.String("successor", earlier.Successor))
+	}
+	if s.revision == 0 || s.record != earlier {
+		n.replaceRecord(s, earlier, revision)
+		return
+	}
+	s.revision = revision
+	if s.owned {
+		s.readValidUntil = later(s.readValidUntil, sent.Add(PromiseTerm))
+	}
+}
+
 // requestRefresh starts a read of the records in the background, at most one per minRefreshInterval.
 func (n *Node) requestRefresh() {
 	n.stateMu.Lock()
--- a/standin/platform/gateway.go
+++ b/standin/platform/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -23,7 +24,11 @@
 		return
 	}
 	if len(request.RangeEnd) == 0 {
-		p.serveGet(w, r, string(request.Key))
+		p.serveGet(w, r, string(request.Key), request.Revision)
+		return
+	}
+	if request.Revision != 0 {
+		p.writeUnimplemented(w, "several keys at a revision")
 		return
 	}
 	prefix, ok := prefixOf(request.Key, request.RangeEnd)
@@ -39,8 +44,12 @@
 	p.writeJSON(w, rangeResponse(revision, pairs))
 }
 
-func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request, key string) {
-	pair, err := p.store.Get(r.Context(), key)
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request, key string, revision int64) {
+	get := p.store.Get
+	if revision != 0 {
+		get = func(ctx context.Context, key string) (kv.Pair, error) { return p.store.GetAt(ctx, key, revision) }
+	}
+	pair, err := get(r.Context(), key)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
 		p.writeJSON(w, rangeResponse(p.store.Revision(), nil))
