relay, peering: a connection is not closed because it is open

Cause: of two relays the one with the greater name dials, and the other one only if the connection is lost. A router that was taken off the list of members while it was cut off from the store is not dialled any more; it dials itself, is connected, so its plan does not dial any more, closes the connection, counts it as lost and dials again, without a pause. Its own and the other routers' processors were busy with handshakes.

Change: relay.Plan.Keep has the processes to which an open connection is kept. Of two connections one is closed as before.

Failed before: peering.TestUnlistedProcessKeepsItsConnection, 5,582 connections in 4 s where one is enough.

--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -63,7 +63,7 @@
 	n.prompts.OnReport(n.mesh.SendPromptReport)
 	n.board.OnChange(n.mesh.NotifyWorkChanged, func() { n.capacityChanges.Add(1) })
 	n.board.Update([]*fleet.Upstream{{ID: "d", Service: "model", Stage: fleet.StageDecode}, {ID: "e", Service: "model", Stage: fleet.StageDecode}})
-	go func() { _ = n.mesh.Serve(listener) }()
+	go func() { _ = n.mesh.Serve(&countingListener{listener, &n.accepted}) }()
 	return n
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -28,6 +28,21 @@
 	fed             fedList
 	storeLost       atomic.Bool
 	storeRegained   atomic.Int64
+	accepted        atomic.Int64 // connections
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
 }
 
 func startNode(t testing.TB, name string) *node {
@@ -76,6 +91,26 @@
 	})
 }
 
+// Guards against a process that closes the connection that it has just opened and opens it again, for as long as the other one does not dial: it
+// was taken off the list of members while it was cut off from the store.
+func TestUnlistedProcessKeepsItsConnection(t *testing.T) {
+	a, b := startNode(t, "a"), startNode(t, "b")
+	a.mesh.SetMembers(map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}})
+	b.mesh.SetMembers(map[string]relay.Member{"b": {Address: b.address}})
+	eventually(t, "a is connected to b", func() bool { return a.mesh.Status().Connections == 1 })
+	time.Sleep(2 * time.Second)
+	if count := b.accepted.Load(); count != 1 || a.mesh.Status().Connections != 1 {
+		t.Errorf("b accepted %d connections, a has %d open, want one", count, a.mesh.Status().Connections)
+	}
+	b.version.Store(9)
+	eventually(t, "a learns that b has version 9", func() bool { return a.newerVersion.Load() == 9 })
+	b.mesh.SetMembers(map[string]relay.Member{"a": {Address: a.address}, "b": {Address: b.address}})
+	eventually(t, "a process that is listed again exchanges reports", func() bool { return a.mesh.Connected() == 1 && b.mesh.Connected() == 1 })
+	if count := a.accepted.Load() + b.accepted.Load(); count != 1 {
+		t.Errorf("%d connections, want one", count)
+	}
+}
+
 // Guards against processes that let prompts crash further engines because they do not know the crashes that others saw, also if they
 // connect later, and against a part that stays quarantined although a request of another process reached its first event.
 func TestPromptReportsReachAllProcesses(t *testing.T) {
--- a/internal/peering/plan.go
+++ b/internal/peering/plan.go
@@ -99,11 +99,12 @@
 	}
 }
 
-// dialLocked opens and closes this process's connections. Of two processes that dial each other, the one with the lesser name
+// dialLocked opens and closes this process's connections. One that the plan would not open any more is kept, because the plan depends on whether it
+// is open. Of two processes that dial each other, the one with the lesser name
 // closes its connection. m.mu must be held.
 func (m *Mesh) dialLocked(plan *relay.Plan) {
 	for name := range m.peers {
-		if _, ok := plan.Dial[name]; !ok || m.acceptedLocked(name) && m.options.Name < name {
+		if !plan.Keep[name] || m.acceptedLocked(name) && m.options.Name < name {
 			go m.peers[name].Close()
 			delete(m.peers, name)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,13 +50,16 @@
 	ListFrom string
 	// Dial has the addresses of the processes to which this process opens connections, by name.
 	Dial map[string]string
+	// Keep has the processes to which an open connection is kept. It has those of Dial, and others that were dialled as lost: that they are
+	// connected again is no reason to close what connects them.
+	Keep map[string]bool
 }
 
 // NewPlan returns the plan of a process. members are all processes by name, this one included. state returns what is known of the
 // connection to another process. All processes with the same list and connections choose the same relays; one that is cut off from the relays of its
 // data centre goes on to the next ones in their order, down to itself.
 func NewPlan(self string, members map[string]Member, state func(name string) State) Plan {
-	plan := Plan{Peers: make(map[string]bool), Dial: make(map[string]string)}
+	plan := Plan{Peers: make(map[string]bool), Dial: make(map[string]string), Keep: make(map[string]bool)}
 	available := func(name string) bool { return name == self || state(name) != Lost }
 	var wanted []Member // relays, and those before them in their order that were lost
 	var own []Member    // relays of this process's data centre
@@ -81,8 +84,12 @@
 	}
 	plan.ListFrom = listFrom(self, &plan, members, state)
 	for _, m := range wanted {
+		if m.Name == self {
+			continue
+		}
+		plan.Keep[m.Name] = true
 		// Of two relays, the one with the greater name dials. If that fails, the other one tries too.
-		if m.Name != self && (!plan.Relay || m.Name < self || state(m.Name) == Lost) {
+		if !plan.Relay || m.Name < self || state(m.Name) == Lost {
 			plan.Dial[m.Name] = m.Address
 		}
 	}
