--- a/internal/processtest/answer_memory_test.go
+++ b/internal/processtest/answer_memory_test.go
@@ -58,12 +58,16 @@
 
 // badAnswer is what faulty runners send.
 type badAnswer struct {
-	name, kind, head string
-	// line is sent repeatedly up to size bytes; then the runner waits, if it does not send without end.
+	// kind is that of the requests, and head what follows the status and the headers that sign the answer.
+	name, kind, status, head string
+	// line is sent repeatedly up to size bytes; then the runner waits.
 	line string
 	size int
 }
 
+// endless is more than any process can keep.
+const endless = 1 << 30
+
 // distinctHeaders returns header lines with names that differ, six bytes each.
 func distinctHeaders(count int) string {
 	var lines strings.Builder
@@ -73,25 +77,22 @@
 	return lines.String()
 }
 
-const endless = 1 << 30
-
-var badAnswers = []badAnswer{
-	{"event without end", "note", "\r\n", "data: " + strings.Repeat("x", 16000), endless},
-	{"event of nearly the permitted size", "note", "\r\n", "data: " + strings.Repeat("x", 16000), 1_000_000},
-	{"header lines without end", "book", "", distinctHeaders(16000), endless},
-	{"header lines of nearly the permitted size", "book", "", distinctHeaders(10_000), 1},
-	{"header line without end", "book", "X: ", strings.Repeat("x", 16000), endless},
-	{"body without end", "book", "\r\n", strings.Repeat("x", 16000), endless},
-	{"body of nearly the buffered size", "book", "\r\n", strings.Repeat("x", 16000), 256_000},
-	{"error body", "note", "", strings.Repeat("x", 16000), 256_000},
-}
+var (
+	manyBytes  = strings.Repeat("x", 16000)
+	badAnswers = []badAnswer{
+		{"event without end", "note", "200 OK", "\r\n", "data: " + manyBytes, endless},
+		{"event of nearly the permitted size", "note", "200 OK", "\r\n", "data: " + manyBytes, 1_000_000},
+		{"header lines without end", "book", "200 OK", "", distinctHeaders(16000), endless},
+		{"header lines of nearly the permitted size", "book", "200 OK", "", distinctHeaders(10_000), 1},
+		{"header line without end", "book", "200 OK", "X: ", manyBytes, endless},
+		{"body without end", "book", "200 OK", "\r\n", manyBytes, endless},
+		{"body of nearly the buffered size", "book", "200 OK", "\r\n", manyBytes, 256_000},
+		{"error body", "note", "500 Internal Server Error", "\r\n", manyBytes, 256_000},
+	}
+)
 
 func (a *badAnswer) send(r *platformtest.RawRunner, c net.Conn, in *http.Request) {
-	status, head := "200 OK", a.head
-	if a.name == "error body" {
-		status, head = "500 Internal Server Error", "\r\n"
-	}
-	sendUntilClosed(c, r.ResponseHead(in, status)+head, a.line, a.size)
+	sendUntilClosed(c, r.ResponseHead(in, a.status)+a.head, a.line, a.size)
 }
 
 // Guards against a router that runs out of memory, and ends with the requests of all callers, because faulty runners send many requests
