--- a/internal/engine/httpengine/cachestate.go
+++ b/internal/engine/httpengine/cachestate.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxCacheBlocks is the maximum number of blocks in a cache state. The mirror of one takes about 50 bytes.
+	// maxCacheBlocks is the maximum number of blocks in a cache state, each of which the prefix index keeps in a map.
 	maxCacheBlocks = 1 << 20
 	// maxCacheValueBytes is the maximum size of one value in a cache state, apart from the list of blocks.
 	maxCacheValueBytes = 64 << 10
--- a/internal/engine/httpengine/call.go
+++ b/internal/engine/httpengine/call.go
@@ -20,7 +20,7 @@
 
 const (
 	// maxControlBytes is the maximum size of a response that is not a stream, apart from those about the prefix cache. Many are read at
-	// a time, and the values in them take up to 30 times the memory of their text.
+	// a time, and the values in them take several times the memory of their text.
 	maxControlBytes = 64 << 10
 	// maxCacheEventsBytes is the maximum size of a response with events of the prefix cache, about 90,000 events.
 	maxCacheEventsBytes = 4 << 20
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -15,10 +15,9 @@
 // ErrExhausted means that the memory for bodies is in use.
 var ErrExhausted = errors.New("the memory for bodies is in use")
 
-// uncountedBytes is the part of each Buffer that is not counted.
-const uncountedBytes = 16 << 10
-
 const (
+	// uncountedBytes is the part of each Buffer that is not counted.
+	uncountedBytes = 16 << 10
 	// minBufferBytes is the smallest capacity of a Buffer with content.
 	minBufferBytes = 512
 	// fillStepBytes is the least by which Fill enlarges a large buffer when there is no memory to double it.
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -8,7 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
-// MaxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB, which take a hundred as parsed headers.
+// MaxHeadBytes is the maximum size of the headers of a response. The default of net/http is 10 MB; short header lines without end
+// then took 53 MB a response.
 const MaxHeadBytes = 64 << 10
 
 // ErrTooLarge means that a response, or a value in it, exceeds its maximum size.
