--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -103,6 +103,7 @@
 	wirev1.Reason_REASON_RATE_EXCEEDED:               http.StatusTooManyRequests,
 	wirev1.Reason_REASON_EARLIER_RUN_UNKNOWN:         http.StatusConflict,
 	wirev1.Reason_REASON_DEADLINE:                    http.StatusGatewayTimeout,
+	wirev1.Reason_REASON_REQUEST_TIMEOUT:             http.StatusRequestTimeout,
 }
 
 // HTTPStatus returns the status code for the caller.
