placement, router: an evacuated data centre gets no requests

The reader of the upstreams reads them before each list and marks the upstreams of these data centres; the mark travels with the list and is taken back with it. Only where the settings have bounds.evac_ms.

--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -188,6 +188,7 @@
 	answerMemory := memoryShare(s, answerMemoryFraction)
 	pool.HeadMemory = answerMemory
 	r.upstreams = newUpstreamEntries(r.store.Each, logger)
+	r.upstreams.readEvacuations = s.EvacuationTime > 0
 	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
--- a/cmd/fulmardoor-router/upstreams.go
+++ b/cmd/fulmardoor-router/upstreams.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,9 @@
 	odd int
 	// readAt is when the last list began to be read.
 	readAt time.Time
+	// readEvacuations is set where operators may evacuate data centres, and evacuated has those of the last list.
+	readEvacuations bool
+	evacuated       map[string]bool
 }
 
 // upstreamEntry is an entry that names an upstream, or an odd one that names none because of a problem.
@@ -65,9 +69,13 @@
 // list reads the entries. The returned pairs have no values.
 func (e *upstreamEntries) list(ctx context.Context) ([]kv.Pair, error) {
 	began := time.Now()
+	evacuated, err := e.listEvacuated(ctx)
+	if err != nil {
+		return nil, err
+	}
 	var pairs []kv.Pair
 	listed := make(map[string]upstreamEntry, len(e.known))
-	err := e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
+	err = e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
 		hash := xxhash.Sum64(pair.Value)
 		entry, ok := e.known[pair.Key]
 		if !ok || entry.valueHash != hash {
@@ -81,12 +89,24 @@
 	if err != nil {
 		return nil, err
 	}
-	e.readAt = began
+	e.readAt, e.evacuated = began, evacuated
 	e.logOdd(pairs, listed)
 	maps.Copy(e.known, listed)
 	return pairs, nil
 }
 
+// listEvacuated reads the data centres whose upstreams are to get no requests.
+func (e *upstreamEntries) listEvacuated(ctx context.Context) (map[string]bool, error) {
+	if !e.readEvacuations {
+		return nil, nil
+	}
+	evacuated := make(map[string]bool)
+	err := e.each(ctx, platform.PrefixEvacuations, func(pair kv.Pair) {
+		evacuated[strings.TrimPrefix(pair.Key, platform.PrefixEvacuations)] = true
+	})
+	return evacuated, err
+}
+
 func (e *upstreamEntries) parse(pair kv.Pair) upstreamEntry {
 	upstream, err := platform.ParseUpstream(pair.Key, pair.Value)
 	if err != nil {
@@ -128,6 +148,7 @@
 		if entry.upstream != nil {
 			upstream := *entry.upstream
 			upstream.Unconfirmed = i >= len(present)
+			upstream.Evacuated = e.evacuated[upstream.DataCentre]
 			list = append(list, &upstream)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -207,5 +207,7 @@
 	// Unconfirmed is set if the upstream's entry is missing from the store since an outage of the store. The upstream may
 	// have stopped, or it may not have announced itself again yet.
 	Unconfirmed bool
-	Stage       Stage
+	// Evacuated is set while the operators ask that the upstreams of this data centre get no requests. Unlike Leaving it may end.
+	Evacuated bool
+	Stage     Stage
 }
--- a/internal/peering/feed.go
+++ b/internal/peering/feed.go
@@ -96,7 +96,7 @@
 func upstreamMessage(u *fleet.Upstream) *wirev1.Upstream {
 	return &wirev1.Upstream{
 		Id: u.ID, Incarnation: u.Incarnation, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: uint32(u.Slots),
-		Leaving: u.Leaving, Unconfirmed: u.Unconfirmed, Stage: wirev1.UpstreamStage(u.Stage),
+		Leaving: u.Leaving, Unconfirmed: u.Unconfirmed, Evacuated: u.Evacuated, Stage: wirev1.UpstreamStage(u.Stage),
 	}
 }
 
@@ -111,7 +111,7 @@
 	return &fleet.Upstream{
 		ID: message.GetId(), Incarnation: message.GetIncarnation(), Service: message.GetService(), Address: message.GetAddress(),
 		DataCentre: message.GetDataCentre(), Slots: bounded.Count(message.GetSlots()), Leaving: message.GetLeaving(),
-		Unconfirmed: message.GetUnconfirmed(), Stage: fleet.Stage(message.GetStage()),
+		Unconfirmed: message.GetUnconfirmed(), Evacuated: message.GetEvacuated(), Stage: fleet.Stage(message.GetStage()),
 	}, true
 }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -278,8 +278,8 @@
 // Change is a difference between two lists of upstreams.
 type Change struct {
 	Upstream *fleet.Upstream
-	// Kind is "joined", "leaving", "restarted" (new incarnation or address), "moved" (new stage) or "gone" (no longer
-	// announced).
+	// Kind is "joined", "leaving", "restarted" (new incarnation or address), "evacuated", "readmitted" (its data centre is no longer
+	// evacuated), "moved" (new stage) or "gone" (no longer announced).
 	Kind string
 }
 
@@ -326,6 +326,10 @@
 		change = "leaving"
 	case s.removed:
 		change = "joined"
+	case info.Evacuated && !s.info.Evacuated:
+		change = "evacuated"
+	case !info.Evacuated && s.info.Evacuated:
+		change = "readmitted"
 	case info.Stage != s.info.Stage:
 		change = "moved"
 	}
@@ -362,7 +366,7 @@
 	return counts
 }
 
-// Accepts reports whether an upstream may still get new requests: it is announced, with the same incarnation, and not leaving.
+// Accepts reports whether an upstream may still get new requests: it is announced, with the same incarnation, and neither leaving nor evacuated.
 func (b *Board) Accepts(upstream *fleet.Upstream) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -370,7 +374,9 @@
 	return s != nil && s.usable() && s.info.Incarnation == upstream.Incarnation
 }
 
-func (s *state) usable() bool { return !s.removed && !s.info.Leaving && !s.saysLeaving }
+func (s *state) usable() bool {
+	return !s.removed && !s.info.Leaving && !s.info.Evacuated && !s.saysLeaving
+}
 
 // failureRate returns the failure average, decayed to now.
 func (s *state) failureRate(now time.Time) float64 {
