--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,7 +82,7 @@
 // Account is a client account with its rate limit.
 type Account struct {
 	Name string
-	// Priority replaces the priority of the route if HasPriority is set.
+	// Priority is compared before the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
 	// Rate is the rate limit per second and Burst the capacity of the token bucket, in model tokens if CountsTokens is set
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -353,11 +353,21 @@
 	return r.account.Name
 }
 
+// routePriorities is the number of priorities of routes that are told apart within one priority of accounts.
+const routePriorities = 10
+
+// maxPriority bounds the priorities of routes and accounts, so that their combination fits into the messages between processes.
+const maxPriority = 1 << 20
+
+// priority returns the rank of the request: by the priority of its account and, within that, by the priority of its route. The account's decides first,
+// but where all accounts have the same one, as in most configurations with accounts, it must not make urgent routes wait behind others.
 func (r *request) priority() int {
+	ofRoute := min(max(r.route.Priority, 0), routePriorities-1)
+	first := r.route.Priority
 	if r.account != nil && r.account.HasPriority {
-		return r.account.Priority
+		first = r.account.Priority
 	}
-	return r.route.Priority
+	return min(max(first, 0), maxPriority)*routePriorities + ofRoute
 }
 
 // timeLeft returns the time for which an upstream may work on the request: until its deadline, or until shortly after the end of
