placement: Board.Room

The rule for priority across routers compares the number of more urgent requests that wait elsewhere with the room that the engines have for requests of a size. Room counts free slots and memory over the engines that PlanModel would use. TestRoom checks twelve cases, and in each that PlanModel has a plan if there is room and only then.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
@@ -206,6 +207,37 @@
 	return plan, ok
 }
 
+// maxRoom is the room of an engine whose requests nothing limits.
+const maxRoom = 1 << 20
+
+// Room returns for how many requests of the size of q the engines that PlanModel would use have free slots and memory.
+func (b *Board) Room(q Query) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	decoders := b.withCapacity(&q, withoutSuspects(b.candidates(&q, fleet.StageDecode), q.Now))
+	if cached := b.cachedEngine(&q); cached != nil && !slices.Contains(decoders, cached) {
+		decoders = append(decoders, cached)
+	}
+	room := 0
+	for _, s := range decoders {
+		room += s.room(&q)
+	}
+	return room
+}
+
+// room returns for how many requests of the size of q an engine with capacity for one has it.
+func (s *state) room(q *Query) int {
+	room := maxRoom
+	if s.info.Slots > 0 {
+		room = s.info.Slots - s.running()
+	}
+	if size := q.PromptTokens + q.OutputTokens; size > 0 && q.Service.Engine != nil {
+		free := int(memoryShare*float64(q.Service.Engine.KVTokens)) - s.own.Memory - s.others.Memory
+		room = min(room, max(1, free/size)) // an engine without requests takes one of any size
+	}
+	return room
+}
+
 // capacityUncertain reports whether an engine may have less free memory than estimated.
 func (b *Board) capacityUncertain(q *Query, s *state) bool {
 	if b.peersIncomplete || s.suspectCount > 0 || q.Now.Sub(s.refusedAt) < recentRefusalTime {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -293,3 +293,42 @@
 		t.Errorf("after its end: %+v", own)
 	}
 }
+
+// Guards against room that counts engines which get no request, memory or slots in use by any process, or the parts of free memory at
+// several engines of which none fits a request.
+func TestRoom(t *testing.T) {
+	leaving, prefill := newUpstream("leaving", "model", "here", fleet.StageDecode), newUpstream("p", "model", "here", fleet.StagePrefill)
+	leaving.Leaving = true
+	unlimited := newUpstream("unlimited", "model", "here", fleet.StageDecode)
+	unlimited.Slots = 0
+	engines := []*fleet.Upstream{newUpstream("d", "model", "here", fleet.StageDecode), newUpstream("e", "model", "there", fleet.StageDecode), leaving, prefill,
+		newUpstream("x", "shop", "here", fleet.StageNone)}
+	one := map[string]Share{"d": {Running: 1, Memory: 30000}, "e": {Running: 4}}
+	for _, c := range []struct {
+		name    string
+		prepare func(b *Board)
+		query   Query
+		want    int
+	}{
+		{"slots", func(*Board) {}, Query{PromptTokens: 1000}, 12},
+		{"memory", func(*Board) {}, Query{PromptTokens: 8000, OutputTokens: 2000}, 6},
+		{"too large for all but idle engines", func(b *Board) { b.BeginRun("d", 1) }, Query{PromptTokens: 50000}, 1},
+		{"work of others", func(b *Board) { b.SetOthers("other", one) }, Query{PromptTokens: 3000}, 2 + 2},
+		{"parts that fit none", func(b *Board) { b.SetOthers("other", map[string]Share{"d": {1, 0, 0, 33000}, "e": {1, 0, 0, 33000}}) }, Query{PromptTokens: 4000}, 0},
+		{"full", func(b *Board) { b.SetOthers("other", map[string]Share{"d": {Running: 7}, "e": {Running: 6}}) }, Query{PromptTokens: 1}, 0},
+		{"excluded", func(*Board) {}, Query{Excluded: map[string]bool{"d": true}}, 6},
+		{"refused a request", func(b *Board) { b.RecordRefusal("d", testStart) }, Query{}, 6},
+		{"suspect", func(b *Board) { b.MarkSuspect("d", testStart) }, Query{}, 6},
+		{"suspect with the cache of the prompt", func(b *Board) { b.MarkSuspect("d", testStart) }, Query{CachedAt: engines[0]}, 12},
+		{"no limit", func(b *Board) { b.Update(append(engines, unlimited)) }, Query{}, 12 + maxRoom},
+		{"no engine", func(b *Board) { b.Update(nil) }, Query{}, 0},
+	} {
+		b := newBoard(engines...)
+		c.prepare(b)
+		c.query.Service, c.query.Now = modelService, testStart
+		room := b.Room(c.query)
+		if _, ok := b.PlanModel(c.query); room != c.want || ok != (room > 0) {
+			t.Errorf("%s: room %d, want %d; a plan: %v", c.name, room, c.want, ok)
+		}
+	}
+}
