--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 )
@@ -152,31 +153,48 @@
 func (b *Backlog) Report(include func(source string) bool, now time.Time) map[string]Levels {
 	b.mu.Lock()
 	demand := make(map[string]Levels, len(b.own))
-	for service, levels := range b.own {
-		demand[service] = maps.Clone(levels)
-	}
+	add(demand, b.own)
 	reports := maps.Clone(b.reports)
 	b.mu.Unlock()
 	for source, r := range reports {
-		if !r.usable(now) || !include(source) {
-			continue
-		}
-		for service, levels := range r.demand {
-			sum := demand[service]
-			if sum == nil {
-				sum = make(Levels, len(levels))
-				demand[service] = sum
-			}
-			for priority, d := range levels {
-				sum[priority] = sum[priority].plus(d)
-			}
+		if r.usable(now) && include(source) {
+			add(demand, r.demand)
 		}
 	}
 	return demand
 }
 
+// Waiting returns the demand of this process and that of the others, by service.
+func (b *Backlog) Waiting(now time.Time) (here, elsewhere map[string]Levels) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	here, elsewhere = make(map[string]Levels), make(map[string]Levels)
+	add(here, b.own)
+	for _, r := range b.reports {
+		if r.usable(now) {
+			add(elsewhere, r.demand)
+		}
+	}
+	return here, elsewhere
+}
+
+// add adds demand to sums.
+func add(sums, demand map[string]Levels) {
+	for service, levels := range demand {
+		if sums[service] == nil {
+			sums[service] = make(Levels, len(levels))
+		}
+		for priority, d := range levels {
+			sums[service][priority] = sums[service][priority].plus(d)
+		}
+	}
+}
+
 // MoreUrgent returns the demand of the other processes for a service that is more urgent than priority.
 func (b *Backlog) MoreUrgent(service string, priority int, now time.Time) Demand {
+	if priority == math.MinInt { // nothing is more urgent, and priority-1 would overflow
+		return Demand{}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.othersLocked(service, priority-1, now)
--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -80,12 +80,16 @@
 		t.Errorf("expired at the end: %v, next %v", changed, next)
 	}
 	b.SetOwn("model", nil)
+	if got := b.MoreUrgent("model", math.MinInt, now); got != (Demand{}) {
+		t.Errorf("more urgent than the most urgent: %+v", got)
+	}
 	if got := b.Report(func(string) bool { return true }, now); len(got) != 0 || changes != 2 {
 		t.Errorf("at the end %v is reported, %d changes, want 2", got, changes)
 	}
 }
 
-// Guards against amounts of a faulty report that overflow in a sum, so that urgent demand looks like none.
+// Guards against amounts of a faulty report that overflow in a sum, so that urgent demand looks like none, and against the lowest
+// priority number for which all demand counts as more urgent.
 func TestOddAmounts(t *testing.T) {
 	b, now := New(nil), time.Unix(1000, 0)
 	for _, source := range []string{"a", "b", "c"} {
