waitqueue: report the demand of the waiting items

Queue.Changed is called with the demand by priority, without the mutex of the queue, by one goroutine at a time and with the newest demand last: two goroutines that reported on their own could leave an older demand behind. Item.Level is apart from Priority, because a stream that continues waits at priority -1 but counts at the priority of its route. go test -race -count 3 ./internal/waitqueue passes.

--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -9,8 +9,12 @@
 import (
 	"container/heap"
 	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 )
 
 // Item is one request.
@@ -20,6 +24,8 @@
 	// Value is the value of the answer, and Cost the engine memory and time that it uses, in any units. Requests of one
 	// priority are served by Value/Cost.
 	Value, Cost float64
+	// Level is the priority at which the request counts as waiting demand, and Memory the engine memory that it needs, in tokens.
+	Level, Memory int
 	// Deadline is when the request stops waiting.
 	Deadline time.Time
 	// TryAcquire acquires the capacity that the request needs, and reports whether there was enough.
@@ -44,9 +50,17 @@
 
 // Queue holds the waiting requests of one service. Its methods may be called concurrently.
 type Queue struct {
+	// Changed is called with the demand of the waiting items after it may have changed: without a mutex held, by one goroutine
+	// at a time, and with the newest demand last. It must not call Wait or CapacityChanged, and must be set before the
+	// queue is used; nil for none.
+	Changed func(demand backlog.Levels)
+	// changes counts the changes since the last complete call of Changed.
+	changes atomic.Int64
+
 	mu       sync.Mutex // guards the fields below and serializes calls of TryAcquire
 	items    itemHeap
 	sequence uint64
+	demand   backlog.Levels // of items
 }
 
 // Wait returns true once the item's TryAcquire has succeeded, and false when its deadline has passed or ctx has ended.
@@ -59,8 +73,10 @@
 	q.sequence++
 	item.sequence = q.sequence
 	heap.Push(&q.items, item)
+	q.countLocked(item, 1)
 	q.grantLocked()
 	q.mu.Unlock()
+	q.notify()
 	timer := time.NewTimer(time.Until(item.Deadline))
 	defer timer.Stop()
 	select {
@@ -69,12 +85,20 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	granted := q.remove(item)
+	q.notify()
+	return granted
+}
+
+// remove removes an item, unless it was granted in the meantime. It reports whether it was.
+func (q *Queue) remove(item *Item) (granted bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if item.index < 0 {
-		return true // granted in the meantime
+		return true
 	}
 	heap.Remove(&q.items, item.index)
+	q.countLocked(item, -1)
 	// The next item may need less capacity.
 	q.grantLocked()
 	return false
@@ -83,8 +107,11 @@
 // CapacityChanged makes the queue try the waiting items again. It is called after capacity may have become free.
 func (q *Queue) CapacityChanged() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.grantLocked()
+	granted := q.grantLocked()
+	q.mu.Unlock()
+	if granted {
+		q.notify()
+	}
 }
 
 // Len returns the number of waiting items.
@@ -95,10 +122,44 @@
 }
 
 // grantLocked serves items in order until one finds too little capacity. Those behind it wait, so that small requests do not
-// starve a large one.
-func (q *Queue) grantLocked() {
+// starve a large one. It reports whether it served any.
+func (q *Queue) grantLocked() (granted bool) {
 	for len(q.items) > 0 && q.items[0].TryAcquire() {
-		close(heap.Pop(&q.items).(*Item).granted)
+		item := heap.Pop(&q.items).(*Item)
+		q.countLocked(item, -1)
+		close(item.granted)
+		granted = true
+	}
+	return granted
+}
+
+// countLocked adds an item to the demand, or removes it with a sign of -1. q.mu must be held.
+func (q *Queue) countLocked(item *Item, sign int) {
+	if q.demand == nil {
+		q.demand = make(backlog.Levels)
+	}
+	demand := q.demand[item.Level]
+	demand.Requests += sign
+	demand.MemoryTokens += sign * item.Memory
+	if q.demand[item.Level] = demand; demand.Requests == 0 {
+		delete(q.demand, item.Level)
+	}
+}
+
+// notify calls Changed. If another goroutine is calling it, that one calls it again instead.
+func (q *Queue) notify() {
+	if q.Changed == nil || q.changes.Add(1) > 1 {
+		return
+	}
+	for {
+		count := q.changes.Load()
+		q.mu.Lock()
+		demand := maps.Clone(q.demand)
+		q.mu.Unlock()
+		q.Changed(demand)
+		if q.changes.CompareAndSwap(count, 0) {
+			return
+		}
 	}
 }
 
