peering: heartbeats have the waiting demand

Each heartbeat has the full demand of the processes that its coverage names, summed over the same sources as the work and so passed on by relays. A change, the loss of a link and the expiry of a report trigger heartbeats and OnDemand, which a goroutine of its own calls without a mutex held.

--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
@@ -48,7 +49,9 @@
 	}
 	n := &node{board: placement.NewBoard(dataCentre, nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()),
 		prompts: quarantine.NewList(), address: listener.Addr().String(), listener: listener}
+	n.backlog = backlog.New(func() { n.mesh.NotifyDemandChanged() })
 	n.mesh = New(Options{
+		Backlog: n.backlog, OnDemand: func() { n.demandChanges.Add(1) },
 		Name: name, Host: name, DataCentre: dataCentre, Address: n.address, Cores: cores, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts,
 		Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
 		OnUpstreams: func(list []*fleet.Upstream, readAt time.Time) {
@@ -200,10 +203,12 @@
 	f := startFleet(t, 20, 3)
 	f.nodes[7].board.BeginRun("d", 1)
 	f.waitRequests(t, "d", 1)
+	f.nodes[7].backlog.SetOwn("model", backlog.Levels{0: {Requests: 1, MemoryTokens: 10}})
+	f.waitDemand(t, backlog.Demand{Requests: 1, MemoryTokens: 10})
 	time.Sleep(200 * time.Millisecond)
 	count := func() (changes int64) {
 		for _, n := range f.nodes {
-			changes += n.capacityChanges.Load()
+			changes += n.capacityChanges.Load() + n.demandChanges.Load()
 		}
 		return changes
 	}
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -34,6 +34,8 @@
 	// reported is the coverage of the last heartbeat that was sent, and pending the upstreams at which the work has changed since.
 	reported wirev1.Coverage
 	pending  map[string]bool
+	// demandPending is set if the waiting demand has changed since the last heartbeat that was sent.
+	demandPending bool
 	// resend is set if the next heartbeat must have all work, and askResend if the other end must be asked to do the same.
 	resend, askResend bool
 	// chargesSent are the totals of charges that were sent last, ofAll says of which processes, and chargesSentAt when.
@@ -59,7 +61,7 @@
 
 // dirty reports whether there is something to report.
 func (l *link) dirty() bool {
-	return len(l.pending) > 0 || l.resend || l.reported != l.coverage()
+	return len(l.pending) > 0 || l.demandPending || l.resend || l.reported != l.coverage()
 }
 
 // linkLocked returns the newest link with a process; nil if it is not connected. m.mu must be held.
@@ -131,6 +133,7 @@
 	heartbeat.Link, heartbeat.Coverage = l.told, l.coverage()
 	heartbeat.Resend, l.askResend = l.askResend, false
 	m.addWorkLocked(l, heartbeat)
+	m.addDemandLocked(l, heartbeat)
 	m.addChargesLocked(l, heartbeat)
 	m.addLimitsLocked(l, limits, heartbeat)
 	m.sendKnownPromptsLocked(l)
@@ -157,14 +160,7 @@
 	case wirev1.Coverage_COVERAGE_ALL:
 		heartbeat.Processes = uint32(m.knownLocked(l))
 	}
-	current := m.currentLocked()
-	work := m.options.Board.Work(upstreams, func(source string) bool {
-		from := current[source]
-		if from == nil { // a lost relay whose reports are still used
-			return coverage == wirev1.Coverage_COVERAGE_ALL && source != l.process
-		}
-		return m.reports(l, from)
-	})
+	work := m.options.Board.Work(upstreams, m.sourcesLocked(l))
 	for id, share := range work {
 		if all && share == (placement.Share{}) {
 			continue
@@ -176,6 +172,18 @@
 	}
 }
 
+// sourcesLocked returns a function that says which sources the heartbeats on a link cover. m.mu must be held until its last call.
+func (m *Mesh) sourcesLocked(l *link) func(source string) bool {
+	current := m.currentLocked()
+	return func(source string) bool {
+		from := current[source]
+		if from == nil { // a lost relay whose reports are still used
+			return l.coverage() == wirev1.Coverage_COVERAGE_ALL && source != l.process
+		}
+		return m.reports(l, from)
+	}
+}
+
 // addChargesLocked adds the charges to accounts, if they are due. m.mu must be held.
 func (m *Mesh) addChargesLocked(l *link, heartbeat *wirev1.Heartbeat) {
 	if time.Since(l.chargesSentAt) < chargesInterval || !l.heard {
@@ -256,6 +264,7 @@
 	}
 	m.applyChargesLocked(l, heartbeat)
 	m.applyWorkLocked(l, heartbeat)
+	m.applyDemandLocked(l, heartbeat)
 	if l.processes != processesBefore {
 		m.updateKnownLocked()
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +15,7 @@
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
@@ -56,6 +58,10 @@
 	Limiter    *quota.Limiter
 	Quarantine *quarantine.List
 	Limits     *upstreamrate.Limits
+	// Backlog has the waiting demand that this process and the others report; nil if it is neither reported nor read. NotifyDemandChanged must
+	// be called after this process's own has changed. OnDemand is called after that of others has changed, without a mutex held; nil for none.
+	Backlog  *backlog.Backlog
+	OnDemand func()
 	// Version returns the version of the configuration in force; 0 for none.
 	Version func() int64
 	// Document returns the document of the configuration in force; nil for none.
@@ -76,6 +82,10 @@
 	options   Options
 	transport *transport.Options
 	changes   chan struct{}
+	// ownDemand is set after this process's own waiting demand has changed, until links are marked. othersDemand has an element after that of
+	// other processes has changed, until OnDemand is called.
+	ownDemand    atomic.Bool
+	othersDemand chan struct{}
 
 	mu      sync.Mutex // guards the fields below and those of the links
 	members map[string]relay.Member
@@ -97,7 +107,7 @@
 
 // New returns a mesh without peers.
 func New(options Options) *Mesh {
-	m := &Mesh{options: options, changes: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), wantedSince: make(map[string]time.Time),
+	m := &Mesh{options: options, changes: make(chan struct{}, 1), othersDemand: make(chan struct{}, 1), peers: make(map[string]*transport.Peer), wantedSince: make(map[string]time.Time),
 		lost: make(map[string]bool), links: make(map[*transport.Session]*link), expiring: make(map[string]time.Time),
 		subscriberCharges: make(map[string]float64), otherCharges: make(map[string]float64),
 		upstreamsChanged: make(chan struct{}), planChanged: make(chan struct{})}
@@ -109,6 +119,9 @@
 	}
 	go m.sendChanges()
 	go m.followUpstreams()
+	if options.Backlog != nil {
+		go m.followDemand()
+	}
 	return m
 }
 
@@ -236,6 +249,9 @@
 // flushLocked triggers heartbeats on the links that have something to report. m.mu must be held.
 func (m *Mesh) flushLocked() {
 	m.markLocked(m.options.Board.TakeOwnChanges(), nil)
+	if m.ownDemand.Swap(false) {
+		m.markDemandLocked(nil)
+	}
 	for _, l := range m.links {
 		if l.dirty() {
 			l.session.TriggerHeartbeat()
@@ -315,9 +331,13 @@
 	m.replanLocked()
 }
 
-// dropSourceLocked removes the work that a process reported. m.mu must be held.
+// dropSourceLocked removes the work and the waiting demand that a process reported. m.mu must be held.
 func (m *Mesh) dropSourceLocked(process string) {
 	delete(m.expiring, process)
-	m.markLocked(m.options.Board.SetOthers(process, nil), &link{process: process, theirs: wirev1.Link_LINK_SUBSCRIBER})
+	from := &link{process: process, theirs: wirev1.Link_LINK_SUBSCRIBER}
+	m.markLocked(m.options.Board.SetOthers(process, nil), from)
+	if m.options.Backlog != nil && m.options.Backlog.Drop(process) {
+		m.othersDemandChangedLocked(from)
+	}
 	m.NotifyWorkChanged()
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
@@ -19,6 +20,8 @@
 	mesh            *Mesh
 	board           *placement.Board
 	limiter         *quota.Limiter
+	backlog         *backlog.Backlog
+	demandChanges   atomic.Int64
 	prompts         *quarantine.List
 	version         atomic.Int64
 	newerVersion    atomic.Int64
