router: leave capacity to more urgent requests at other routers

Ordinary requests of one router got engines while urgent ones of another were refused after 680 ms. A request that may wait now leaves capacity to more urgent ones elsewhere (backlog.HeldBack) and is tried again when capacity or demand changes. A stream that continues is never held back, and counts as demand of its route's priority, so that it holds back nothing where all requests have the same priority.

Step held_back, metrics fulmardoor_gateway_requests_held_back_total and fulmardoor_router_waiting_demand_requests.

--- a/cmd/fulmardoor-router/main.go
+++ b/cmd/fulmardoor-router/main.go
@@ -10,16 +10,19 @@
 )
 
 func main() {
-	const metricsPort = "metrics-port"
+	const metricsPort, fleetPriority = "metrics-port", "fleet-priority"
 	process.Command[*platform.Settings]{
 		Name: "fulmardoor-router", Usage: "entry process on the users' platform",
 		File: &cli.StringFlag{
 			Name: "settings", Usage: "settings file", Sources: cli.EnvVars(platform.SettingsVariable),
 		},
-		RunFlags: []cli.Flag{&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"}},
-		Load:     platform.LoadSettings,
+		RunFlags: []cli.Flag{
+			&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"},
+			&cli.BoolFlag{Name: fleetPriority, Usage: "leave capacity at engines to more urgent requests that wait at other routers", Value: true},
+		},
+		Load: platform.LoadSettings,
 		Run: func(cmd *cli.Command, path string, settings *platform.Settings) error {
-			return run(path, settings, cmd.Int(metricsPort))
+			return run(path, settings, runOptions{metricsPort: cmd.Int(metricsPort), fleetPriority: cmd.Bool(fleetPriority)})
 		},
 	}.Main()
 }
--- a/cmd/fulmardoor-router/metrics.go
+++ b/cmd/fulmardoor-router/metrics.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 )
 
 // registerMetrics registers what an operator compares over all routers to find the one that differs.
@@ -25,6 +28,33 @@
 	} {
 		r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
 	}
+	r.registry.MustRegister(newDemandCollector(r.backlog))
+}
+
+// demandCollector implements prometheus.Collector for the requests that wait for engines.
+type demandCollector struct {
+	backlog *backlog.Backlog
+	desc    *prometheus.Desc
+}
+
+func newDemandCollector(demand *backlog.Backlog) *demandCollector {
+	return &demandCollector{demand, prometheus.NewDesc("fulmardoor_router_waiting_demand_requests",
+		"Requests that wait for engines, at this router (here) and at the others (elsewhere).", []string{"service", "priority", "where"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (c *demandCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c *demandCollector) Collect(metrics chan<- prometheus.Metric) {
+	here, elsewhere := c.backlog.Waiting(time.Now())
+	for where, demand := range map[string]map[string]backlog.Levels{"here": here, "elsewhere": elsewhere} {
+		for service, levels := range demand {
+			for priority, d := range levels {
+				metrics <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(d.Requests), service, strconv.Itoa(priority), where)
+			}
+		}
+	}
 }
 
 // number returns 1 for true and 0 for false.
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/fulmardoor/fulmardoor/internal/asynclog"
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/follow"
 	"github.com/fulmardoor/fulmardoor/internal/gateway"
@@ -135,6 +136,7 @@
 	limiter  *quota.Limiter
 	budgets  *gateway.Budgets
 	limits   *upstreamrate.Limits
+	backlog  *backlog.Backlog
 	pool     *upstreamconn.Pool
 	gateway  *gateway.Gateway
 	mesh     *peering.Mesh
@@ -161,15 +163,22 @@
 	return zap.New(core).With(zap.String("process", s.Name))
 }
 
-func run(path string, settings *platform.Settings, metricsPort int) error {
+// runOptions has the values of the flags of the subcommand run.
+type runOptions struct {
+	metricsPort int
+	// fleetPriority is set if waiting demand is exchanged with other routers, and capacity left to more urgent requests there.
+	fleetPriority bool
+}
+
+func run(path string, settings *platform.Settings, options runOptions) error {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	out := asynclog.New(os.Stdout)
 	defer out.Close(logFlushTimeout)
-	r := newRouter(path, settings, newLogger(out, settings))
-	return r.serve(metricsPort)
+	r := newRouter(path, settings, options, newLogger(out, settings))
+	return r.serve(options.metricsPort)
 }
 
-func newRouter(path string, s *platform.Settings, logger *zap.Logger) *router {
+func newRouter(path string, s *platform.Settings, options runOptions, logger *zap.Logger) *router {
 	pool := upstreamconn.New(nil)
 	r := &router{
 		settingsPath: path, settings: s, logger: logger, pool: pool,
@@ -178,6 +187,12 @@
 		refreshConfig: make(chan struct{}, 1), limits: upstreamrate.New(s.Name, time.Now()),
 	}
 	r.setProcesses(assumedProcesses)
+	// Without fleetPriority, the demand of other routers stays unknown, so that nothing is held back.
+	r.backlog = backlog.New(func() { r.mesh.NotifyDemandChanged() })
+	var exchanged *backlog.Backlog
+	if options.fleetPriority {
+		exchanged = r.backlog
+	}
 	r.store = platform.NewStore(platform.StoreOptions{
 		Address: s.StoreAddress, Pool: pool, CallTimeout: storeCallTimeout, WatchWait: r.watchWait,
 		OnHistoryChange: func(before, now int64) {
@@ -190,12 +205,13 @@
 	r.upstreams = newUpstreamEntries(r.store.Each, logger)
 	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
-		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits,
+		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits, Backlog: r.backlog,
 		BodyMemory: memoryShare(s, bodyMemoryFraction), AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.storeStatus = follow.Status{Logger: logger, Health: follow.NewHealth(r.storePause, func(bool) { r.mesh.NotifyStatusChanged() })}
 	r.mesh = peering.New(peering.Options{
 		Name: s.Name, Host: s.Host, DataCentre: s.DataCentre, Address: r.peerAddress(), Cores: s.Cores, Board: r.board, Limiter: r.limiter, Quarantine: prompts, Limits: r.limits, Logger: logger,
+		Backlog: exchanged, OnDemand: r.gateway.CapacityChanged,
 		Version: r.configVersion, Document: r.configDocument, OnNewerVersion: func(process string, version int64) {
 			r.newerConfig.Store(&newerConfig{process, version})
 			select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
@@ -52,6 +53,8 @@
 	Quarantine *quarantine.List
 	// Limits has the rates to which upstreams limit their requests.
 	Limits *upstreamrate.Limits
+	// Backlog has the demand that waits here and at other processes; nil for a process that counts none.
+	Backlog *backlog.Backlog
 	// BodyMemory bounds the bodies of all requests in flight, and AnswerMemory what is kept of the bodies of all answers at a time; nil for no bound.
 	BodyMemory, AnswerMemory *membudget.Budget
 	Metrics                  *Metrics
@@ -93,12 +96,16 @@
 	queue, ok := g.queues[service]
 	if !ok {
 		queue = new(waitqueue.Queue)
+		if g.Backlog != nil {
+			queue.Changed = func(demand backlog.Levels) { g.Backlog.SetOwn(service, demand) }
+		}
 		g.queues[service] = queue
 	}
 	return queue
 }
 
-// CapacityChanged makes the waiting requests check again whether there is capacity for them.
+// CapacityChanged makes the waiting requests check again whether there is capacity for them. It is called after capacity may have
+// become free, and after the demand of other processes has changed.
 func (g *Gateway) CapacityChanged() {
 	g.mu.Lock()
 	queues := slices.Collect(maps.Values(g.queues))
@@ -175,6 +182,8 @@
 	retryCharged bool
 	// leftSilent is the id of a silent upstream that the request has left for a replacement; empty for none.
 	leftSilent string
+	// wasHeldBack is set once the request left capacity to more urgent ones that waited at other processes.
+	wasHeldBack bool
 	// sending is set once a part of the request may have been sent in the current attempt.
 	sending atomic.Bool
 	// noTimeLeft is set when a stopping process would have ended before the stream at an engine that had capacity.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	leavingAnswers prometheus.Counter
 	// pauses counts the answers with which an upstream asked for no requests for a time.
 	pauses prometheus.Counter
+	// heldBack counts the requests that left capacity to more urgent ones that waited at other processes.
+	heldBack *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -52,8 +54,11 @@
 		pauses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_upstream_pauses_total", Help: "Answers with which an upstream asked for no requests for a time.",
 		}),
+		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_requests_held_back_total", Help: "Requests that left capacity to more urgent ones that waited at other routers.",
+		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses, m.heldBack)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -156,10 +158,13 @@
 	output := float64(r.call.ExpectedOutput())
 	item := &waitqueue.Item{
 		Priority: r.priority(), Value: 1, Cost: (float64(r.call.PromptTokens) + output/2) * output, // mean memory times duration
-		Deadline: r.began.Add(r.route.LatencyTarget - firstEventMargin),
+		Level: r.demandLevel(), Deadline: r.began.Add(r.route.LatencyTarget - firstEventMargin),
 	}
+	sizes := r.query(localPrefillOnly)
+	item.Memory = sizes.PromptTokens + sizes.OutputTokens
 	if out.headerSent {
-		// An interrupted stream continues before other requests start: its caller has waited and memory was spent on it.
+		// An interrupted stream continues before other requests start: its caller has waited and memory was spent on it. It
+		// counts as demand of its own priority, so that it holds back nothing where all requests have the same.
 		item.Priority, item.Deadline = resumePriority, time.Now().Add(maxResumeWait)
 	} else if retryUntil := time.Now().Add(minRetryWait); r.sends > 0 && retryUntil.After(item.Deadline) {
 		item.Deadline = retryUntil
@@ -171,6 +176,9 @@
 		if r.handle != nil && time.Since(r.handleAt) > handleUsableTime(r.service) {
 			r.dropHandle()
 		}
+		if !out.headerSent && r.heldBack(localPrefillOnly) {
+			return false
+		}
 		found = r.allocate(localPrefillOnly)
 		return found != nil
 	}
@@ -184,13 +192,24 @@
 	return nil, r.noCapacity()
 }
 
+// demandLevel returns the priority at which the request counts as waiting demand. Heartbeats have 32 bits for it.
+func (r *request) demandLevel() int { return min(max(r.priority(), math.MinInt32), math.MaxInt32) }
+
+// heldBack reports whether the request leaves capacity to more urgent ones that wait at other processes. The first time that it
+// does is recorded.
+func (r *request) heldBack(localPrefillOnly bool) bool {
+	moreUrgent, held := r.g.Backlog.HeldBack(r.g.Board, r.query(localPrefillOnly), r.demandLevel())
+	if held && !r.wasHeldBack {
+		r.wasHeldBack = true
+		r.recordStep(fmt.Sprintf("held_back requests %d memory %d", moreUrgent.Requests, moreUrgent.MemoryTokens), r.service.Name)
+		r.g.Metrics.heldBack.WithLabelValues(r.service.Name).Inc()
+	}
+	return held
+}
+
 // allocate chooses engines for the request and counts its work there; nil if no engine has capacity now.
 func (r *request) allocate(localPrefillOnly bool) *allocation {
-	query := placement.Query{
-		Service: r.service, Now: time.Now(), Excluded: r.excluded, LocalPrefillOnly: localPrefillOnly,
-		PrefilledBy: r.handleEngine(), CachedAt: r.cachedAt,
-	}
-	r.addSizes(&query)
+	query := r.query(localPrefillOnly)
 	plan, ok := r.g.Board.PlanModel(query)
 	if !ok {
 		return nil
@@ -198,6 +217,16 @@
 	return r.begin(query, plan)
 }
 
+// query returns the query for engines for the next attempt.
+func (r *request) query(localPrefillOnly bool) placement.Query {
+	query := placement.Query{
+		Service: r.service, Now: time.Now(), Excluded: r.excluded, LocalPrefillOnly: localPrefillOnly,
+		PrefilledBy: r.handleEngine(), CachedAt: r.cachedAt,
+	}
+	r.addSizes(&query)
+	return query
+}
+
 // addSizes sets the fields of a query that depend on the sizes and targets of the request.
 func (r *request) addSizes(query *placement.Query) {
 	query.PromptTokens, query.OutputTokens = r.call.PromptTokens, int(outputMemoryShare*float64(r.call.ExpectedOutput()))
