gateway: count a request as held back only if an engine would have taken it

While all engines were full, each ordinary request counted as held back as soon as an urgent one waited elsewhere, so the metric and the step said nothing about the rule. The new case of TestHeldBack fails before the change.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -195,16 +195,19 @@
 // demandLevel returns the priority at which the request counts as waiting demand. Heartbeats have 32 bits for it.
 func (r *request) demandLevel() int { return min(max(r.priority(), math.MinInt32), math.MaxInt32) }
 
-// heldBack reports whether the request leaves capacity to more urgent ones that wait at other processes. The first time that it
-// does is recorded.
+// heldBack reports whether the request leaves capacity to more urgent ones that wait at other processes. The first time that an
+// engine would have taken it is recorded.
 func (r *request) heldBack(localPrefillOnly bool) bool {
-	moreUrgent, held := r.g.Backlog.HeldBack(r.g.Board, r.query(localPrefillOnly), r.demandLevel())
-	if held && !r.wasHeldBack {
-		r.wasHeldBack = true
+	query := r.query(localPrefillOnly)
+	moreUrgent, held := r.g.Backlog.HeldBack(r.g.Board, query, r.demandLevel())
+	if !held || r.wasHeldBack {
+		return held
+	}
+	if _, r.wasHeldBack = r.g.Board.PlanModel(query); r.wasHeldBack {
 		r.recordStep(fmt.Sprintf("held_back requests %d memory %d", moreUrgent.Requests, moreUrgent.MemoryTokens), r.service.Name)
 		r.g.Metrics.heldBack.WithLabelValues(r.service.Name).Inc()
 	}
-	return held
+	return true
 }
 
 // allocate chooses engines for the request and counts its work there; nil if no engine has capacity now.
