placement: memory in use at the decode engines of a service

The release rate for immediate refusals is the memory in use over all processes divided by the mean hold time. MemoryInUse counts what the board knows at decode engines that may get new requests; memory at engines that leave becomes free for no new request.

go test ./internal/placement passes.

--- a/internal/placement/use.go
+++ b/internal/placement/use.go
@@ -17,3 +17,17 @@
 	}
 	return engines
 }
+
+// MemoryInUse returns the memory, in tokens, that the requests of all processes are expected to use at the decode engines of a
+// service that may get new requests.
+func (b *Board) MemoryInUse(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	memory := 0
+	for _, s := range b.states {
+		if s.usable() && s.info.Service == service && s.info.Stage == fleet.StageDecode {
+			memory += s.own.Memory + s.others.Memory
+		}
+	}
+	return memory
+}
