gateway: requests that cannot get an engine in time are refused at once

Under two to four times the load that engines take, a stream that could not be served waited until 120 ms before its latency target (680 to 1,880 ms) and was then refused. Before a new request waits, the gateway now estimates its wait from the waiting demand of all processes, the memory in use and the hold times of its own finished streams, and refuses it with 503, "not run" and Retry-After if the wait exceeds the time left by a quarter. Requests that were sent or prefilled before, continue a stream, are the next to be served, find an engine with room, or come before a release rate is known, wait as before; so do all without a backlog or with the decision off. The decision is made once for each request.

Retry-After is the expected wait, or the usual three latency targets if that is longer, and up to two thirds more, so that the spread grows with the wait. It ends while a response can still be complete within the timeout that the caller named.

go test -race -count=3 ./internal/gateway ./internal/waitestimate ./internal/placement passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
+	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
@@ -25,6 +26,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/waitestimate"
 	"github.com/fulmardoor/fulmardoor/internal/waitqueue"
 )
 
@@ -54,8 +56,12 @@
 	Limits *upstreamrate.Limits
 	// BodyMemory bounds the bodies of all requests in flight, and AnswerMemory what is kept of the bodies of all answers at a time; nil for no bound.
 	BodyMemory, AnswerMemory *membudget.Budget
-	Metrics                  *Metrics
-	Logger                   *zap.Logger
+	// Backlog has the demand that waits at all processes; nil if it is not known.
+	Backlog *backlog.Backlog
+	// RefuseAtOnce makes the gateway refuse requests that are not expected to get an engine in time, instead of letting them wait.
+	RefuseAtOnce bool
+	Metrics      *Metrics
+	Logger       *zap.Logger
 }
 
 // Gateway is the HTTP handler for callers. Create it with New.
@@ -75,13 +81,14 @@
 
 	reservations reservationLog
 
-	mu     sync.Mutex                  // guards queues
-	queues map[string]*waitqueue.Queue // by service
+	mu         sync.Mutex                         // guards the fields below
+	queues     map[string]*waitqueue.Queue        // by service
+	estimators map[string]*waitestimate.Estimator // by service
 }
 
 // New returns a gateway that refuses requests until it has a configuration.
 func New(options Options) *Gateway {
-	g := &Gateway{Options: options, queues: make(map[string]*waitqueue.Queue)}
+	g := &Gateway{Options: options, queues: make(map[string]*waitqueue.Queue), estimators: make(map[string]*waitestimate.Estimator)}
 	g.ended, g.end = context.WithCancel(context.Background())
 	return g
 }
@@ -179,7 +186,9 @@
 	sending atomic.Bool
 	// noTimeLeft is set when a stopping process would have ended before the stream at an engine that had capacity.
 	noTimeLeft bool
-	status     int
+	// waited is set once it was decided that the request waits for capacity.
+	waited bool
+	status int
 	// body has the memory of Call.Body. discardBody is set if the rest of the body must be read after the request was refused, because a
 	// caller may read the refusal only then.
 	body        *membudget.Buffer
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	leavingAnswers prometheus.Counter
 	// pauses counts the answers with which an upstream asked for no requests for a time.
 	pauses prometheus.Counter
+	// refusedAtOnce counts the requests that were refused because of their expected wait, by service.
+	refusedAtOnce *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -52,8 +54,11 @@
 		pauses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_upstream_pauses_total", Help: "Answers with which an upstream asked for no requests for a time.",
 		}),
+		refusedAtOnce: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_requests_refused_at_once_total", Help: "Requests that were refused because they would have waited too long for an engine.",
+		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses, m.refusedAtOnce)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -110,6 +110,8 @@
 	decodeWork, prefillWork *placement.Work
 	// memory is the KV cache that the request is expected to use at the decode engine, in tokens.
 	memory int
+	// began is when the memory was first counted at the decode engine.
+	began time.Time
 	// reservation identifies the memory reserved at the decode engine; empty for none.
 	reservation string
 }
@@ -177,6 +179,12 @@
 	if until, limited := r.limitedUntil(time.Now()); limited && until.After(item.Deadline) {
 		return nil, r.noCapacity()
 	}
+	if !r.waited {
+		r.waited = true
+		if refusal := r.refuseAtOnce(item, out); refusal != nil {
+			return nil, refusal
+		}
+	}
 	queue := r.g.queue(r.service.Name)
 	if queue.Wait(r.ctx, item) {
 		return found, nil
@@ -206,7 +214,7 @@
 
 // begin counts the work of a plan for a query.
 func (r *request) begin(query placement.Query, plan placement.Plan) *allocation {
-	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens}
+	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens, began: query.Now}
 	alloc.decodeWork = r.g.Board.BeginRun(plan.Decode.ID, alloc.memory)
 	if plan.Prefill != nil {
 		alloc.prefillWork = r.g.Board.BeginRun(plan.Prefill.ID, 0)
@@ -277,7 +285,11 @@
 		return verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "%s wants no requests", alloc.Decode.ID)
 	}
 	attempt.Reservation, alloc.reservation = alloc.reservation, ""
-	return r.decode(attempt, alloc.decodeWork, out)
+	err := r.decode(attempt, alloc.decodeWork, out)
+	if err == nil {
+		r.recordFinished(alloc)
+	}
+	return err
 }
 
 // mayPrefill reports whether a prefill engine may process the prompt. Only the first of these calls is free; a later one arrives in
