--- a/internal/gateway/refuseatonce_replay_test.go
+++ b/internal/gateway/refuseatonce_replay_test.go
@@ -52,36 +52,23 @@
 
 type replayRequest struct {
 	waitqueue.Item
-	arrived                  time.Time
-	memory, output, priority int
-	speed                    float64
-}
-
-// setWaiting adds a request to those that wait, or removes it.
-func (r *replayRouter) setWaiting(request *replayRequest, waits bool) {
-	if r.waiting[request] = true; !waits {
-		delete(r.waiting, request)
-	}
-	levels := make(backlog.Levels)
-	for other := range r.waiting {
-		d := levels[other.priority]
-		levels[other.priority] = backlog.Demand{Requests: d.Requests + 1, MemoryTokens: d.MemoryTokens + other.memory}
-	}
-	r.backlog.SetOwn("llm", levels)
+	arrived time.Time
+	output  int
+	speed   float64
 }
 
 // acquire takes the memory of a request if it is free, and counts whether another one should have got it.
 func (p *replay) acquire(router *replayRouter, request *replayRequest) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.free < request.memory {
+	if p.free < request.Memory {
 		return false
 	}
-	p.free -= request.memory
-	router.setWaiting(request, false)
+	p.free -= request.Memory
+	delete(router.waiting, request)
 	for other := range router.waiting {
 		// A request that arrived, or whose deadline passed, at this very moment may not be in the queue.
-		now, first := time.Now(), other.priority < request.priority || other.priority == request.priority && other.Cost < request.Cost
+		now, first := time.Now(), other.Priority < request.Priority || other.Priority == request.Priority && other.Cost < request.Cost
 		if first && other.arrived.Before(now) && other.Deadline.After(now) {
 			p.outOfOrder++
 		}
@@ -92,22 +79,22 @@
 // wait decides about a request and lets it wait; it reports whether the request got memory.
 func (p *replay) wait(t *testing.T, router *replayRouter, r *replayRequest) (served, atOnce bool) {
 	p.mu.Lock()
-	room, inUse := p.free >= r.memory, replayMemory-p.free
-	share := router.estimator.Arrived(r.priority, r.Value/r.Cost)
-	moreUrgent, asUrgent := router.backlog.AsUrgent("llm", r.priority-1, r.arrived), router.backlog.AsUrgent("llm", r.priority, r.arrived)
-	d := decideWait(&router.estimator, moreUrgent, asUrgent, share, r.memory, inUse, r.Deadline.Sub(r.arrived))
+	room, inUse := p.free >= r.Memory, replayMemory-p.free
+	share := router.estimator.Arrived(r.Priority, r.Value/r.Cost)
+	moreUrgent, asUrgent := router.backlog.AsUrgent("llm", r.Priority-1, r.arrived), router.backlog.AsUrgent("llm", r.Priority, r.arrived)
+	d := decideWait(&router.estimator, moreUrgent, asUrgent, share, r.Memory, inUse, r.Deadline.Sub(r.arrived))
 	if p.decide && d.refuse && !room {
 		p.mu.Unlock()
 		return false, true
 	}
-	router.setWaiting(r, true)
+	router.waiting[r] = true
 	p.mu.Unlock()
 	if router.queue.Wait(t.Context(), &r.Item) {
 		return true, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	router.setWaiting(r, false)
+	delete(router.waiting, r)
 	return false, false
 }
 
@@ -117,6 +104,7 @@
 	routers := make([]replayRouter, 4)
 	for i := range routers {
 		routers[i].backlog, routers[i].waiting = backlog.New(nil), make(map[*replayRequest]bool)
+		routers[i].queue.Changed = func(demand backlog.Levels) { routers[i].backlog.SetOwn("llm", demand) }
 	}
 	random, start := rand.New(rand.NewPCG(seed, 1)), time.Now()
 	var running sync.WaitGroup
@@ -138,9 +126,10 @@
 			load = p.load
 		}
 		time.Sleep(time.Duration(random.ExpFloat64() * replayMeanHold / (load * replayStreams) * float64(time.Second)))
-		router, r, target := &routers[random.IntN(len(routers))], &replayRequest{priority: 2, output: replayOutput, speed: 0.77, arrived: time.Now()}, 2*time.Second
+		priority, target := 2, 2*time.Second
+		router, r := &routers[random.IntN(len(routers))], &replayRequest{output: replayOutput, speed: 0.77, arrived: time.Now()}
 		if random.IntN(20) == 0 {
-			r.priority, target = 0, 800*time.Millisecond
+			priority, target = 0, 800*time.Millisecond
 		}
 		if p.varied {
 			r.output = 200 + random.IntN(1200)
@@ -148,14 +137,13 @@
 		if random.IntN(4) == 0 { // a quarter of the engines is slower
 			r.speed = 1.69
 		}
-		r.memory = replayPrompt + r.output*3/5
-		r.Item = waitqueue.Item{Priority: r.priority, Value: 1, Cost: (replayPrompt + float64(r.output)/2) * float64(r.output), Deadline: r.arrived.Add(target - firstEventMargin)}
-		r.TryAcquire = func() bool { return p.acquire(router, r) }
+		r.Item = waitqueue.Item{Priority: priority, Level: priority, Value: 1, Cost: (replayPrompt + float64(r.output)/2) * float64(r.output), Memory: replayPrompt + r.output*3/5,
+			Deadline: r.arrived.Add(target - firstEventMargin), TryAcquire: func() bool { return p.acquire(router, r) }}
 		running.Go(func() {
 			served, atOnce := p.wait(t, router, r)
 			if p.mu.Lock(); counted {
 				p.served, p.refused, p.atOnce = p.served+count(served), p.refused+count(!served), p.atOnce+count(atOnce)
-				p.urgentAtOnce += count(atOnce && r.priority == 0)
+				p.urgentAtOnce += count(atOnce && r.Priority == 0)
 				if p.early += count(served && time.Since(start) < replayEnd); !served {
 					p.waited += time.Since(r.arrived)
 				}
@@ -165,9 +153,9 @@
 			}
 			hold := time.Duration(replayMeanHold * r.speed * float64(r.output) / replayOutput * float64(time.Second))
 			time.Sleep(hold)
-			router.estimator.Finished(time.Duration(float64(hold)*p.holdError), r.memory)
+			router.estimator.Finished(time.Duration(float64(hold)*p.holdError), r.Memory)
 			p.mu.Lock()
-			p.free += r.memory
+			p.free += r.Memory
 			p.mu.Unlock()
 			for i := range routers {
 				routers[(int(r.arrived.UnixNano())+i)%len(routers)].queue.CapacityChanged()
