--- a/internal/gateway/refuseatonce.go
+++ b/internal/gateway/refuseatonce.go
@@ -7,7 +7,6 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/backlog"
-	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
 	"github.com/fulmardoor/fulmardoor/internal/waitestimate"
 	"github.com/fulmardoor/fulmardoor/internal/waitqueue"
@@ -64,19 +63,17 @@
 	overtaking := estimator.Overtaking(item.Priority, item.Value/item.Cost)
 	share := estimator.Arrived(item.Priority, item.Value/item.Cost)
 	now := time.Now()
-	asUrgent := demand.AsUrgent(r.service.Name, item.Priority, now)
+	asUrgent := demand.AsUrgent(r.service.Name, item.Level, now)
 	if asUrgent.Requests == 0 {
 		return nil
 	}
-	query := placement.Query{Service: r.service, Now: now, Excluded: r.excluded, LocalPrefillOnly: true}
-	r.addSizes(&query)
-	moreUrgent := demand.AsUrgent(r.service.Name, item.Priority-1, now)
+	moreUrgent := demand.AsUrgent(r.service.Name, item.Level-1, now)
 	left := min(item.Deadline.Sub(now), r.deadline.Sub(now))
-	d := decideWait(estimator, moreUrgent, asUrgent, share, overtaking, query.PromptTokens+query.OutputTokens, r.g.Board.MemoryInUse(r.service.Name), left)
+	d := decideWait(estimator, moreUrgent, asUrgent, share, overtaking, item.Memory, r.g.Board.MemoryInUse(r.service.Name), left)
 	if !d.refuse {
 		return nil
 	}
-	if _, room := r.g.Board.PlanModel(query); room {
+	if _, room := r.g.Board.PlanModel(r.query(true)); room {
 		return nil
 	}
 	r.recordStep(fmt.Sprintf("refused_at_once wait_ms %d left_ms %d overtaking_ms %d ahead %d own %d per_second %.0f",
--- a/internal/gateway/refuseatonce_test.go
+++ b/internal/gateway/refuseatonce_test.go
@@ -92,7 +92,8 @@
 		r := newOverloaded(registry, engine)
 		out := &eventWriter{r: r}
 		c.change(r.g, r, out)
-		item := &waitqueue.Item{Priority: priority, Value: 1, Cost: float64(r.call.OutputTokens) / 2000, Deadline: r.began.Add(1880 * time.Millisecond)}
+		sizes := r.query(true)
+		item := &waitqueue.Item{Priority: priority, Level: priority, Memory: sizes.PromptTokens + sizes.OutputTokens, Value: 1, Cost: float64(r.call.OutputTokens) / 2000, Deadline: r.began.Add(1880 * time.Millisecond)}
 		refusal := r.refuseAtOnce(item, out)
 		if (refusal != nil) != c.want {
 			t.Errorf("%s: refused %v, want %v", c.name, refusal != nil, c.want)
