--- a/cmd/fulmardoor-router/main.go
+++ b/cmd/fulmardoor-router/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	const metricsPort, fleetPriority = "metrics-port", "fleet-priority"
+	const metricsPort, fleetPriority, refuseAtOnce = "metrics-port", "fleet-priority", "refuse-at-once"
 	process.Command[*platform.Settings]{
 		Name: "fulmardoor-router", Usage: "entry process on the users' platform",
 		File: &cli.StringFlag{
@@ -19,10 +19,11 @@
 		RunFlags: []cli.Flag{
 			&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"},
 			&cli.BoolFlag{Name: fleetPriority, Usage: "leave capacity at engines to more urgent requests that wait at other routers", Value: true},
+			&cli.BoolFlag{Name: refuseAtOnce, Usage: "refuse streams that are expected to wait too long for an engine before they wait", Value: true},
 		},
 		Load: platform.LoadSettings,
 		Run: func(cmd *cli.Command, path string, settings *platform.Settings) error {
-			return run(path, settings, runOptions{metricsPort: cmd.Int(metricsPort), fleetPriority: cmd.Bool(fleetPriority)})
+			return run(path, settings, runOptions{metricsPort: cmd.Int(metricsPort), fleetPriority: cmd.Bool(fleetPriority), refuseAtOnce: cmd.Bool(refuseAtOnce)})
 		},
 	}.Main()
 }
--- a/cmd/fulmardoor-router/priority_test.go
+++ b/cmd/fulmardoor-router/priority_test.go
@@ -55,3 +55,14 @@
 		}
 	}
 }
+
+// Guards against --refuse-at-once without an effect.
+func TestRefuseAtOnceFlag(t *testing.T) {
+	for _, refuse := range []bool{false, true} {
+		settings := &platform.Settings{Name: "a", Host: "127.0.0.1", DataCentre: "here", FirstPort: 1, StoreAddress: "127.0.0.1:2"}
+		r := newRouter("", settings, runOptions{refuseAtOnce: refuse}, zap.NewNop())
+		if r.gateway.RefuseAtOnce != refuse || r.gateway.Backlog == nil {
+			t.Errorf("refuse at once: %v, want %v; backlog %v", r.gateway.RefuseAtOnce, refuse, r.gateway.Backlog)
+		}
+	}
+}
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -168,6 +168,8 @@
 	metricsPort int
 	// fleetPriority is set if waiting demand is exchanged with other routers, and capacity left to more urgent requests there.
 	fleetPriority bool
+	// refuseAtOnce is set if streams that are expected to wait too long for an engine are refused before they wait.
+	refuseAtOnce bool
 }
 
 func run(path string, settings *platform.Settings, options runOptions) error {
@@ -206,7 +208,8 @@
 	r.upstreams.reserve(s.CallerAddress, s.ReadyAddress, s.StoreAddress, r.peerAddress())
 	r.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Board: r.board, Limiter: r.limiter, Budgets: r.budgets, Pool: pool, Quarantine: prompts, Limits: r.limits, Backlog: r.backlog,
-		BodyMemory: memoryShare(s, bodyMemoryFraction), AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
+		RefuseAtOnce: options.refuseAtOnce,
+		BodyMemory:   memoryShare(s, bodyMemoryFraction), AnswerMemory: answerMemory, Metrics: gateway.NewMetrics(r.registry), Logger: logger,
 	})
 	r.storeStatus = follow.Status{Logger: logger, Health: follow.NewHealth(r.storePause, func(bool) { r.mesh.NotifyStatusChanged() })}
 	r.mesh = peering.New(peering.Options{
