--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,8 @@
 	pauses prometheus.Counter
 	// heldBack counts the requests that left capacity to more urgent ones that waited at other processes.
 	heldBack *prometheus.CounterVec
+	// refusedAtOnce counts the requests that were refused because of their expected wait, by service.
+	refusedAtOnce *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with registry.
@@ -57,8 +59,11 @@
 		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fulmardoor_gateway_requests_held_back_total", Help: "Requests that left capacity to more urgent ones that waited at other routers.",
 		}, []string{"service"}),
+		refusedAtOnce: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fulmardoor_gateway_requests_refused_at_once_total", Help: "Requests that were refused because they would have waited too long for an engine.",
+		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses, m.heldBack)
+	registry.MustRegister(m.requests, m.durations, m.sends, m.promptCrashes, m.plainCrashes, m.limitedSends, m.leavingAnswers, m.pauses, m.heldBack, m.refusedAtOnce)
 	return m
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -112,6 +112,8 @@
 	decodeWork, prefillWork *placement.Work
 	// memory is the KV cache that the request is expected to use at the decode engine, in tokens.
 	memory int
+	// began is when the memory was first counted at the decode engine.
+	began time.Time
 	// reservation identifies the memory reserved at the decode engine; empty for none.
 	reservation string
 }
@@ -185,6 +187,12 @@
 	if until, limited := r.limitedUntil(time.Now()); limited && until.After(item.Deadline) {
 		return nil, r.noCapacity()
 	}
+	if !r.waited {
+		r.waited = true
+		if refusal := r.refuseAtOnce(item, out); refusal != nil {
+			return nil, refusal
+		}
+	}
 	queue := r.g.queue(r.service.Name)
 	if queue.Wait(r.ctx, item) {
 		return found, nil
@@ -238,7 +246,7 @@
 
 // begin counts the work of a plan for a query.
 func (r *request) begin(query placement.Query, plan placement.Plan) *allocation {
-	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens}
+	alloc := &allocation{Plan: plan, memory: query.PromptTokens + query.OutputTokens, began: query.Now}
 	alloc.decodeWork = r.g.Board.BeginRun(plan.Decode.ID, alloc.memory)
 	if plan.Prefill != nil {
 		alloc.prefillWork = r.g.Board.BeginRun(plan.Prefill.ID, 0)
@@ -309,7 +317,11 @@
 		return verdict.Refuse(wirev1.Reason_REASON_UPSTREAM_LIMITED, "%s wants no requests", alloc.Decode.ID)
 	}
 	attempt.Reservation, alloc.reservation = alloc.reservation, ""
-	return r.decode(attempt, alloc.decodeWork, out)
+	err := r.decode(attempt, alloc.decodeWork, out)
+	if err == nil {
+		r.recordFinished(alloc)
+	}
+	return err
 }
 
 // mayPrefill reports whether a prefill engine may process the prompt. Only the first of these calls is free; a later one arrives in
