placement: the load of an upstream's host is used with its age

A load header with a fourth figure, how long work takes on the host now, was thrown away whole. The figure now scales expected answer and prefill times; it fades to the mean of the service in the time for which figures were seen to hold.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -372,7 +372,7 @@
 		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Reason: wirev1.Reason_REASON_UPSTREAM_ERROR, Detail: "prefill failed"}
 	}
 	if alloc.prefillWork.SolePrefill {
-		r.g.Board.RecordPrefillTime(alloc.Prefill.ID, r.call.PromptTokens, time.Since(began))
+		r.g.Board.RecordPrefillTime(alloc.Prefill.ID, r.call.PromptTokens, time.Now(), time.Since(began))
 	}
 	r.g.Metrics.CountSend("prefill", "answered")
 	handle, err := r.g.Protocol.ReadHandle(attempt, body)
@@ -438,7 +438,7 @@
 		firstAt = time.Now()
 		r.recordSurvival()
 		if attempt.KVHandle == nil && work.SolePrefill && attempt.ResumeAfter == "" {
-			r.g.Board.RecordPrefillTime(attempt.Upstream.ID, r.call.PromptTokens, time.Since(began))
+			r.g.Board.RecordPrefillTime(attempt.Upstream.ID, r.call.PromptTokens, time.Now(), time.Since(began))
 		}
 		work.EndPrefill()
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -170,7 +170,7 @@
 		streamRest = true
 	} else {
 		response.Close()
-		r.g.Board.RecordAnswerTime(upstream.ID, time.Since(began))
+		r.g.Board.RecordAnswerTime(upstream.ID, time.Now(), time.Since(began))
 		r.g.Metrics.CountSend("plain", "answered")
 		r.recordAnswer(response.Status)
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -56,8 +56,9 @@
 	// own counts the in-flight work of this process, others that of the other processes.
 	own, others Share
 
-	load   Load
-	loadAt time.Time
+	load     Load
+	loadAt   time.Time
+	slowdown slowdownFigure
 
 	failures   float64 // moving average of failed answers, 0 to 1
 	failuresAt time.Time
@@ -78,9 +79,9 @@
 	// probes is the number of in-flight requests that were sent to find out whether a suspected upstream answers again.
 	probes int
 
-	prefillTokensPerMs float64 // moving average of the prefill speed; 0 if not measured
+	prefillTokensPerMs float64 // moving average of the prefill speed without a slowdown; 0 if not measured
 	msPerToken         float64 // moving average of the time per output token; 0 if not measured
-	answerMs           float64 // moving average of the time of a plain answer; 0 if not measured
+	answerMs           float64 // moving average of the time of a plain answer without a slowdown; 0 if not measured
 }
 
 // Share is the in-flight work of one or more processes at an upstream.
@@ -99,7 +100,11 @@
 }
 
 // Load is the load that an upstream reports about itself.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes on the upstream's host now; zero if the upstream does not say.
+	Slowdown float64
+}
 
 // Board keeps the state of all upstreams. Its methods may be called concurrently.
 type Board struct {
@@ -112,6 +117,8 @@
 
 	mu     sync.Mutex // guards the fields below and random
 	states map[string]*state
+	// slowdowns has how the reported slowdowns of each service behave.
+	slowdowns map[string]*slowdownHistory
 	// peersIncomplete is set while the work of at least one other process is unknown.
 	peersIncomplete bool
 	// peers holds the work that each source reported, by source and upstream.
@@ -126,7 +133,7 @@
 	if source == nil {
 		source = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
-	return &Board{dataCentre: dataCentre, random: rand.New(source), states: make(map[string]*state),
+	return &Board{dataCentre: dataCentre, random: rand.New(source), states: make(map[string]*state), slowdowns: make(map[string]*slowdownHistory),
 		peers: make(map[string]map[string]Share), ownChangedAt: make(map[string]bool), ownChanged: func() {}, capacityChanged: func() {}}
 }
 
@@ -484,22 +491,28 @@
 
 // RecordLoad records the load that an upstream reported with an answer.
 func (b *Board) RecordLoad(id string, now time.Time, load Load) {
-	b.withState(id, func(s *state) { s.load, s.loadAt = load, now })
+	b.withState(id, func(s *state) {
+		s.load, s.loadAt = load, now
+		b.recordSlowdownLocked(s, slowdownFigure{load.Slowdown, now})
+	})
 }
 
-// RecordAnswerTime records how long a plain answer took.
-func (b *Board) RecordAnswerTime(id string, elapsed time.Duration) {
-	b.withState(id, func(s *state) { s.answerMs = movingAverage(s.answerMs, elapsed.Seconds()*1000) })
+// RecordAnswerTime records how long a plain answer took that ended now.
+func (b *Board) RecordAnswerTime(id string, now time.Time, elapsed time.Duration) {
+	b.withState(id, func(s *state) {
+		s.answerMs = movingAverage(s.answerMs, elapsed.Seconds()*1000/b.slowdownLocked(s, now))
+	})
 }
 
-// RecordPrefillTime records how long the prefill of a prompt took. It is for prompts that shared their engine with no other
-// prefill.
-func (b *Board) RecordPrefillTime(id string, tokens int, elapsed time.Duration) {
+// RecordPrefillTime records how long the prefill of a prompt took that ended now. It is for prompts that shared their engine with
+// no other prefill.
+func (b *Board) RecordPrefillTime(id string, tokens int, now time.Time, elapsed time.Duration) {
 	if tokens < minTimedPromptTokens || elapsed <= 0 {
 		return
 	}
 	b.withState(id, func(s *state) {
-		s.prefillTokensPerMs = movingAverage(s.prefillTokensPerMs, float64(tokens)/(elapsed.Seconds()*1000))
+		perMs := float64(tokens) / (elapsed.Seconds() * 1000)
+		s.prefillTokensPerMs = movingAverage(s.prefillTokensPerMs, perMs*b.slowdownLocked(s, now))
 	})
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -154,8 +154,8 @@
 	}
 	// Each request beyond the slots adds 1/slots of an answer time. The last term makes the less loaded of two upstreams with
 	// free slots cheaper.
-	slowdown := 1 + float64(max(0, work+1-slots))/float64(slots) + 0.1*float64(work)/float64(slots)
-	cost := time.Duration(answer*slowdown*float64(time.Millisecond)) + s.failurePenalty(now)
+	queueing := 1 + float64(max(0, work+1-slots))/float64(slots) + 0.1*float64(work)/float64(slots)
+	cost := time.Duration(answer*b.slowdownLocked(s, now)*queueing*float64(time.Millisecond)) + s.failurePenalty(now)
 	if s.info.DataCentre != b.dataCentre {
 		cost += remotePlainCost
 	}
@@ -257,7 +257,7 @@
 	}
 	var best time.Duration
 	for _, d := range decoders {
-		prefill := b.prefillTime(d, q.PromptTokens, decodePrefillSpeedRatio)
+		prefill := b.prefillTime(d, &q, decodePrefillSpeedRatio)
 		cost := prefill + b.decodeCost(d, &q) + time.Duration(d.running())*streamDelayCost(d, &q, prefill)
 		if plan.Decode == nil || cost < best {
 			best, plan = cost, Plan{Decode: d.info, Expected: prefill}
@@ -267,7 +267,7 @@
 		return plan, plan.Decode != nil
 	}
 	for _, p := range b.candidates(&q, fleet.StagePrefill) {
-		prefill := b.prefillTime(p, q.PromptTokens, 1)
+		prefill := b.prefillTime(p, &q, 1)
 		for _, d := range decoders {
 			transfer := transferTime(q.Service.Engine, q.PromptTokens, p.info.DataCentre == d.info.DataCentre)
 			cost := prefill + transfer + b.decodeCost(d, &q) + p.failurePenalty(q.Now) + transferCost
@@ -361,14 +361,15 @@
 	return cost
 }
 
-// prefillTime returns the expected time until a prompt has been processed, including the prompts queued before it.
+// prefillTime returns the expected time until the prompt of a query has been processed, including the prompts queued before it.
 // speedRatio scales the default speed while none was measured.
-func (b *Board) prefillTime(s *state, tokens int, speedRatio float64) time.Duration {
+func (b *Board) prefillTime(s *state, q *Query, speedRatio float64) time.Duration {
 	perMs := s.prefillTokensPerMs
 	if perMs == 0 {
 		perMs = defaultPrefillTokensPerMs * speedRatio
 	}
-	return time.Duration(float64(s.own.PrefillTokens+s.others.PrefillTokens+tokens) / perMs * float64(time.Millisecond))
+	tokens := s.own.PrefillTokens + s.others.PrefillTokens + q.PromptTokens
+	return time.Duration(float64(tokens) / perMs * b.slowdownLocked(s, q.Now) * float64(time.Millisecond))
 }
 
 // transferTime returns the expected time to transfer the KV cache of a prompt.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -263,7 +263,7 @@
 		{"fast engine behind two prompts", 27, 6000, true},
 	} {
 		b := newBoard(newUpstream("p", "model", "here", fleet.StagePrefill), newUpstream("d", "model", "here", fleet.StageDecode))
-		b.RecordPrefillTime("d", 3000, time.Duration(3000/c.perMs*float64(time.Millisecond)))
+		b.RecordPrefillTime("d", 3000, testStart, time.Duration(3000/c.perMs*float64(time.Millisecond)))
 		b.BeginRun("p", 0).BeginPrefill(9000) // the prefill engine has three prompts queued
 		work := b.BeginRun("d", 3000)
 		if c.waiting > 0 {
