upstreamconn: the end of a connection during an upload does not end a response

An upstream that read a part of a large request, sent a response without length or chunks and reset the connection was taken to have sent a complete response.

Cause: the kernel reports a reset to one call on the socket and an end of stream to the later ones. The request was written and the response read in two goroutines. Nothing looked at the result of the write before the response was taken for complete.

Change: at the end of a response that is delimited by its connection, the reader waits for the end of the upload. Unless the whole request was written, the response is truncated: io.ErrUnexpectedEOF, not ErrMalformed, so that retries and verdicts are those of any broken connection. The wait is limited to a second, for an upstream that half-closes the connection and reads no more; one that reads the rest first, then closes, is complete as before. A request of up to 8 KiB is written before the response is read and needs no wait. Responses without a body, with a length or chunks are not affected.

--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -19,6 +19,10 @@
 // body.
 const maxInlineBodyBytes = 8 << 10
 
+// uploadEndTimeout limits how long the rest of a request body may take after the upstream ended a response that is delimited by the close of its
+// connection. An upstream that responds early and then reads the rest takes it in some round trips.
+const uploadEndTimeout = time.Second
+
 // maxStaleResponses limits how many responses to earlier requests are skipped on one connection.
 const maxStaleResponses = 4
 
@@ -56,8 +60,8 @@
 	pool *Pool
 	conn *conn
 	raw  *http.Response
-	// bodyWritten reports whether the whole request has been written.
-	bodyWritten func() bool
+	// upload is the write of the request if it goes on while the response is read; nil if the whole request was written before.
+	upload *upload
 	// stopCancel unregisters the function that cancels the exchange when the request's context ends. It returns false if the
 	// context has already ended.
 	stopCancel func() bool
@@ -92,7 +96,6 @@
 func (c *conn) exchange(ctx context.Context, r *Request) (*Response, error) {
 	c.writeStarted = false
 	head := r.encodeHead()
-	bodyWritten := func() bool { return true }
 	if r.OnSend != nil {
 		r.OnSend()
 	}
@@ -102,26 +105,55 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "write request")
 		}
-	} else {
-		c.writeStarted = true
-		writeResult := make(chan error, 1)
-		go func() {
-			_, err := c.Conn.Write(head)
-			if err == nil {
-				_, err = c.Conn.Write(r.Body)
-			}
-			writeResult <- err
-		}()
-		bodyWritten = func() bool {
-			select {
-			case err := <-writeResult:
-				return err == nil
-			default:
-				return false
-			}
+		return c.readResponse(ctx, r, nil)
+	}
+	c.writeStarted = true
+	return c.readResponse(ctx, r, c.startUpload(head, r.Body))
+}
+
+// upload is the write of a request in a goroutine of its own.
+type upload struct {
+	done chan struct{}
+	err  error // of the write, valid after done was closed
+}
+
+func (c *conn) startUpload(head, body []byte) *upload {
+	u := &upload{done: make(chan struct{})}
+	go func() {
+		defer close(u.done)
+		if _, u.err = c.Conn.Write(head); u.err == nil {
+			_, u.err = c.Conn.Write(body)
 		}
+	}()
+	return u
+}
+
+// written reports whether the whole request has been written. A nil upload was written before the response was read.
+func (u *upload) written() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// end waits for the end of the write and returns its error. The write also ends with the context of the request.
+func (u *upload) end() error {
+	if u == nil {
+		return nil
+	}
+	timeout := time.NewTimer(uploadEndTimeout)
+	defer timeout.Stop()
+	select {
+	case <-u.done:
+		return u.err
+	case <-timeout.C:
+		return errors.New("the upstream does not read the rest of the request")
 	}
-	return c.readResponse(ctx, r, bodyWritten)
 }
 
 // readHead reads the status and headers of the next response. It skips informational responses.
@@ -157,7 +189,7 @@
 
 // readResponse reads the status and headers of the response that belongs to the request. It skips responses to earlier
 // requests.
-func (c *conn) readResponse(ctx context.Context, r *Request, bodyWritten func() bool) (*Response, error) {
+func (c *conn) readResponse(ctx context.Context, r *Request, upload *upload) (*Response, error) {
 	for skipped := 0; skipped <= maxStaleResponses; {
 		raw, err := c.readHead(r.Method)
 		if err != nil {
@@ -169,7 +201,7 @@
 		first := !c.responded
 		c.responded = true
 		if r.Accept == nil || r.Accept(raw.Header, first) {
-			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, bodyWritten: bodyWritten}
+			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, upload: upload}
 			response.Body = &bodyReader{response: response}
 			return response, nil
 		}
@@ -202,16 +234,38 @@
 }
 
 // bodyReader reads the response body and sets bodyRead at its end.
-type bodyReader struct{ response *Response }
+type bodyReader struct {
+	response *Response
+	// truncated is the error after the end of a connection that did not end the response; nil before.
+	truncated error
+}
 
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.truncated != nil {
+		return 0, r.truncated
+	}
 	n, err := r.response.raw.Body.Read(p)
 	if err == io.EOF {
+		if r.truncated = r.response.checkEnd(); r.truncated != nil {
+			return n, r.truncated
+		}
 		r.response.bodyRead = true
 	}
 	return n, markMalformed(err)
 }
 
+// checkEnd returns an error if the end of the connection, which delimits the response, does not show that the response is complete. The kernel
+// reports the reset of a connection to one call only: if that is a write, the reader sees a regular end.
+func (r *Response) checkEnd() error {
+	if r.SelfDelimited() || r.raw.Body == http.NoBody {
+		return nil
+	}
+	if err := r.upload.end(); err != nil {
+		return fmt.Errorf("%w: the connection ended while the request was written: %w", io.ErrUnexpectedEOF, err)
+	}
+	return nil
+}
+
 // SelfDelimited reports whether the body ends by its Content-Length or chunked encoding, as opposed to the end of the
 // connection.
 func (r *Response) SelfDelimited() bool {
@@ -232,7 +286,7 @@
 func (r *Response) Close() {
 	r.closeOnce.Do(func() {
 		r.conn.received.release()
-		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.bodyWritten() && r.conn.reader.Buffered() == 0
+		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.upload.written() && r.conn.reader.Buffered() == 0
 		if !reusable {
 			_ = r.conn.Close()
 			return
