upstreamconn: a status outside 100 to 599, or 101, is malformed at once

Statuses below 200 were all skipped as informational. After 000 or 101 the router waited for another response until a timer or the deadline, or took the body for the response: a whole response in the body of a 000 reached the caller. 600 and 999 were passed on.

Change: readHead returns ErrMalformed for a status outside 100 to 599 and for 101, which nothing asks for, on every path of the router (plain, stream, prefill, calls to engines and the store). Other informational responses are skipped as before.

--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -156,7 +156,8 @@
 	}
 }
 
-// readHead reads the status and headers of the next response. It skips informational responses.
+// readHead reads the status and headers of the next response. It skips informational responses. Other protocols, to which a response with status 101
+// would switch, are never asked for.
 func (c *conn) readHead(method string) (raw *http.Response, err error) {
 	c.received.release()
 	c.received.begin()
@@ -172,8 +173,13 @@
 		if err != nil && c.received.exceeded {
 			return nil, errors.Wrapf(ErrMalformed, "head exceeds %d bytes, or the memory for heads", c.received.read)
 		}
-		if err != nil || raw.StatusCode >= http.StatusOK {
+		switch {
+		case err != nil:
 			return raw, markMalformed(err)
+		case raw.StatusCode < 100 || raw.StatusCode > 599 || raw.StatusCode == http.StatusSwitchingProtocols:
+			return raw, errors.Wrapf(ErrMalformed, "status %03d", raw.StatusCode)
+		case raw.StatusCode >= http.StatusOK:
+			return raw, nil
 		}
 	}
 }
