sidecar: a response of a plain service that a reset cut, or with an impossible status, is not forwarded as a response

Cause: as in the router. http.Transport writes a request and reads its response in two goroutines; the reset of a connection is reported to one of them. If that is the writer, the reader sees a regular end, which delimits a response without length and chunks; the transport closes the connection after the failed write, but does not tell the reader of the body. Its status check only asks for three digits.

Change: package wholeresponse wraps a http.Transport. Its connections hold a lock during a write; a reader that sees the end of the stream takes the lock and gets the error of a failed write instead of the end. At the end of a body that its connection delimits, it also waits for httptrace's WroteRequest, at most a second, and takes an error or a missing end of the write for a truncated response. WroteRequest alone is not enough: net/http calls it before the last 4 KB are flushed. A request body that records that it was read to its end would not do: the body is read before it is written. A status outside 200 to 599 (net/http skips informational ones) is ErrMalformed; its outcome is REASON_UPSTREAM_ERROR, "may have run", not a crash of the upstream.

--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -15,6 +15,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/headers"
 	"github.com/fulmardoor/fulmardoor/internal/readlimit"
 	"github.com/fulmardoor/fulmardoor/internal/verdict"
+	"github.com/fulmardoor/fulmardoor/internal/wholeresponse"
 )
 
 const (
@@ -41,8 +42,10 @@
 func NewServiceUpstream(baseURL string) *ServiceUpstream {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &ServiceUpstream{
-		baseURL:   baseURL,
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHeadBytes},
+		baseURL: baseURL,
+		transport: wholeresponse.Transport(&http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHeadBytes,
+		}),
 	}
 }
 
@@ -96,6 +99,9 @@
 		Verdict: wirev1.Verdict_VERDICT_MAY_HAVE_RUN, Reason: wirev1.Reason_REASON_UPSTREAM_BROKE,
 		Detail: "the upstream closed the connection before it responded",
 	}
+	if errors.Is(err, wholeresponse.ErrMalformed) {
+		outcome.Reason, outcome.Detail = wirev1.Reason_REASON_UPSTREAM_ERROR, "the upstream sent a malformed response"
+	}
 	if ctx.Err() != nil {
 		outcome.Reason, outcome.Detail = cancelReason(c.Context())
 	}
