httpengine: responses of engines that a reset cut are errors

A prefill reported an export, and a release success, although the connection was reset while their request was written. The body of a refusal was also used if reading it failed: a cut "engine_busy" counted as not run.

Change: both clients of an engine use wholeresponse, and a refusal whose body cannot be read is engine.ErrBroken. A malformed status stays an error of the engine, not ErrBroken, which would count as a crash. Load, CacheEvents and CacheState have no request body, so that no write can get the reset.

--- a/internal/engine/httpengine/call.go
+++ b/internal/engine/httpengine/call.go
@@ -16,6 +16,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
 	"github.com/fulmardoor/fulmardoor/internal/readlimit"
+	"github.com/fulmardoor/fulmardoor/internal/wholeresponse"
 )
 
 const (
@@ -64,15 +65,17 @@
 		return nil, err
 	}
 	response, err := client.Do(request)
-	if err != nil {
-		if !connected.Load() || isDialError(err) {
-			return nil, wrapWithKind(ctx, engine.ErrUnreachable, err)
-		}
+	switch {
+	case errors.Is(err, wholeresponse.ErrMalformed):
+		return nil, err
+	case err != nil && (!connected.Load() || isDialError(err)):
+		return nil, wrapWithKind(ctx, engine.ErrUnreachable, err)
+	case err != nil:
 		return nil, brokenError(ctx, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
-		return nil, statusError(response)
+		return nil, statusError(ctx, response)
 	}
 	return response, nil
 }
@@ -118,8 +121,11 @@
 	return fmt.Errorf("%w: %w", kind, err)
 }
 
-func statusError(response *http.Response) error {
-	data, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+func statusError(ctx context.Context, response *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+	if err != nil {
+		return brokenError(ctx, err)
+	}
 	body := new(vllm.ErrorBody)
 	if err := json.Unmarshal(data, body); err != nil {
 		return errors.Errorf("engine returned status %s", response.Status)
--- a/internal/engine/httpengine/engine.go
+++ b/internal/engine/httpengine/engine.go
@@ -15,6 +15,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/engine"
 	"github.com/fulmardoor/fulmardoor/internal/engine/vllm"
 	"github.com/fulmardoor/fulmardoor/internal/readlimit"
+	"github.com/fulmardoor/fulmardoor/internal/wholeresponse"
 )
 
 var _ engine.Engine = (*Engine)(nil)
@@ -36,8 +37,8 @@
 func New(baseURL string, client *http.Client) *Engine {
 	limited := readlimit.Client(client)
 	return &Engine{
-		baseURL: strings.TrimSuffix(baseURL, "/"), client: limited,
-		singleUse: readlimit.WithTransport(limited, func(t *http.Transport) { t.DisableKeepAlives = true }),
+		baseURL: strings.TrimSuffix(baseURL, "/"), client: wholeresponse.Client(limited),
+		singleUse: wholeresponse.Client(readlimit.WithTransport(limited, func(t *http.Transport) { t.DisableKeepAlives = true })),
 	}
 }
 
