etcdhttp: a write whose response a reset cut has an unknown outcome

The client decodes the first JSON value of a response and dropped errors after it, so that a confirmation counted although the connection was reset while its request was written; the body of an error had the fault of the plain services.

Change: the client uses wholeresponse, and any error between the JSON value and the end of the response makes the outcome of a write unknown and a read unavailable. The client of the host list sends no body and cannot have the fault; it is as before.

--- a/internal/kv/etcdhttp/call.go
+++ b/internal/kv/etcdhttp/call.go
@@ -51,8 +51,10 @@
 	if err := json.NewDecoder(body).Decode(response); err != nil {
 		return kind.noResponseError("read response: " + err.Error())
 	}
-	// The connection is only reused if the body was read to its end, which is a line feed away.
-	_, _ = io.CopyN(io.Discard, httpResponse.Body, maxErrorBodyBytes)
+	// The end is a line feed away. The connection is only reused if it was read, and a response whose connection broke before it confirms nothing.
+	if _, err := io.CopyN(io.Discard, httpResponse.Body, maxErrorBodyBytes); err != nil && err != io.EOF {
+		return kind.noResponseError("read response: " + err.Error())
+	}
 	return nil
 }
 
--- a/internal/kv/etcdhttp/client.go
+++ b/internal/kv/etcdhttp/client.go
@@ -13,6 +13,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/etcdwire"
 	"github.com/fulmardoor/fulmardoor/internal/readlimit"
+	"github.com/fulmardoor/fulmardoor/internal/wholeresponse"
 )
 
 // maxResponseBytes is the maximum size of one response or watch message. All documents of a deployment are listed in one.
@@ -33,7 +34,9 @@
 // New returns a client of the gateway at baseURL, for example "http://10.0.0.1:2379". client must have no Timeout, as
 // that would end watches; nil means http.DefaultClient. callTimeout limits each call except watches; 0 means no limit.
 func New(baseURL string, client *http.Client, callTimeout time.Duration) *Client {
-	return &Client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: readlimit.Client(client), callTimeout: callTimeout}
+	return &Client{
+		baseURL: strings.TrimRight(baseURL, "/"), httpClient: wholeresponse.Client(readlimit.Client(client)), callTimeout: callTimeout,
+	}
 }
 
 // Get implements kv.Store.
