wholeresponse: an upstream that half-closes its connection and then reads the rest of a request responds completely

http.Transport closes a connection once its reader got the end of it, so that the rest of a request was not written to an upstream that shuts down its direction first, and its whole response counted as truncated.

Change: the connection itself waits for the end of the request's write (httptrace's GotConn and WroteRequest, at most a second) before its reader gets the end. The reader of the body needs no wrapper any more, so the rule also covers the end of a connection before a response.

--- a/internal/wholeresponse/wholeresponse.go
+++ b/internal/wholeresponse/wholeresponse.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,12 +21,12 @@
 // ErrMalformed means that a response has a status that no response has.
 var ErrMalformed = errors.New("malformed response")
 
-// uploadEndTimeout limits how long the rest of a request body may take after the upstream ended its response by the end of the connection.
+// uploadEndTimeout limits how long the rest of a request body may take after the upstream ended the connection in its direction.
 const uploadEndTimeout = time.Second
 
-// Transport returns a round tripper over a copy of a transport. A body that ends with its connection ends with io.EOF only if the whole request was
-// written and no write failed on the connection; otherwise with an error that wraps io.ErrUnexpectedEOF. A response whose status is not from 200 to
-// 599 returns ErrMalformed; http.Transport itself skips informational ones.
+// Transport returns a round tripper over a copy of a transport. Its connections end regularly only if the request was written before; otherwise the
+// response, or its body, ends with an error that wraps io.ErrUnexpectedEOF. A response whose status is not from 200 to 599 returns ErrMalformed;
+// http.Transport itself skips informational ones. A transport with its own DialTLSContext is not covered for https.
 func Transport(transport *http.Transport) http.RoundTripper {
 	transport = transport.Clone()
 	dial := transport.DialContext
@@ -54,18 +55,20 @@
 	return &changed
 }
 
-// conn is a connection on which no reader sees a regular end after a failed write.
+// conn is a connection whose reader sees a regular end only after the request was written.
 type conn struct {
 	net.Conn
-	// mu is held during a write, so that a reader waits for the result of one in progress. It guards failed.
-	mu     sync.Mutex
-	failed error
+	// upload is the write of the current request; nil before the first one.
+	upload atomic.Pointer[upload]
+
+	writing sync.Mutex // held during a write; guards failed
+	failed  error      // of the first write that failed
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	if err != nil && c.failed == nil {
 		c.failed = err
@@ -73,16 +76,20 @@
 	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. http.Transport closes the connection when Read returned its end, so Read waits for the rest of the request before.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
-	// Ends the write to an upstream that half-closed the connection and reads no more.
-	_ = c.SetWriteDeadline(time.Now().Add(uploadEndTimeout))
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if u := c.upload.Load(); u != nil {
+		if uploadErr := u.wait(); uploadErr != nil {
+			return n, truncated(uploadErr)
+		}
+	}
+	// The transport flushes the last bytes after it reported the end of the write.
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	if c.failed != nil {
 		return n, truncated(c.failed)
 	}
@@ -97,9 +104,21 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
-	u := newUpload()
+	// http.Transport sends a request again on another connection if a kept one failed and the request may be repeated.
+	var current atomic.Pointer[upload]
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { u.begin() }, WroteRequest: func(info httptrace.WroteRequestInfo) { u.end(info.Err) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			u := newUpload()
+			current.Store(u)
+			if c := underlying(info.Conn); c != nil {
+				c.upload.Store(u)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if u := current.Load(); u != nil {
+				u.end(info.Err)
+			}
+		},
 	})
 	response, err := t.transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
@@ -109,80 +128,46 @@
 		_ = response.Body.Close()
 		return nil, errors.Wrapf(ErrMalformed, "status %03d", response.StatusCode)
 	}
-	if endsWithConnection(response) {
-		response.Body = &body{ReadCloser: response.Body, ctx: ctx, upload: u}
-	}
 	return response, nil
 }
 
 // CloseIdleConnections is called by http.Client.
 func (t *roundTripper) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
-// endsWithConnection reports whether the end of a connection delimits a response. The content of a response that net/http decompresses shows its end.
-func endsWithConnection(r *http.Response) bool {
-	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody && !r.Uncompressed
+// underlying returns the connection under TLS; nil if it is not of this package.
+func underlying(c net.Conn) *conn {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
+	own, _ := c.(*conn)
+	return own
 }
 
-// upload is the write of a request. http.Transport may write it on a second connection if the first, kept one failed.
+// upload is the write of a request on one connection.
 type upload struct {
-	mu    sync.Mutex // guards the fields below
-	done  chan struct{}
-	ended bool  // done was closed
-	err   error // of the write that ended
+	once sync.Once
+	done chan struct{}
+	err  error // valid after done was closed
 }
 
 func newUpload() *upload { return &upload{done: make(chan struct{})} }
 
-// begin begins the write on a connection.
-func (u *upload) begin() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.done, u.ended, u.err = make(chan struct{}), false, nil
-}
-
 // end ends the write with its error.
 func (u *upload) end(err error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.ended {
-		u.ended, u.err = true, err
+	u.once.Do(func() {
+		u.err = err
 		close(u.done)
-	}
+	})
 }
 
-// wait waits for the end of the write and returns its error.
-func (u *upload) wait(ctx context.Context) error {
-	u.mu.Lock()
-	done := u.done
-	u.mu.Unlock()
+// wait waits for the end of the write and returns its error. The end of a request closes its connection, which ends the write.
+func (u *upload) wait() error {
 	timeout := time.NewTimer(uploadEndTimeout)
 	defer timeout.Stop()
 	select {
-	case <-done:
-		u.mu.Lock()
-		defer u.mu.Unlock()
+	case <-u.done:
 		return u.err
-	case <-ctx.Done():
-		return ctx.Err()
 	case <-timeout.C:
 		return errors.New("the upstream does not read the rest of the request")
 	}
 }
-
-// body is a response body that ends with its connection.
-type body struct {
-	io.ReadCloser
-	ctx    context.Context // that of the request, which also ends reads of the body
-	upload *upload
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		if uploadErr := b.upload.wait(b.ctx); uploadErr != nil {
-			return n, truncated(uploadErr)
-		}
-	}
-	return n, err
-}
