sendqueue: a request that its upstream did not receive was not sent

A write returns when its bytes are in the buffers of the kernel, so the rule for ends of connections depended on the size of the body: an upstream that shut down its direction, and reset the connection 20 ms later with 512 KiB unread, was taken to have responded completely; with 8 MiB it was not.

Change: before the end of a connection ends a response, the send queue of the connection must be empty, as the kernel of the peer has acknowledged all (SIOCOUTQ). It is looked at every 2 ms, for at most a second, until the connection fails or the request ends. An upstream that read the request has acknowledged it at the latest with the segment that closes its direction, so that ordinary responses do not wait.

--- a/internal/resettest/resettest.go
+++ b/internal/resettest/resettest.go
@@ -63,6 +63,11 @@
 		text += "\r\n" + r.Part
 	}
 	_, _ = io.WriteString(conn, text)
+	Reset(conn)
+}
+
+// Reset resets a connection after the client had time to read what was sent.
+func Reset(conn net.Conn) {
 	time.Sleep(resetDelay)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/sendqueue"
 )
 
 // maxInlineBodyBytes is the largest body that is written before the response is read. A larger body is written in a
@@ -60,6 +62,8 @@
 	pool *Pool
 	conn *conn
 	raw  *http.Response
+	// ended is closed when the context of the request ends.
+	ended <-chan struct{}
 	// upload is the write of the request if it goes on while the response is read; nil if the whole request was written before.
 	upload *upload
 	// stopCancel unregisters the function that cancels the exchange when the request's context ends. It returns false if the
@@ -207,7 +211,7 @@
 		first := !c.responded
 		c.responded = true
 		if r.Accept == nil || r.Accept(raw.Header, first) {
-			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, upload: upload}
+			response := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, conn: c, raw: raw, upload: upload, ended: ctx.Done()}
 			response.Body = &bodyReader{response: response}
 			return response, nil
 		}
@@ -266,8 +270,12 @@
 	if r.SelfDelimited() || r.raw.Body == http.NoBody {
 		return nil
 	}
-	if err := r.upload.end(); err != nil {
-		return fmt.Errorf("%w: the connection ended while the request was written: %w", io.ErrUnexpectedEOF, err)
+	err := r.upload.end()
+	if err == nil {
+		err = sendqueue.WaitReceived(r.conn.Conn, uploadEndTimeout, r.ended)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: the connection ended while the request was sent: %w", io.ErrUnexpectedEOF, err)
 	}
 	return nil
 }
--- a/internal/upstreamconn/upload_test.go
+++ b/internal/upstreamconn/upload_test.go
@@ -33,6 +33,10 @@
 			time.Sleep(3 * time.Second)
 		}, false},
 		{"body in the buffers", "", maxInlineBodyBytes + 1, func(conn net.Conn, _ *http.Request) { halfClose(conn) }, true},
+		{"reset with the body in the buffers", "", 512 << 10, func(conn net.Conn, _ *http.Request) {
+			halfClose(conn)
+			resettest.Reset(conn)
+		}, false},
 		{"body within one write", "", maxInlineBodyBytes, func(conn net.Conn, _ *http.Request) { halfClose(conn) }, true},
 		{"length, body never read", "Content-Length: 4\r\n", resettest.BodyBytes, func(net.Conn, *http.Request) { time.Sleep(3 * time.Second) }, true},
 	} {
--- a/internal/wholeresponse/wholeresponse.go
+++ b/internal/wholeresponse/wholeresponse.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fulmardoor/fulmardoor/internal/sendqueue"
 )
 
 // ErrMalformed means that a response has a status that no response has.
@@ -24,7 +26,7 @@
 // uploadEndTimeout limits how long the rest of a request body may take after the upstream ended the connection in its direction.
 const uploadEndTimeout = time.Second
 
-// Transport returns a round tripper over a copy of a transport. Its connections end regularly only if the request was written before; otherwise the
+// Transport returns a round tripper over a copy of a transport. Its connections end regularly only if the request was sent before; otherwise the
 // response, or its body, ends with an error that wraps io.ErrUnexpectedEOF. A response whose status is not from 200 to 599 returns ErrMalformed;
 // http.Transport itself skips informational ones. A transport with its own DialTLSContext is not covered for https.
 func Transport(transport *http.Transport) http.RoundTripper {
@@ -55,7 +57,7 @@
 	return &changed
 }
 
-// conn is a connection whose reader sees a regular end only after the request was written.
+// conn is a connection whose reader sees a regular end only after the request was written and received.
 type conn struct {
 	net.Conn
 	// upload is the write of the current request; nil before the first one.
@@ -93,11 +95,14 @@
 	if c.failed != nil {
 		return n, truncated(c.failed)
 	}
+	if err := sendqueue.WaitReceived(c.Conn, uploadEndTimeout, nil); err != nil {
+		return n, truncated(err)
+	}
 	return n, io.EOF
 }
 
 func truncated(cause error) error {
-	return fmt.Errorf("%w: the connection ended while the request was written: %w", io.ErrUnexpectedEOF, cause)
+	return fmt.Errorf("%w: the connection ended while the request was sent: %w", io.ErrUnexpectedEOF, cause)
 }
 
 type roundTripper struct{ transport *http.Transport }
--- a/internal/wholeresponse/wholeresponse_test.go
+++ b/internal/wholeresponse/wholeresponse_test.go
@@ -35,6 +35,10 @@
 		}, true},
 		{"body never read", http.MethodPost, "200 OK\r\n", "text", resettest.BodyBytes, neverRead, false},
 		{"body in the buffers", http.MethodPost, "200 OK\r\n", "text", 16 << 10, func(conn net.Conn, _ *http.Request) { halfClose(conn) }, true},
+		{"reset with the body in the buffers", http.MethodPost, "200 OK\r\n", "text", 512 << 10, func(conn net.Conn, _ *http.Request) {
+			halfClose(conn)
+			resettest.Reset(conn)
+		}, false},
 		{"no request body", http.MethodGet, "200 OK\r\n", "text", 0, func(conn net.Conn, _ *http.Request) { halfClose(conn) }, true},
 		{"length, body never read", http.MethodPost, "200 OK\r\nContent-Length: 4\r\n", "text", resettest.BodyBytes, neverRead, true},
 		{"chunks, body never read", http.MethodPost, "200 OK\r\nTransfer-Encoding: chunked\r\n", "4\r\ntext\r\n0\r\n\r\n", resettest.BodyBytes, neverRead, true},
