resettest: the reset waits until the client received the response

Cause: TestResetDuringUpload failed with -race beside a load of 20. A reset discards what the client has not received, so that of the large answers less than the 256 KiB arrived that are buffered, and the caller got 502 where a cut answer was due; and if the first answer on a kept connection was slow, the second request went to the other runner.

--- a/internal/resettest/resettest.go
+++ b/internal/resettest/resettest.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/fulmardoor/fulmardoor/internal/sendqueue"
 )
 
 const (
@@ -22,6 +24,8 @@
 	receiveBufferBytes = 64 << 10
 	// resetDelay is the time between a response and the reset, in which the client reads the response.
 	resetDelay = 20 * time.Millisecond
+	// receiveTimeout limits the wait until the client received a response.
+	receiveTimeout = 5 * time.Second
 )
 
 // Framings are the ways in which the end of a response is marked.
@@ -63,6 +67,7 @@
 		text += "\r\n" + r.Part
 	}
 	_, _ = io.WriteString(conn, text)
+	_ = sendqueue.WaitReceived(conn, receiveTimeout, nil) // a reset discards what the client did not receive
 	Reset(conn)
 }
 
