wholeresponse: no mutex is held during a write

lockorder.TestNoMutexesInOppositeOrders failed: a connection held its mutex while it wrote to the connection that it wraps, which for the analysis may be one of the same type.

Change: a write in progress is a channel that its end closes, and a reader at the end of the connection waits for it. The mutex guards fields only.

Measured: lockorder passes; the tests of wholeresponse and sidecar pass twice with -race, those of httpengine, etcdhttp and the processes once.

--- a/internal/wholeresponse/wholeresponse.go
+++ b/internal/wholeresponse/wholeresponse.go
@@ -63,21 +63,43 @@
 	// upload is the write of the current request; nil before the first one.
 	upload atomic.Pointer[upload]
 
-	writing sync.Mutex // held during a write; guards failed
-	failed  error      // of the first write that failed
+	mu sync.Mutex // guards the fields below
+	// writing is closed when the last write has ended; nil before the first one. A http.Transport writes from one goroutine at a time.
+	writing chan struct{}
+	failed  error // of the first write that failed
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	ended := make(chan struct{})
+	defer close(ended)
+	c.mu.Lock()
+	c.writing = ended
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil && c.failed == nil {
-		c.failed = err
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.failed == nil {
+			c.failed = err
+		}
 	}
 	return n, err
 }
 
+// writeError waits for the end of a write that is in progress and returns the error of the first write that failed.
+func (c *conn) writeError() error {
+	c.mu.Lock()
+	writing := c.writing
+	c.mu.Unlock()
+	if writing != nil {
+		<-writing
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
 // Read implements net.Conn. http.Transport closes the connection when Read returned its end, so Read waits for the rest of the request before.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -90,10 +112,8 @@
 		}
 	}
 	// The transport flushes the last bytes after it reported the end of the write.
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	if c.failed != nil {
-		return n, truncated(c.failed)
+	if writeErr := c.writeError(); writeErr != nil {
+		return n, truncated(writeErr)
 	}
 	if err := sendqueue.WaitReceived(c.Conn, uploadEndTimeout, nil); err != nil {
 		return n, truncated(err)
