--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -23,6 +23,13 @@
 	maxShards       = 1 << 16
 	sha256HexDigits = 64
 	operatorFields  = 3
+
+	// maxConnections and maxHeadMemory are above the descriptors and the memory of any host; the start checks the values against the host.
+	maxConnections = 1 << 20
+	maxHeadMemory  = 1 << 40
+	maxHeadBytes   = 1 << 20
+	maxHeadLines   = 1 << 18
+	maxClientPause = time.Hour
 )
 
 // processRules holds the rules for the settings of all programs. The defaults are documented in the schema's comments.
@@ -40,6 +47,15 @@
 	schemaPackage + "PlatformSettings.host_list_url": allowEmpty(URL()),
 	schemaPackage + "PlatformSettings.call_timeout":  DurationBetween(10*time.Millisecond, time.Minute).WithDefault("1s"),
 
+	schemaPackage + "ListenerLimits.max_connections":             Between(0, maxConnections),
+	schemaPackage + "ListenerLimits.max_connections_per_address": Between(0, maxConnections),
+	schemaPackage + "ListenerLimits.head_memory_bytes":           Between(0, maxHeadMemory),
+	schemaPackage + "ListenerLimits.max_head_bytes":              Between(0, maxHeadBytes),
+	schemaPackage + "ListenerLimits.max_head_lines":              Between(0, maxHeadLines),
+	schemaPackage + "ListenerLimits.head_timeout":                DurationBetween(0, maxClientPause),
+	schemaPackage + "ListenerLimits.body_timeout":                DurationBetween(0, maxClientPause),
+	schemaPackage + "ListenerLimits.write_timeout":               DurationBetween(0, maxClientPause),
+
 	schemaPackage + "CallerSettings.listen":          ListenAddress().AsRequired(),
 	schemaPackage + "CallerSettings.max_body_bytes":  Between(1, maxBodyBytes).WithDefault("8388608"),
 	schemaPackage + "CallerSettings.upstream_subset": Between(1, maxRunning).WithDefault("32"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -98,7 +98,7 @@
 		`entry.ini: [platform] store_url: required key is missing`,
 		`entry.ini:14: [callers] max_body_bytes = "0": bad value; allowed: a number from 1`,
 		`entry.ini:15: [callers] key max_body_bytes is given twice`,
-		`entry.ini:16: [leger] unknown section; allowed: process, peers, platform, callers, ledger, admin; did you mean "ledger"?`,
+		`entry.ini:16: [leger] unknown section; allowed: process, peers, platform, callers, ledger, admin, caller_limits, admin_limits, peer_limits; did you mean "ledger"?`,
 		`entry.ini:19: [admin] operators = "(not shown)": bad value`,
 		`entry.ini:20: [process] section is given twice; first on line 1`,
 		`entry.ini:21: [admin "x"] malformed section header; allowed: [admin]`,
