ingress: limits for the clients of a listener

Clients could open connections, send request heads and keep the process waiting without any bound: 800 connections with heads of 60 KB took a router to 833 MB.

--- /dev/null
+++ b/internal/ingress/guards.go
@@ -0,0 +1,38 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+)
+
+// Spec describes the guard of one listener.
+type Spec struct {
+	Listener
+	// Name is the label of the listener in metrics and log lines.
+	Name string
+	// IdleTimeout and RequestTimeout are as in Options.
+	IdleTimeout, RequestTimeout time.Duration
+}
+
+// Guards returns the guards of all listeners of a process, in the order of the specs. The error names the limits that the host cannot hold.
+func Guards(host Host, registerer prometheus.Registerer, logger *zap.Logger, specs ...Spec) ([]*Guard, error) {
+	listeners := make([]Listener, len(specs))
+	for i, spec := range specs {
+		listeners[i] = spec.Listener
+	}
+	limits, err := Resolve(host, listeners...)
+	if err != nil {
+		return nil, err
+	}
+	metrics := NewMetrics(registerer)
+	guards := make([]*Guard, len(specs))
+	for i, spec := range specs {
+		guards[i] = NewGuard(Options{
+			Name: spec.Name, Limits: limits[i], Metrics: metrics, Logger: logger, IdleTimeout: spec.IdleTimeout, RequestTimeout: spec.RequestTimeout,
+		})
+		logger.Info("limits for clients", zap.String("listener", spec.Name), zap.Any("limits", limits[i]))
+	}
+	return guards, nil
+}
--- /dev/null
+++ b/internal/ingress/report.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+)
+
+// Cause says which limit ended a connection or refused it.
+type Cause string
+
+// The causes, as in the label of the metric.
+const (
+	CauseConnections       Cause = "connections"
+	CauseSourceConnections Cause = "source_connections"
+	CauseHeadMemory        Cause = "head_memory"
+	CauseHeadSize          Cause = "head_size"
+	CauseHeadLines         Cause = "head_lines"
+	CauseHeadTimeout       Cause = "head_timeout"
+	CauseBodyTimeout       Cause = "body_timeout"
+	CauseWriteTimeout      Cause = "write_timeout"
+)
+
+var causes = []Cause{
+	CauseConnections, CauseSourceConnections, CauseHeadMemory, CauseHeadSize, CauseHeadLines, CauseHeadTimeout, CauseBodyTimeout, CauseWriteTimeout,
+}
+
+// logInterval is the least time between two log lines of one cause: a client can cause thousands of refusals a second.
+const logInterval = time.Second
+
+// Metrics are the collectors of all listeners of a process.
+type Metrics struct {
+	refused *prometheus.CounterVec
+	open    *prometheus.GaugeVec
+}
+
+// NewMetrics registers the collectors.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fulmardoor_connections_refused_total", Help: "Connections of clients that a limit closed or refused, by listener and cause.",
+		}, []string{"listener", "cause"}),
+		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "fulmardoor_connections_open", Help: "Open connections of clients, by listener.",
+		}, []string{"listener"}),
+	}
+	registerer.MustRegister(m.refused, m.open)
+	return m
+}
+
+// reporter counts and logs what the limits of one listener do. Its methods may be called concurrently.
+type reporter struct {
+	listener string
+	logger   *zap.Logger
+	open     prometheus.Gauge
+	refused  map[Cause]prometheus.Counter
+
+	mu       sync.Mutex // guards the fields below
+	loggedAt map[Cause]time.Time
+	skipped  map[Cause]int // events since the last log line
+}
+
+func newReporter(listener string, metrics *Metrics, logger *zap.Logger) *reporter {
+	r := &reporter{
+		listener: listener, logger: logger, open: metrics.open.WithLabelValues(listener), refused: make(map[Cause]prometheus.Counter),
+		loggedAt: make(map[Cause]time.Time), skipped: make(map[Cause]int),
+	}
+	for _, cause := range causes {
+		r.refused[cause] = metrics.refused.WithLabelValues(listener, string(cause))
+	}
+	return r
+}
+
+// report counts one connection that a limit closed or refused, and logs it unless the cause was logged in the last second.
+func (r *reporter) report(cause Cause, address net.Addr) {
+	r.refused[cause].Inc()
+	count, due := r.due(cause, time.Now())
+	if due {
+		r.logger.Warn("connection refused", zap.String("listener", r.listener), zap.String("cause", string(cause)),
+			zap.Stringer("address", address), zap.Int("count", count))
+	}
+}
+
+// due reports whether an event is to be logged, and the number of events since the last log line with this one.
+func (r *reporter) due(cause Cause, now time.Time) (count int, due bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.skipped[cause]++
+	if now.Sub(r.loggedAt[cause]) < logInterval {
+		return 0, false
+	}
+	count = r.skipped[cause]
+	r.loggedAt[cause], r.skipped[cause] = now, 0
+	return count, true
+}
