Limits for clients on all listeners of router, entry and sidecar

No listener limited its connections, its heads or the time that a client takes. Each has a guard now; the limits are flags of fulmardoor-router run and sections of the settings of entry and sidecar, and a limit that the host cannot hold ends the start with an error that names it. A body that comes too slowly is refused with 408, not run, in the gateway, the entry and the administration API; it was 400 or waited without end. The router's deadline of a request bounds its body and the write of its answer.

--- a/cmd/fulmardoor-entry/main.go
+++ b/cmd/fulmardoor-entry/main.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	handoffTimeout    = 3 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	handoffTimeout = 3 * time.Second
 	// endTimeout is the longest wait for the refusals of the requests that run when the time of a stop is over.
 	endTimeout = time.Second
 )
@@ -60,6 +58,10 @@
 // serve opens the listeners, runs until the first stop signal and then shuts down gracefully. A second stop signal cancels
 // the requests that still run.
 func serve(e *entry.Entry, s *configv1.EntrySettings, logger *zap.Logger, level zap.AtomicLevel) error {
+	guards, err := process.NewEntryGuards(s, e.Registry(), logger)
+	if err != nil {
+		return err
+	}
 	peerListener, err := process.PeerListener(s.GetPeers())
 	if err != nil {
 		return err
@@ -80,25 +82,23 @@
 	operations := e.OperationsHandler()
 	admin.Register(operations, e, operators, logger)
 	operations.Handle("/log-level", level)
-	callerServer := &http.Server{
-		Handler: e.CallerHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
-	adminServer := &http.Server{Handler: operations, ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := guards.Callers.Server(callerListener, e.CallerHandler())
+	adminServer := guards.Admin.Server(adminListener, operations)
 	stopSignal, forceStop := process.Signals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run(ctx)
 	failed := make(chan error, 3)
-	go func() { failed <- transport.Serve(peerListener, e.Options()) }()
-	go func() { failed <- callerServer.Serve(callerListener) }()
-	go func() { failed <- adminServer.Serve(adminListener) }()
+	go func() { failed <- transport.Serve(guards.Peers.Sessions(peerListener), e.Options()) }()
+	go func() { failed <- callerServer.Run() }()
+	go func() { failed <- adminServer.Run() }()
 	logger.Info("serving", zap.String("callers", callers.GetListen()), zap.String("peers", s.GetPeers().GetListen()))
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "listener failed")
 	case <-stopSignal.Done():
 	}
-	unfinished := shutDown(e, s, callerServer, forceStop)
+	unfinished := shutDown(e, s, callerServer.Server, forceStop)
 	_ = adminServer.Close()
 	_ = peerListener.Close()
 	e.Close()
--- a/cmd/fulmardoor-router/main.go
+++ b/cmd/fulmardoor-router/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"slices"
+
 	"github.com/urfave/cli/v3"
 
 	"github.com/fulmardoor/fulmardoor/internal/process"
@@ -16,10 +18,14 @@
 		File: &cli.StringFlag{
 			Name: "settings", Usage: "settings file", Sources: cli.EnvVars(platform.SettingsVariable),
 		},
-		RunFlags: []cli.Flag{&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"}},
-		Load:     platform.LoadSettings,
+		RunFlags: slices.Concat([]cli.Flag{&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"}},
+			limitFlags(callerPrefix, "callers"), limitFlags(adminPrefix, "readiness requests and metrics"), limitFlags(peerPrefix, "other routers")),
+		Load: platform.LoadSettings,
 		Run: func(cmd *cli.Command, path string, settings *platform.Settings) error {
-			return run(path, settings, cmd.Int(metricsPort))
+			return run(path, settings, runOptions{
+				metricsPort: cmd.Int(metricsPort),
+				callers:     readLimits(cmd, callerPrefix), admin: readLimits(cmd, adminPrefix), peer: readLimits(cmd, peerPrefix),
+			})
 		},
 	}.Main()
 }
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -28,6 +28,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/follow"
 	"github.com/fulmardoor/fulmardoor/internal/gateway"
+	"github.com/fulmardoor/fulmardoor/internal/ingress"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/peering"
@@ -110,10 +111,6 @@
 	bodyMemoryFraction = 0.34
 	// idleTimeout is longer than any idle timeout in a configuration, so that clients close idle connections first.
 	idleTimeout = 5 * time.Minute
-	// readHeaderTimeout limits how long a client may take to send its request headers.
-	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes is above the limit that any configuration sets for request headers.
-	maxHeaderBytes = 64 << 10
 	// assumedProcesses is used as the number of entry processes until that is known from the store. The users' deployments
 	// have about as many. A process that counted only itself would use the whole of the limits that all processes share.
 	assumedProcesses = 8
@@ -161,12 +158,12 @@
 	return zap.New(core).With(zap.String("process", s.Name))
 }
 
-func run(path string, settings *platform.Settings, metricsPort int) error {
+func run(path string, settings *platform.Settings, options runOptions) error {
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	out := asynclog.New(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	r := newRouter(path, settings, newLogger(out, settings))
-	return r.serve(metricsPort)
+	return r.serve(options)
 }
 
 func newRouter(path string, s *platform.Settings, logger *zap.Logger) *router {
@@ -455,8 +452,12 @@
 
 // serve opens the listeners, runs until the first stop signal and then shuts down gracefully. A second stop signal ends the
 // wait for running requests.
-func (r *router) serve(metricsPort int) error {
+func (r *router) serve(options runOptions) error {
 	s := r.settings
+	guards, err := newGuards(s, options, r.registry, r.logger)
+	if err != nil {
+		return err
+	}
 	callerListener, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
@@ -465,20 +466,23 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness requests")
 	}
+	peerListener, err := net.Listen("tcp", r.peerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
 	stopSignal, forceStop := process.Signals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go r.followStore(ctx)
 	go r.reloadSettings(ctx)
-	server := &http.Server{Handler: r.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(r.logger)}
-	readyServer := &http.Server{Handler: &readiness{r.gateway}, ReadHeaderTimeout: readHeaderTimeout}
+	server := guards.callers.Server(callerListener, r.gateway)
+	readyServer := guards.ready.Server(readyListener, &readiness{r.gateway})
 	failed := make(chan error, 4)
-	go func() { failed <- server.Serve(callerListener) }()
-	go func() { failed <- readyServer.Serve(readyListener) }()
-	go func() { failed <- r.mesh.Listen() }()
-	if metricsPort > 0 {
-		go r.serveMetrics(metricsPort)
+	go func() { failed <- server.Run() }()
+	go func() { failed <- readyServer.Run() }()
+	go func() { failed <- r.mesh.Serve(guards.peers.Sessions(peerListener)) }()
+	if options.metricsPort > 0 {
+		go r.serveMetrics(options.metricsPort, guards.metrics)
 	}
 	r.logger.Info("started", zap.String("version", process.Version), zap.String("callers", s.CallerAddress), zap.String("data_centre", s.DataCentre))
 	select {
@@ -486,15 +490,18 @@
 		return errors.Wrap(err, "listener failed")
 	case <-stopSignal.Done():
 	}
-	r.shutDown(server, callerListener, forceStop)
+	r.shutDown(server.Server, callerListener, forceStop)
 	return nil
 }
 
-func (r *router) serveMetrics(port int) {
+func (r *router) serveMetrics(port int, guard *ingress.Guard) {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
-	server := &http.Server{Addr: net.JoinHostPort(r.settings.Host, strconv.Itoa(port)), Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	if err := server.ListenAndServe(); err != nil {
+	listener, err := net.Listen("tcp", net.JoinHostPort(r.settings.Host, strconv.Itoa(port)))
+	if err == nil {
+		err = guard.Server(listener, mux).Run()
+	}
+	if err != nil {
 		r.logger.Warn("metrics server failed", zap.String("error", err.Error()))
 	}
 }
--- a/cmd/fulmardoor-sidecar/main.go
+++ b/cmd/fulmardoor-sidecar/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -17,8 +16,6 @@
 	"github.com/fulmardoor/fulmardoor/internal/transport"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 func main() {
 	newSettings := func() *configv1.SidecarSettings { return new(configv1.SidecarSettings) }
 	process.Main("fulmardoor-sidecar", "sidecar process of one upstream of the fulmardoor router", newSettings, run)
@@ -52,6 +49,10 @@
 // serve opens the listeners, runs until the first stop signal and then shuts down gracefully. A second stop signal cancels
 // the calls that still run.
 func serve(sc *sidecar.Sidecar, s *configv1.SidecarSettings, logger *zap.Logger, level zap.AtomicLevel) error {
+	guards, err := process.NewSidecarGuards(s, sc.Registry(), logger)
+	if err != nil {
+		return err
+	}
 	peerListener, err := process.PeerListener(s.GetPeers())
 	if err != nil {
 		return err
@@ -62,7 +63,7 @@
 	}
 	operations := sc.OperationsHandler()
 	operations.Handle("/log-level", level)
-	adminServer := &http.Server{Handler: operations, ReadHeaderTimeout: readHeaderTimeout}
+	adminServer := guards.Admin.Server(adminListener, operations)
 	stopSignal, forceStop := process.Signals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -72,8 +73,8 @@
 			failed <- err
 		}
 	}()
-	go func() { failed <- transport.Serve(peerListener, sc.Options()) }()
-	go func() { failed <- adminServer.Serve(adminListener) }()
+	go func() { failed <- transport.Serve(guards.Peers.Sessions(peerListener), sc.Options()) }()
+	go func() { failed <- adminServer.Run() }()
 	logger.Info("serving", zap.String("peers", s.GetPeers().GetListen()), zap.String("upstream", s.GetUpstream().GetUrl()))
 	select {
 	case err := <-failed:
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,8 @@
 // lower limit document.MaxBytes, which the backend checks.
 const maxBodyBytes = 1 << 20
 
+const bodyTimedOut = "the body did not arrive in time; nothing was changed"
+
 // server holds the dependencies of the handlers.
 type server struct {
 	backend   Backend
@@ -127,6 +130,10 @@
 		return
 	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.writeError(w, http.StatusRequestTimeout, bodyTimedOut)
+		return
+	}
 	if err != nil {
 		s.writeError(w, http.StatusRequestEntityTooLarge, "the document is larger than 1 MB")
 		return
@@ -172,9 +179,9 @@
 }
 
 func (s *server) order(w http.ResponseWriter, r *http.Request, operator Operator) {
-	order, problem := decodeOrder(w, r, pathValue(r, "order"))
+	order, status, problem := decodeOrder(w, r, pathValue(r, "order"))
 	if problem != "" {
-		s.writeError(w, http.StatusBadRequest, problem)
+		s.writeError(w, status, problem)
 		return
 	}
 	reply, err := s.backend.Order(r.Context(), operator.Team, pathValue(r, "name"), order)
@@ -186,31 +193,35 @@
 		s.writeError(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	status := http.StatusOK
+	status = http.StatusOK
 	if !reply.Accepted {
 		status = http.StatusConflict
 	}
 	s.writeJSON(w, status, reply)
 }
 
-// decodeOrder returns the order, or a description of what is wrong with it.
-func decodeOrder(w http.ResponseWriter, r *http.Request, kind string) (*wirev1.OrderRequest, string) {
+// decodeOrder returns the order, or a status and a description of what is wrong with it.
+func decodeOrder(w http.ResponseWriter, r *http.Request, kind string) (order *wirev1.OrderRequest, status int, problem string) {
 	switch kind {
 	case "drain":
-		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_Drain{Drain: true}}, ""
+		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_Drain{Drain: true}}, 0, ""
 	case "return":
-		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_ReturnToService{ReturnToService: true}}, ""
+		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_ReturnToService{ReturnToService: true}}, 0, ""
 	case "engine":
 		var body EngineOrder
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
-			return nil, "the body is not a valid engine order: " + err.Error()
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, http.StatusRequestTimeout, bodyTimedOut
+		}
+		if err != nil {
+			return nil, http.StatusBadRequest, "the body is not a valid engine order: " + err.Error()
 		}
 		engineOrder := &wirev1.EngineOrder{
 			LoadModel: body.LoadModel, Version: body.Version, LoadAdapter: body.LoadAdapter, ChangeRole: role.Parse(body.ChangeRole),
 		}
-		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_Engine{Engine: engineOrder}}, ""
+		return &wirev1.OrderRequest{Kind: &wirev1.OrderRequest_Engine{Engine: engineOrder}}, 0, ""
 	default:
-		return nil, "the order must be drain, return or engine"
+		return nil, http.StatusBadRequest, "the order must be drain, return or engine"
 	}
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
 	"github.com/fulmardoor/fulmardoor/internal/openai"
@@ -20,6 +21,9 @@
 	return e.announceClose(router)
 }
 
+// Registry returns the registry of the metrics that OperationsHandler serves.
+func (e *Entry) Registry() *prometheus.Registry { return e.metrics.Registry }
+
 // OperationsHandler serves health, readiness and metrics to the platform.
 func (e *Entry) OperationsHandler() *mux.Router {
 	router := mux.NewRouter()
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -70,6 +71,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_BODY_TOO_LARGE, "the body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, verdict.Refuse(wirev1.Reason_REASON_REQUEST_TIMEOUT, "the body did not arrive in time")
+	}
 	if err != nil {
 		return nil, verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "the body could not be read")
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,6 +46,8 @@
 		return tooLarge(limit) // the limit is that of the memory
 	case errors.Is(err, membudget.ErrExhausted):
 		return r.refuseForMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(wirev1.Reason_REASON_REQUEST_TIMEOUT, "the body did not arrive in time")
 	case err != nil:
 		return verdict.Refuse(wirev1.Reason_REASON_MALFORMED, "the body could not be read: %v", err)
 	case int64(r.body.Len()) > limit:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/ingress"
 	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
@@ -244,6 +245,8 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	r.deadline = r.began.Add(r.timeout())
+	ingress.SetDeadline(httpRequest.Context(), r.deadline)
 	if err := r.readBody(httpRequest, limit); err != nil {
 		return err
 	}
@@ -252,7 +255,6 @@
 		return err
 	}
 	r.recordAcceptedStopping()
-	r.deadline = r.began.Add(r.timeout())
 	return nil
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
@@ -112,15 +111,6 @@
 	return m
 }
 
-// Listen accepts sessions of other processes until the listener fails.
-func (m *Mesh) Listen() error {
-	listener, err := net.Listen("tcp", m.options.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
-	return m.Serve(listener)
-}
-
 // Serve accepts connections of other processes on an open listener.
 func (m *Mesh) Serve(listener net.Listener) error { return transport.Serve(listener, m.transport) }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zapcore"
 
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
+	"github.com/fulmardoor/fulmardoor/internal/ingress"
 )
 
 // Version is set at build time.
@@ -79,7 +80,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	return reloader.listener(listener), nil
+	return reloader.listener(ingress.Handshakes(listener)), nil
 }
 
 // PeerListener opens the listener for other processes of the system. With certificate files in the settings it uses mutual
@@ -97,7 +98,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	return tls.NewListener(listener, config), nil
+	return tls.NewListener(ingress.Handshakes(listener), config), nil
 }
 
 // PeerDialer connects to other processes of the system.
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fulmardoor/fulmardoor/internal/metrics"
 )
@@ -42,6 +43,9 @@
 	return true
 }
 
+// Registry returns the registry of the metrics that OperationsHandler serves.
+func (s *Sidecar) Registry() *prometheus.Registry { return s.metrics.Registry }
+
 // OperationsHandler serves health, readiness and metrics to the platform.
 func (s *Sidecar) OperationsHandler() *mux.Router {
 	router := mux.NewRouter()
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -186,6 +186,8 @@
 			if _, err := Server(conn, opts); err != nil {
 				opts.Logger.Debug("handshake failed", zap.Error(err))
 				_ = conn.Close()
+			} else if limited, ok := conn.(interface{ Established() }); ok {
+				limited.Established()
 			}
 		}()
 	}
