gateway: a limit on the plain requests that run at a time

Each plain request uses a connection to an upstream, and nothing bounded their number: 150 callers' connections with pipelined requests took a router to 317 descriptors, 35 above what its limits for callers allow for. Requests of engines are limited by the board.

--- a/cmd/fulmardoor-router/limits.go
+++ b/cmd/fulmardoor-router/limits.go
@@ -58,6 +58,10 @@
 	}
 }
 
+// plainRequests returns the number of plain requests that may run at a time. Each uses a connection to an upstream, so that these connections take at
+// most a quarter of the descriptors. A connection of a caller without a running request needs none.
+func plainRequests(callers ingress.Limits) int { return max(1, callers.MaxConnections/2) }
+
 // guards has the guards of the listeners.
 type guards struct{ callers, ready, metrics, peers *ingress.Guard }
 
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -458,6 +458,7 @@
 	if err != nil {
 		return err
 	}
+	r.gateway.LimitPlain(plainRequests(guards.callers.Limits))
 	callerListener, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	end   context.CancelFunc
 
 	reservations reservationLog
+	plain        plainLimit
 
 	mu     sync.Mutex                  // guards queues
 	queues map[string]*waitqueue.Queue // by service
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,6 +29,10 @@
 
 // servePlain runs the request at upstreams of a plain service until one attempt succeeds or no other is allowed.
 func (r *request) servePlain() error {
+	if err := r.g.plain.acquire(r.ctx); err != nil {
+		return r.finalRefusal(verdict.As(err))
+	}
+	defer r.g.plain.release()
 	var answer *plainAnswer // error answer of the last upstream; nil if it sent none
 	for {
 		upstream, ok := r.g.Board.PickPlain(placement.Query{Service: r.service, Now: time.Now(), Excluded: r.excluded})
