--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
@@ -260,3 +262,25 @@
 		}
 	}
 }
+
+// Guards against a body that came too slowly and is reported as too large or invalid, or takes effect.
+func TestLateBody(t *testing.T) {
+	operators, err := ParseOperators("root:" + hash("all") + ":*")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &fakeBackend{}
+	router := mux.NewRouter()
+	Register(router, backend, operators, zap.NewNop())
+	for path, method := range map[string]string{
+		PathDocuments + "/kilimo?revision=0": http.MethodPut, PathUpstreams + "/u/engine": http.MethodPost,
+	} {
+		request := httptest.NewRequest(method, path, iotest.ErrReader(os.ErrDeadlineExceeded))
+		request.Header.Set("Authorization", "Bearer all")
+		response := httptest.NewRecorder()
+		router.ServeHTTP(response, request)
+		if response.Code != http.StatusRequestTimeout || backend.lastCall != "" {
+			t.Errorf("%s: status %d, backend called with %q", path, response.Code, backend.lastCall)
+		}
+	}
+}
