--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -28,6 +28,10 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	if limit := os.Getenv(descriptorLimitVariable); limit != "" {
+		fmt.Fprintln(os.Stderr, executeWithDescriptorLimit(limit, os.Args[1:]))
+		os.Exit(1)
+	}
 	flag.Parse()
 	os.Exit(runTests(m))
 }
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -24,13 +25,46 @@
 
 // startProcess starts a program, which is killed at the end of the test. Its output is appended to a file in dir.
 func startProcess(t testing.TB, dir, name, binary string, args ...string) *process {
+	t.Helper()
+	return startCommand(t, dir, name, exec.Command(binaryPath(binary), args...))
+}
+
+// descriptorLimitVariable makes the test binary run the program in its arguments with that limit of open descriptors.
+const descriptorLimitVariable = "PROCESSTEST_DESCRIPTOR_LIMIT"
+
+// startProcessWithDescriptors is like startProcess. The process can open a limited number of descriptors.
+func startProcessWithDescriptors(t testing.TB, dir, name string, descriptors int, binary string, args ...string) *process {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, append([]string{binaryPath(binary)}, args...)...)
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d", descriptorLimitVariable, descriptors))
+	return startCommand(t, dir, name, cmd)
+}
+
+// executeWithDescriptorLimit replaces this process by the program in the arguments.
+func executeWithDescriptorLimit(limit string, arguments []string) error {
+	descriptors, err := strconv.ParseUint(limit, 10, 64)
+	if err != nil {
+		return err
+	}
+	// The hard limit is lowered too, because the Go runtime raises the soft limit to it.
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: descriptors, Max: descriptors}); err != nil {
+		return err
+	}
+	return syscall.Exec(arguments[0], arguments, os.Environ())
+}
+
+func startCommand(t testing.TB, dir, name string, cmd *exec.Cmd) *process {
 	t.Helper()
 	p := &process{t: t, name: name, logFile: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.cmd = exec.Command(binaryPath(binary), args...)
+	p.cmd = cmd
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	// When the test binary exceeds its timeout, no cleanup runs; the kernel then kills the process.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -62,6 +62,15 @@
 
 // startRouterWith starts a router process with some settings, to which it adds the addresses.
 func startRouterWith(t *testing.T, store *memory.Store, settings platformtest.RouterSettings) *soakRouter {
+	t.Helper()
+	c, r := configureRouter(t, store, settings)
+	r.start(c)
+	r.waitStarted(c)
+	return r
+}
+
+// configureRouter serves the store and writes the settings file of a router, to which it adds the addresses.
+func configureRouter(t *testing.T, store *memory.Store, settings platformtest.RouterSettings) (*soakCluster, *soakRouter) {
 	t.Helper()
 	trackSources()
 	server := httptest.NewServer(platformtest.NewStore(store))
@@ -74,19 +83,23 @@
 	if err := os.WriteFile(r.settingsFile, settings.Text(), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r.start(c)
-	t.Cleanup(func() {
-		if t.Failed() {
-			showLogs(t, c.dir)
+	return c, r
+}
+
+// waitStarted waits until the router, the only one of its cluster, is ready. The logs are shown if the test fails.
+func (r *soakRouter) waitStarted(c *soakCluster) {
+	c.t.Helper()
+	c.t.Cleanup(func() {
+		if c.t.Failed() {
+			showLogs(c.t, c.dir)
 		}
 	})
-	eventually(t, "the router is ready", func() string {
+	eventually(c.t, "the router is ready", func() string {
 		if !r.isReady() {
 			return "not ready"
 		}
 		return ""
 	})
-	return r
 }
 
 // startStoppingRouter starts a router and waits until it serves requests.
