processtest: crowds with the limits of the router

The router has the flags now, so listenerLimitFlags makes the tests pass them. Number of clients and bounds are unchanged.

--- a/internal/processtest/listener_limits_test.go
+++ b/internal/processtest/listener_limits_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// listenerLimitFlags is set once fulmardoor-router has the flags for the limits of its listeners; before, it would not start with them.
+// listenerLimitFlags makes the tests pass the limits to fulmardoor-router. Earlier versions do not have the flags and would not start with them.
 // The keys of the INI settings of entry and sidecar are known already, so they are always written.
-const listenerLimitFlags = false
+const listenerLimitFlags = true
 
 // listenerLimits are the limits of one listener in a test.
 type listenerLimits struct {
