ingress: no mutex is held while a deadline is set

lockorder reported that a connection sets deadlines on the one below it under its mutex, which by types could be a connection of the same kind. Deadlines of server and limits are combined in a type of their own now, which sets them without the mutex and again if another goroutine changed one meanwhile. go test ./internal/lockorder and go test -race ./internal/ingress (twice) pass.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -56,10 +56,9 @@
 	// headErr is the error that ended the connection in a head; the server reads again after some errors.
 	headErr error
 
+	readDeadline, writeDeadline deadline
+
 	mu sync.Mutex // guards the fields below
-	// serverRead and serverWrite are the deadlines that the server set, ownRead and ownWrite those of the limits.
-	serverRead, serverWrite time.Time
-	ownRead, ownWrite       time.Time
 	// bodyDeadline and answerDeadline are those of the request; zero for none.
 	bodyDeadline, answerDeadline time.Time
 }
@@ -110,13 +109,12 @@
 		c.requests = true
 		c.guard.table.headComplete(&c.place)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bodyDeadline, c.answerDeadline = time.Time{}, time.Time{}
+	var bodyDeadline time.Time
 	if length != 0 && c.guard.RequestTimeout > 0 {
-		c.bodyDeadline = time.Now().Add(c.guard.RequestTimeout)
+		bodyDeadline = time.Now().Add(c.guard.RequestTimeout)
 	}
-	c.setOwnReadLocked(time.Time{})
+	c.setRequestDeadlines(bodyDeadline, time.Time{})
+	c.setOwnRead(time.Time{})
 }
 
 // endRequest is called when the answer to a request was written and its body was read.
@@ -131,11 +129,18 @@
 	}
 }
 
-// setDeadline sets the deadline of the request that is served.
-func (c *conn) setDeadline(deadline time.Time) {
+// setRequestDeadlines sets the deadlines of the request that is served.
+func (c *conn) setRequestDeadlines(body, answer time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyDeadline, c.answerDeadline = body, answer
+}
+
+// requestDeadlines returns the deadlines of the request that is served.
+func (c *conn) requestDeadlines() (body, answer time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bodyDeadline, c.answerDeadline = deadline, deadline
+	return c.bodyDeadline, c.answerDeadline
 }
 
 // Read implements net.Conn.
@@ -237,10 +242,8 @@
 
 // startHead limits the time until the head is complete, unless that was done at its first byte.
 func (c *conn) startHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ownRead.IsZero() {
-		c.setOwnReadLocked(time.Now().Add(c.guard.Limits.HeadTimeout))
+	if c.readDeadline.setOwnIfNone(time.Now().Add(c.guard.Limits.HeadTimeout)) {
+		_ = c.readDeadline.applyRead(c.Conn) // an error also fails the read
 	}
 }
 
@@ -285,48 +288,34 @@
 
 // startBodyPart limits the time until the next part of a body.
 func (c *conn) startBodyPart() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setOwnReadLocked(earliest(time.Now().Add(c.guard.Limits.BodyTimeout), c.bodyDeadline))
+	body, _ := c.requestDeadlines()
+	c.setOwnRead(earliest(time.Now().Add(c.guard.Limits.BodyTimeout), body))
 }
 
 func (c *conn) ownReadOver() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.ownRead.IsZero() && !time.Now().Before(c.ownRead)
+	own := c.readDeadline.ownDeadline()
+	return !own.IsZero() && !time.Now().Before(own)
 }
 
+// setOwnRead sets the deadline of the limits for reads.
 func (c *conn) setOwnRead(t time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setOwnReadLocked(t)
-}
-
-// setOwnReadLocked sets the deadline of the limits. An error means that the connection is closed, which the next read reports.
-func (c *conn) setOwnReadLocked(t time.Time) {
-	if !c.ownRead.Equal(t) {
-		c.ownRead = t
-		_ = c.Conn.SetReadDeadline(earliest(c.ownRead, c.serverRead))
+	if c.readDeadline.setOwn(t) {
+		_ = c.readDeadline.applyRead(c.Conn) // an error also fails the read
 	}
 }
 
 // SetReadDeadline implements net.Conn. The deadline of the limits holds as well.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serverRead = t
-	return c.Conn.SetReadDeadline(earliest(c.ownRead, c.serverRead))
+	c.readDeadline.setServer(t)
+	return c.readDeadline.applyRead(c.Conn)
 }
 
 // SetWriteDeadline implements net.Conn. The deadline of the limits holds as well.
 func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t.IsZero() && c.serverWrite.IsZero() { // the server does this after each request
+	if !c.writeDeadline.setServer(t) { // the server removes it after each request
 		return nil
 	}
-	c.serverWrite = t
-	return c.Conn.SetWriteDeadline(earliest(c.ownWrite, c.serverWrite))
+	return c.writeDeadline.applyWrite(c.Conn)
 }
 
 // SetDeadline implements net.Conn.
@@ -352,39 +341,11 @@
 
 // startWrite limits the time until a part of an answer is taken.
 func (c *conn) startWrite() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	deadline, changed := nextWriteDeadline(c.ownWrite, c.answerDeadline, time.Now(), c.guard.Limits.WriteTimeout)
-	if changed {
-		c.ownWrite = deadline
-		_ = c.Conn.SetWriteDeadline(earliest(c.ownWrite, c.serverWrite)) // an error also fails the write
-	}
-}
-
-// nextWriteDeadline returns the deadline of a write that begins now. A current one that leaves at least half of the timeout stays, because an
-// answer may have hundreds of small parts.
-func nextWriteDeadline(current, answerDeadline, now time.Time, timeout time.Duration) (deadline time.Time, changed bool) {
-	longest, least := now.Add(timeout), now.Add(timeout/2)
-	if !answerDeadline.IsZero() {
-		end := answerDeadline
-		if end.Before(now) {
-			end = now
-		}
-		longest = earliest(longest, end.Add(answerMargin))
-		least = earliest(least, longest)
-	}
-	if current.Before(least) || current.After(longest) {
-		return longest, true
-	}
-	return current, false
-}
-
-// earliest returns the earlier of two times, of which zero means never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
+	_, answer := c.requestDeadlines()
+	next := nextWriteDeadline(c.writeDeadline.ownDeadline(), answer, time.Now(), c.guard.Limits.WriteTimeout)
+	if c.writeDeadline.setOwn(next) {
+		_ = c.writeDeadline.applyWrite(c.Conn) // an error also fails the write
 	}
-	return a
 }
 
 // handshakeConn is the connection below one of TLS. It counts what a client sends in the handshake, which is kept until it is complete.
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -112,19 +112,18 @@
 	after := func(d time.Duration) time.Time { return now.Add(d) }
 	for name, test := range map[string]struct {
 		current, answer, want time.Time
-		changed               bool
 	}{
-		"first write":                     {want: after(timeout), changed: true},
+		"first write":                     {want: after(timeout)},
 		"half of the timeout is left":     {current: after(timeout / 2), want: after(timeout / 2)},
-		"less is left":                    {current: after(timeout/2 - 1), want: after(timeout), changed: true},
-		"the request ends sooner":         {answer: after(time.Second), want: after(time.Second + answerMargin), changed: true},
+		"less is left":                    {current: after(timeout/2 - 1), want: after(timeout)},
+		"the request ends sooner":         {answer: after(time.Second), want: after(time.Second + answerMargin)},
 		"that is set already":             {current: after(time.Second + answerMargin), answer: after(time.Second), want: after(time.Second + answerMargin)},
-		"from an earlier request":         {current: after(timeout - 1), answer: after(time.Second), want: after(time.Second + answerMargin), changed: true},
-		"the request has ended":           {answer: after(-time.Minute), want: after(answerMargin), changed: true},
-		"the request ends after the time": {answer: after(time.Hour), want: after(timeout), changed: true},
+		"from an earlier request":         {current: after(timeout - 1), answer: after(time.Second), want: after(time.Second + answerMargin)},
+		"the request has ended":           {answer: after(-time.Minute), want: after(answerMargin)},
+		"the request ends after the time": {answer: after(time.Hour), want: after(timeout)},
 	} {
-		if got, changed := nextWriteDeadline(test.current, test.answer, now, timeout); !got.Equal(test.want) || changed != test.changed {
-			t.Errorf("%s: %v, changed %v", name, got.Sub(now), changed)
+		if got := nextWriteDeadline(test.current, test.answer, now, timeout); !got.Equal(test.want) {
+			t.Errorf("%s: %v", name, got.Sub(now))
 		}
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,7 +94,7 @@
 // guarded connection it does nothing.
 func SetDeadline(ctx context.Context, deadline time.Time) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		c.setDeadline(deadline)
+		c.setRequestDeadlines(deadline, deadline)
 	}
 }
 
