gateway: a late body is answered with 408, not taken for a caller that left

net/http cancels the context of a request after each failed read of its body, also after one that timed out, so the router closed the connection instead of sending the refusal, and counted caller_gone. Late bodies are errors of the caller in requests_refused_within_rate_total.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -386,6 +386,7 @@
 		refusal := *verdict.As(err)
 		name = verdict.ReasonName(refusal.Reason)
 		switch {
+		case refusal.Reason == wirev1.Reason_REASON_REQUEST_TIMEOUT: // the server has cancelled the context, as after each failed read
 		case httpRequest.Context().Err() != nil && errors.Is(httpRequest.Context().Err(), context.Canceled):
 			name = "caller_gone"
 		case r.g.ended.Err() != nil:
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -91,7 +91,7 @@
 	case wirev1.Reason_REASON_RATE_EXCEEDED, wirev1.Reason_REASON_REQUEST_TOO_LARGE_FOR_BURST,
 		wirev1.Reason_REASON_KEY_MISSING, wirev1.Reason_REASON_KEY_UNKNOWN, wirev1.Reason_REASON_KEY_WITHDRAWN,
 		wirev1.Reason_REASON_NO_ROUTE, wirev1.Reason_REASON_UNKNOWN_MODEL, wirev1.Reason_REASON_BODY_TOO_LARGE,
-		wirev1.Reason_REASON_MALFORMED:
+		wirev1.Reason_REASON_MALFORMED, wirev1.Reason_REASON_REQUEST_TIMEOUT:
 		return false
 	default:
 		return true
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -54,7 +54,7 @@
 	callerErrors := map[wirev1.Reason]bool{}
 	for _, name := range []string{
 		"RATE_EXCEEDED", "REQUEST_TOO_LARGE_FOR_BURST", "KEY_MISSING", "KEY_UNKNOWN", "KEY_WITHDRAWN", "NO_ROUTE",
-		"UNKNOWN_MODEL", "BODY_TOO_LARGE", "MALFORMED",
+		"UNKNOWN_MODEL", "BODY_TOO_LARGE", "MALFORMED", "REQUEST_TIMEOUT",
 	} {
 		callerErrors[wirev1.Reason(wirev1.Reason_value["REASON_"+name])] = true
 	}
