platform: a fuzz target for what callers send

Cause: docs/overload-and-limits.md, section 7, asks for a fuzz target that reads request heads and bodies of callers; there was none for the path from a caller's bytes to a runner's.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,8 @@
 fuzz:
 	$(GO) test ./internal/settings -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s
 	$(GO) test ./internal/document -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s
+	# Coverage differs between runs of the same input, so that minimizing would take nearly all of the time.
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzCallerBytes$$' -fuzztime 20s -fuzzminimizetime 20x
 
 # Needs protoc on the PATH; the generated code is committed.
 generate:
