processtest: crowds wait until all connections are accepted; upstream connections count

Cause: beside a load of 20 on 7 cores a crowd was closed before the process had accepted its connections, because it had used no processor time for 150 ms, so a case passed that shows the fault otherwise.

Change: settle also waits until the listening socket has no connection to accept, and the bound counts one connection to an upstream for each connection that the limits allow, for the router's callers only.

--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -38,8 +38,7 @@
 	pipelinedRequests, resetConnections = 30, 5
 	// crowdReceiveBuffer is small, so that responses which are not read wait in the process.
 	crowdReceiveBuffer = 4096
-	// descriptorMargin is for the connections to upstreams, of which the runners of these tests take 22 at a time, and for connections that
-	// are accepted and then closed because of a limit.
+	// descriptorMargin is for connections that are accepted and then closed because of a limit, or that are being closed.
 	descriptorMargin = 64
 	// settleTime is how long the process has to be idle until a crowd ends, and maxSettleTime the longest wait for that.
 	settleTime, maxSettleTime = 150 * time.Millisecond, 3 * time.Second
@@ -54,6 +53,9 @@
 	process *process
 	address string
 	limits  listenerLimits
+	// toUpstream is the number of connections to upstreams that a connection of a caller takes at a time: one in a router, none in an entry,
+	// whose requests share connections to sidecars.
+	toUpstream int
 	// crowd is the number of connections.
 	crowd int
 	// memoryMB is the memory of the machine of the process.
@@ -249,14 +251,41 @@
 	return user + system
 }
 
-// settle waits until the process has dealt with what a crowd sent: for settleTime it was idle and opened and closed nothing.
-func (p *process) settle() {
-	p.t.Helper()
+// notAccepted returns the number of connections that wait to be accepted at an IPv4 address, which is the receive queue of a listening socket.
+func notAccepted(t testing.TB, address string) int {
+	t.Helper()
+	tcp, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ip := tcp.IP.To4()
+	listening := fmt.Sprintf("%02X%02X%02X%02X:%04X 00000000:0000 0A ", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+	_, rest, found := strings.Cut(string(table), listening)
+	if !found {
+		t.Fatalf("no process listens on %s", address)
+	}
+	_, rest, _ = strings.Cut(rest, ":")
+	waiting, err := strconv.ParseInt(rest[:8], 16, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return int(waiting)
+}
+
+// settle waits until the process has dealt with what a crowd sent: for settleTime it was idle, opened and closed nothing, and had no
+// connection to accept.
+func (l *crowdListener) settle(t *testing.T) {
+	t.Helper()
 	const idleTicks = 2
+	p := l.process
 	for began := time.Now(); time.Since(began) < maxSettleTime; {
 		ticks, descriptors, peak := p.processorTicks(), p.descriptors(), p.peakMemoryMB()
 		time.Sleep(settleTime)
-		if p.processorTicks() <= ticks+idleTicks && p.descriptors() == descriptors && p.peakMemoryMB() == peak {
+		if p.processorTicks() <= ticks+idleTicks && p.descriptors() == descriptors && p.peakMemoryMB() == peak && notAccepted(t, l.address) == 0 {
 			return
 		}
 	}
@@ -282,10 +311,10 @@
 	atRest, memoryBefore := l.process.descriptors(), l.process.peakMemoryMB()
 	mostDescriptors := l.process.watchDescriptors()
 	closeAll := l.open(c, l.crowd)
-	l.process.settle()
+	l.settle(t)
 	closeAll()
 	descriptors, memory := mostDescriptors(), l.process.peakMemoryMB()
-	bound := atRest + l.limits.connections + descriptorMargin
+	bound := atRest + l.limits.connections*(1+l.toUpstream) + descriptorMargin
 	t.Logf("%d connections: %d MB before, %d MB at most (machine %d); %d descriptors at rest, %d at most (bound %d)",
 		l.crowd, memoryBefore, memory, l.memoryMB, atRest, descriptors, bound)
 	if memory > l.memoryMB {
