--- a/internal/processtest/crowd_router_test.go
+++ b/internal/processtest/crowd_router_test.go
@@ -94,10 +94,9 @@
 // callers returns the listener for callers.
 func (r *crowdRouter) callers() *crowdListener {
 	return &crowdListener{
-		process: r.process, address: r.callerAddress, limits: callerLimits, toUpstream: 1, crowd: callerCrowd, memoryMB: crowdRouterMemoryMB,
-		ordinary: r.book,
-		head:     func() string { return r.head("/book/x", false) },
-		unread:   func() string { return r.head("/note/x", true) },
+		process: r.process, address: r.callerAddress, limits: callerLimits, crowd: callerCrowd, memoryMB: crowdRouterMemoryMB, ordinary: r.book,
+		head:   func() string { return r.head("/book/x", false) },
+		unread: func() string { return r.head("/note/x", true) },
 	}
 }
 
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -38,7 +38,8 @@
 	pipelinedRequests, resetConnections = 30, 5
 	// crowdReceiveBuffer is small, so that responses which are not read wait in the process.
 	crowdReceiveBuffer = 4096
-	// descriptorMargin is for connections that are accepted and then closed because of a limit, or that are being closed.
+	// descriptorMargin is for the connections to upstreams that a process opens for the requests of a crowd, and for connections that are
+	// accepted and then closed because of a limit.
 	descriptorMargin = 64
 	// settleTime is how long the process has to be idle until a crowd ends, and maxSettleTime the longest wait for that.
 	settleTime, maxSettleTime = 150 * time.Millisecond, 3 * time.Second
@@ -53,9 +54,6 @@
 	process *process
 	address string
 	limits  listenerLimits
-	// toUpstream is the number of connections to upstreams that a connection of a caller takes at a time: one in a router, none in an entry,
-	// whose requests share connections to sidecars.
-	toUpstream int
 	// crowd is the number of connections.
 	crowd int
 	// memoryMB is the memory of the machine of the process.
@@ -314,7 +312,7 @@
 	l.settle(t)
 	closeAll()
 	descriptors, memory := mostDescriptors(), l.process.peakMemoryMB()
-	bound := atRest + l.limits.connections*(1+l.toUpstream) + descriptorMargin
+	bound := atRest + l.limits.connections + descriptorMargin
 	t.Logf("%d connections: %d MB before, %d MB at most (machine %d); %d descriptors at rest, %d at most (bound %d)",
 		l.crowd, memoryBefore, memory, l.memoryMB, atRest, descriptors, bound)
 	if memory > l.memoryMB {
