ingress: empty lines before a head do not end it

The framer skips them too, they do not begin the time for a head, and whatever the server reads outside its background reads counts.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -124,7 +124,7 @@
 	c.framer.section = inHead // the server has read the body, whatever the framer made of it
 	c.charge.release()
 	c.setOwnRead(time.Time{})
-	if c.head.bytes > 0 {
+	if c.framer.headBegun() {
 		c.startHead()
 	}
 }
@@ -193,15 +193,15 @@
 	}
 	size, lines, ended := c.framer.takeHead(p[:n])
 	c.keep(p[:n], size, kept)
-	if c.headDone { // the server reads in the background while it serves a request
+	if c.headDone && len(p) == 1 { // the server reads in the background while it serves a request
 		c.early += size
 		return size, err
 	}
 	if cause := c.countHead(size, lines); cause != "" {
 		return 0, c.refuseHead(cause)
 	}
-	c.headDone = ended
-	if !ended && c.requests {
+	c.headDone = c.headDone || ended
+	if c.requests && c.framer.headBegun() {
 		c.startHead()
 	}
 	return size, err
@@ -233,7 +233,7 @@
 
 // headError reports a head that was not complete in time. A connection that waits for its next request has no head yet.
 func (c *conn) headError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.headDone && (c.head.bytes > 0 || !c.requests) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.headDone && (!c.requests || c.framer.headBegun()) {
 		c.headErr = err
 		c.guard.reporter.report(CauseHeadTimeout, c.RemoteAddr())
 	}
--- a/internal/ingress/framer.go
+++ b/internal/ingress/framer.go
@@ -15,8 +15,10 @@
 // framer finds the ends of the heads and bodies in what a client sends, so that a part is never read beyond its end and each byte is counted for the
 // request to which it belongs, also when requests are pipelined. It judges nothing: the server parses what it gets.
 type framer struct {
-	section  section
-	line     line
+	section section
+	line    line
+	// begun is set when the first line of a head is complete.
+	begun    bool
 	bodyLeft int64 // bytes of the body that were not taken; in section inBody
 	chunks   chunkScanner
 }
@@ -31,11 +33,26 @@
 	}
 }
 
-// takeHead takes the beginning of p up to the end of the head, and returns its size and its number of lines.
+// takeHead takes the beginning of p up to the end of the head, and returns its size and its number of lines. Empty lines before the first one do not
+// end a head: the server skips them after a POST, because old clients send them, and closes the connection otherwise.
 func (f *framer) takeHead(p []byte) (size, lines int, ended bool) {
-	return f.line.scan(p)
+	for {
+		n, more, empty := f.line.scan(p[size:])
+		size, lines = size+n, lines+more
+		if !empty {
+			f.begun = f.begun || more > 0
+			return size, lines, false
+		}
+		if f.begun || more > 1 {
+			f.begun = false
+			return size, lines, true
+		}
+	}
 }
 
+// headBegun reports whether a part of the next head was received that is no empty line.
+func (f *framer) headBegun() bool { return f.begun || f.line.length > 0 && !f.line.onlyCR }
+
 // takeBody takes the beginning of p up to the end of the body, and returns its size.
 func (f *framer) takeBody(p []byte) int {
 	ended := false
--- a/internal/ingress/framer_test.go
+++ b/internal/ingress/framer_test.go
@@ -44,11 +44,16 @@
 // readRequests reads the requests in a text as a server does. It ends at the first request that cannot be read.
 func readRequests(r io.Reader, onHead func(*http.Request)) (requests []string) {
 	reader := bufio.NewReader(r)
-	for {
+	for last := ""; ; {
+		if last == http.MethodPost { // as http.Server does
+			peek, _ := reader.Peek(4)
+			_, _ = reader.Discard(len(peek) - len(strings.TrimLeft(string(peek), "\r\n")))
+		}
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return requests
 		}
+		last = request.Method
 		onHead(request)
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
@@ -82,6 +87,8 @@
 	"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;x=1\r\n\r\n\r\n\r\n\r\n\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
 	"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n1\r\n\n\r\n0\r\nT: v\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
 	"\r\nGET / HTTP/1.1\r\n\r\n",
+	"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\nGET /c HTTP/1.1\r\nHost: h\r\n\r\n",
+	"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc\n\n\nPOST /b HTTP/1.1\r\nHost: h\r\n\r\n\r\n",
 	"GET / HTTP/1.1\r\nHost: h\r\n\r\r\n\r\n",
 }
 
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -241,6 +241,25 @@
 	s.expectRefused(CauseHeadMemory, 1)
 }
 
+// Guards against a head that escapes the limits behind the empty lines that the server skips after a POST, and a connection that counts as one with
+// a slow head because a client sends them.
+func TestEmptyLinesBeforeHead(t *testing.T) {
+	limits := testLimits()
+	limits.HeadMemory, limits.HeadTimeout = 50_000, shortTimeout
+	s := serve(t, limits, nil, echo)
+	for _, lines := range []string{"\r\n", "\n\n\n", "\r\n\r\n"} {
+		c := s.connect()
+		c.send(post + "Content-Length: 1\r\n\r\nx" + lines[:2])
+		c.expect(http.StatusOK, "POST x")
+		time.Sleep(2 * shortTimeout) // idle
+		c.send(lines[2:] + post + "Content-Length: 1\r\n\r\ny" + lines)
+		c.expect(http.StatusOK, "POST y")
+		c.send(get[:len(get)-2] + strings.Repeat("a:\n", 500))
+		c.expectClosed()
+	}
+	s.expectRefused(CauseHeadMemory, 3)
+}
+
 // Guards against slow heads, first and later ones, that hold a connection, and kept connections that are closed because they are idle.
 func TestSlowHead(t *testing.T) {
 	limits := testLimits()
