--- a/cmd/fulmardoor-router/main.go
+++ b/cmd/fulmardoor-router/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"slices"
+
 	"github.com/urfave/cli/v3"
 
 	"github.com/fulmardoor/fulmardoor/internal/process"
@@ -16,14 +18,17 @@
 		File: &cli.StringFlag{
 			Name: "settings", Usage: "settings file", Sources: cli.EnvVars(platform.SettingsVariable),
 		},
-		RunFlags: []cli.Flag{
+		RunFlags: slices.Concat([]cli.Flag{
 			&cli.IntFlag{Name: metricsPort, Usage: "port for metrics; 0 for none"},
 			&cli.BoolFlag{Name: fleetPriority, Usage: "leave capacity at engines to more urgent requests that wait at other routers", Value: true},
 			&cli.BoolFlag{Name: refuseAtOnce, Usage: "refuse streams that are expected to wait too long for an engine before they wait", Value: true},
-		},
+		}, limitFlags(callerPrefix, "callers"), limitFlags(adminPrefix, "readiness requests and metrics"), limitFlags(peerPrefix, "other routers")),
 		Load: platform.LoadSettings,
 		Run: func(cmd *cli.Command, path string, settings *platform.Settings) error {
-			return run(path, settings, runOptions{metricsPort: cmd.Int(metricsPort), fleetPriority: cmd.Bool(fleetPriority), refuseAtOnce: cmd.Bool(refuseAtOnce)})
+			return run(path, settings, runOptions{
+				metricsPort: cmd.Int(metricsPort), fleetPriority: cmd.Bool(fleetPriority), refuseAtOnce: cmd.Bool(refuseAtOnce),
+				callers: readLimits(cmd, callerPrefix), admin: readLimits(cmd, adminPrefix), peer: readLimits(cmd, peerPrefix),
+			})
 		},
 	}.Main()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/backlog"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/ingress"
 	"github.com/fulmardoor/fulmardoor/internal/membudget"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
@@ -80,6 +81,7 @@
 	end   context.CancelFunc
 
 	reservations reservationLog
+	plain        plainLimit
 
 	mu         sync.Mutex                         // guards the fields below
 	queues     map[string]*waitqueue.Queue        // by service
@@ -259,6 +261,8 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	r.deadline = r.began.Add(r.timeout())
+	ingress.SetDeadline(httpRequest.Context(), r.deadline)
 	if err := r.readBody(httpRequest, limit); err != nil {
 		return err
 	}
@@ -267,7 +271,6 @@
 		return err
 	}
 	r.recordAcceptedStopping()
-	r.deadline = r.began.Add(r.timeout())
 	return nil
 }
 
@@ -408,6 +411,7 @@
 		refusal := *verdict.As(err)
 		name = verdict.ReasonName(refusal.Reason)
 		switch {
+		case refusal.Reason == wirev1.Reason_REASON_REQUEST_TIMEOUT: // the server has cancelled the context, as after each failed read
 		case httpRequest.Context().Err() != nil && errors.Is(httpRequest.Context().Err(), context.Canceled):
 			name = "caller_gone"
 		case r.g.ended.Err() != nil:
