backlog: changes at the least urgent priority trigger no heartbeats

Most waiting requests are of the least urgent priority, which holds back none: its changes now travel with the next heartbeat.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -70,22 +70,52 @@
 	mu      sync.Mutex // guards the fields below; no function of another package is called while it is held
 	own     map[string]Levels
 	reports map[string]*report // by source, which is another process or a group of them
+	// leastUrgent is the least urgent priority at which requests of a service have waited at any process.
+	leastUrgent map[string]int
 }
 
-// New returns a backlog without demand. changed is called after this process's own demand has changed, without a mutex held;
-// nil stands for none.
+// New returns a backlog without demand. changed is called, without a mutex held, after this process's own demand has changed at a priority that
+// can hold back requests of other processes; nil stands for none.
 func New(changed func()) *Backlog {
 	if changed == nil {
 		changed = func() {}
 	}
-	return &Backlog{changed: changed, own: make(map[string]Levels), reports: make(map[string]*report)}
+	return &Backlog{changed: changed, own: make(map[string]Levels), reports: make(map[string]*report), leastUrgent: make(map[string]int)}
+}
+
+// noteLocked updates leastUrgent. b.mu must be held.
+func (b *Backlog) noteLocked(service string, levels Levels) {
+	for priority := range levels {
+		if least, ok := b.leastUrgent[service]; !ok || priority > least {
+			b.leastUrgent[service] = priority
+		}
+	}
+}
+
+// mattersLocked reports whether two demands for a service differ at a priority that can hold back other requests. Most waiting requests are of the
+// least urgent priority, which holds back none: reports of their changes took the busiest relay of 301 processes from 20% to 30% of a core.
+// b.mu must be held.
+func (b *Backlog) mattersLocked(service string, before, after Levels) bool {
+	least := b.leastUrgent[service]
+	for priority, demand := range before {
+		if priority < least && after[priority] != demand {
+			return true
+		}
+	}
+	for priority := range after {
+		if _, known := before[priority]; priority < least && !known {
+			return true
+		}
+	}
+	return false
 }
 
 // SetOwn replaces this process's own demand for a service.
 func (b *Backlog) SetOwn(service string, levels Levels) {
 	levels = levels.clean()
 	b.mu.Lock()
-	changed := !maps.Equal(b.own[service], levels)
+	b.noteLocked(service, levels)
+	changed := b.mattersLocked(service, b.own[service], levels)
 	if levels == nil {
 		delete(b.own, service)
 	} else {
@@ -97,7 +127,8 @@
 	}
 }
 
-// SetOthers replaces the demand that a source reports, by service. It reports whether the demand of others has changed.
+// SetOthers replaces the demand that a source reports, by service. It reports whether the demand of others has changed at a priority that can hold
+// back requests.
 func (b *Backlog) SetOthers(source string, demand map[string]Levels, now time.Time) (changed bool) {
 	cleaned := make(map[string]Levels, len(demand))
 	for service, levels := range demand {
@@ -116,11 +147,14 @@
 	} else {
 		b.reports[source] = &report{cleaned, now.Add(ReportLifetime)}
 	}
-	return !equal(before, cleaned)
-}
-
-func equal(a, b map[string]Levels) bool {
-	return maps.EqualFunc(a, b, func(x, y Levels) bool { return maps.Equal(x, y) })
+	for service, levels := range cleaned {
+		b.noteLocked(service, levels)
+		changed = changed || b.mattersLocked(service, before[service], levels)
+	}
+	for service, levels := range before {
+		changed = changed || b.mattersLocked(service, levels, cleaned[service])
+	}
+	return changed
 }
 
 // Drop forgets what a source reported. It reports whether that was any demand.
