peering: heartbeats without waiting demand cost nothing for it

Each heartbeat of a relay made the map of its links once more, and each received one made a map of demand, also while nothing waits.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -157,6 +157,20 @@
 	return changed
 }
 
+// Empty reports whether nothing waits here and no source reported demand.
+func (b *Backlog) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.own) == 0 && len(b.reports) == 0
+}
+
+// Reported reports whether a source reported demand.
+func (b *Backlog) Reported(source string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reports[source] != nil
+}
+
 // Drop forgets what a source reported. It reports whether that was any demand.
 func (b *Backlog) Drop(source string) (changed bool) {
 	b.mu.Lock()
--- a/internal/peering/demand.go
+++ b/internal/peering/demand.go
@@ -71,7 +71,7 @@
 // addDemandLocked adds the waiting demand of the processes that the heartbeats on a link cover. m.mu must be held.
 func (m *Mesh) addDemandLocked(l *link, heartbeat *wirev1.Heartbeat) {
 	l.demandPending = false
-	if m.options.Backlog == nil || l.coverage() == wirev1.Coverage_COVERAGE_NONE {
+	if m.options.Backlog == nil || l.coverage() == wirev1.Coverage_COVERAGE_NONE || m.options.Backlog.Empty() {
 		return
 	}
 	for service, levels := range m.options.Backlog.Report(m.sourcesLocked(l), time.Now()) {
@@ -86,7 +86,7 @@
 
 // applyDemandLocked records the waiting demand that a heartbeat reports. m.mu must be held.
 func (m *Mesh) applyDemandLocked(l *link, heartbeat *wirev1.Heartbeat) {
-	if m.options.Backlog == nil {
+	if m.options.Backlog == nil || len(heartbeat.GetWaiting()) == 0 && !m.options.Backlog.Reported(l.process) {
 		return
 	}
 	demand := make(map[string]backlog.Levels)
