--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -93,8 +93,7 @@
 }
 
 // mattersLocked reports whether two demands for a service differ at a priority that can hold back other requests. Most waiting requests are of the
-// least urgent priority, which holds back none: reports of their changes took the busiest relay of 301 processes from 20% to 30% of a core.
-// b.mu must be held.
+// least urgent priority, which holds back none, so that a heartbeat with each change of them would tell the others nothing. b.mu must be held.
 func (b *Backlog) mattersLocked(service string, before, after Levels) bool {
 	least := b.leastUrgent[service]
 	for priority, demand := range before {
