sendqueue: one type for the write of a request, in place of two

upstreamconn and wholeresponse each had the state of an upload with the same wait and time limit. The waiting demand of a request had a clamp to 32 bits beside that of its priority, which is narrower. No change of behaviour; the tests of the touched packages pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,8 +131,8 @@
 	Engine *Engine
 }
 
-// Limits are the configured limits for clients. The limits for request headers and idle connections are constants of the
-// process, which are above every value that a configuration has for them.
+// Limits are the configured limits for clients. Those for request heads and idle connections are settings of the process (package ingress), whose
+// defaults are above every value that a configuration has for them.
 type Limits struct {
 	MaxBodyBytes int64
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -374,7 +374,7 @@
 // routePriorities is the number of priorities of routes that are told apart within one priority of accounts.
 const routePriorities = 10
 
-// maxPriority bounds the priorities of routes and accounts, so that their combination fits into the messages between processes.
+// maxPriority bounds the priorities of routes and accounts, so that their combination fits into the 32 bits that heartbeats have for it.
 const maxPriority = 1 << 20
 
 // priority returns the rank of the request: by the priority of its account and, within that, by the priority of its route. The account's decides first,
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -160,7 +159,7 @@
 	output := float64(r.call.ExpectedOutput())
 	item := &waitqueue.Item{
 		Priority: r.priority(), Value: 1, Cost: (float64(r.call.PromptTokens) + output/2) * output, // mean memory times duration
-		Level: r.demandLevel(), Deadline: r.began.Add(r.route.LatencyTarget - firstEventMargin),
+		Level: r.priority(), Deadline: r.began.Add(r.route.LatencyTarget - firstEventMargin),
 	}
 	sizes := r.query(localPrefillOnly)
 	item.Memory = sizes.PromptTokens + sizes.OutputTokens
@@ -200,14 +199,11 @@
 	return nil, r.noCapacity()
 }
 
-// demandLevel returns the priority at which the request counts as waiting demand. Heartbeats have 32 bits for it.
-func (r *request) demandLevel() int { return min(max(r.priority(), math.MinInt32), math.MaxInt32) }
-
 // heldBack reports whether the request leaves capacity to more urgent ones that wait at other processes. The first time that an
 // engine would have taken it is recorded.
 func (r *request) heldBack(localPrefillOnly bool) bool {
 	query := r.query(localPrefillOnly)
-	moreUrgent, held := r.g.Backlog.HeldBack(r.g.Board, query, r.demandLevel())
+	moreUrgent, held := r.g.Backlog.HeldBack(r.g.Board, query, r.priority())
 	if !held || r.wasHeldBack {
 		return held
 	}
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -21,10 +21,6 @@
 // body.
 const maxInlineBodyBytes = 8 << 10
 
-// uploadEndTimeout limits how long the rest of a request body may take after the upstream ended a response that is delimited by the close of its
-// connection. An upstream that responds early and then reads the rest takes it in some round trips.
-const uploadEndTimeout = time.Second
-
 // maxStaleResponses limits how many responses to earlier requests are skipped on one connection.
 const maxStaleResponses = 4
 
@@ -65,7 +61,7 @@
 	// ended is closed when the context of the request ends.
 	ended <-chan struct{}
 	// upload is the write of the request if it goes on while the response is read; nil if the whole request was written before.
-	upload *upload
+	upload *sendqueue.Upload
 	// stopCancel unregisters the function that cancels the exchange when the request's context ends. It returns false if the
 	// context has already ended.
 	stopCancel func() bool
@@ -115,51 +111,19 @@
 	return c.readResponse(ctx, r, c.startUpload(head, r.Body))
 }
 
-// upload is the write of a request in a goroutine of its own.
-type upload struct {
-	done chan struct{}
-	err  error // of the write, valid after done was closed
-}
-
-func (c *conn) startUpload(head, body []byte) *upload {
-	u := &upload{done: make(chan struct{})}
+// startUpload writes a request in a goroutine of its own.
+func (c *conn) startUpload(head, body []byte) *sendqueue.Upload {
+	u := sendqueue.NewUpload()
 	go func() {
-		defer close(u.done)
-		if _, u.err = c.Conn.Write(head); u.err == nil {
-			_, u.err = c.Conn.Write(body)
+		_, err := c.Conn.Write(head)
+		if err == nil {
+			_, err = c.Conn.Write(body)
 		}
+		u.End(err)
 	}()
 	return u
 }
 
-// written reports whether the whole request has been written. A nil upload was written before the response was read.
-func (u *upload) written() bool {
-	if u == nil {
-		return true
-	}
-	select {
-	case <-u.done:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
-// end waits for the end of the write and returns its error. The write also ends with the context of the request.
-func (u *upload) end() error {
-	if u == nil {
-		return nil
-	}
-	timeout := time.NewTimer(uploadEndTimeout)
-	defer timeout.Stop()
-	select {
-	case <-u.done:
-		return u.err
-	case <-timeout.C:
-		return errors.New("the upstream does not read the rest of the request")
-	}
-}
-
 // readHead reads the status and headers of the next response. It skips informational responses. Other protocols, to which a response with status 101
 // would switch, are never asked for.
 func (c *conn) readHead(method string) (raw *http.Response, err error) {
@@ -199,7 +163,7 @@
 
 // readResponse reads the status and headers of the response that belongs to the request. It skips responses to earlier
 // requests.
-func (c *conn) readResponse(ctx context.Context, r *Request, upload *upload) (*Response, error) {
+func (c *conn) readResponse(ctx context.Context, r *Request, upload *sendqueue.Upload) (*Response, error) {
 	for skipped := 0; skipped <= maxStaleResponses; {
 		raw, err := c.readHead(r.Method)
 		if err != nil {
@@ -270,9 +234,9 @@
 	if r.SelfDelimited() || r.raw.Body == http.NoBody {
 		return nil
 	}
-	err := r.upload.end()
+	err := r.upload.Wait()
 	if err == nil {
-		err = sendqueue.WaitReceived(r.conn.Conn, uploadEndTimeout, r.ended)
+		err = sendqueue.WaitReceived(r.conn.Conn, sendqueue.EndTimeout, r.ended)
 	}
 	if err != nil {
 		return fmt.Errorf("%w: the connection ended while the request was sent: %w", io.ErrUnexpectedEOF, err)
@@ -300,7 +264,7 @@
 func (r *Response) Close() {
 	r.closeOnce.Do(func() {
 		r.conn.received.release()
-		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.upload.written() && r.conn.reader.Buffered() == 0
+		reusable := r.stopCancel() && r.bodyRead && !r.raw.Close && r.SelfDelimited() && r.upload.Written() && r.conn.reader.Buffered() == 0
 		if !reusable {
 			_ = r.conn.Close()
 			return
--- a/internal/wholeresponse/wholeresponse.go
+++ b/internal/wholeresponse/wholeresponse.go
@@ -13,7 +13,6 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -23,9 +22,6 @@
 // ErrMalformed means that a response has a status that no response has.
 var ErrMalformed = errors.New("malformed response")
 
-// uploadEndTimeout limits how long the rest of a request body may take after the upstream ended the connection in its direction.
-const uploadEndTimeout = time.Second
-
 // Transport returns a round tripper over a copy of a transport. Its connections end regularly only if the request was sent before; otherwise the
 // response, or its body, ends with an error that wraps io.ErrUnexpectedEOF. A response whose status is not from 200 to 599 returns ErrMalformed;
 // http.Transport itself skips informational ones. A transport with its own DialTLSContext is not covered for https.
@@ -61,7 +57,7 @@
 type conn struct {
 	net.Conn
 	// upload is the write of the current request; nil before the first one.
-	upload atomic.Pointer[upload]
+	upload atomic.Pointer[sendqueue.Upload]
 
 	mu sync.Mutex // guards the fields below
 	// writing is closed when the last write has ended; nil before the first one. A http.Transport writes from one goroutine at a time.
@@ -107,7 +103,7 @@
 		return n, err
 	}
 	if u := c.upload.Load(); u != nil {
-		if uploadErr := u.wait(); uploadErr != nil {
+		if uploadErr := u.Wait(); uploadErr != nil {
 			return n, truncated(uploadErr)
 		}
 	}
@@ -115,7 +111,7 @@
 	if writeErr := c.writeError(); writeErr != nil {
 		return n, truncated(writeErr)
 	}
-	if err := sendqueue.WaitReceived(c.Conn, uploadEndTimeout, nil); err != nil {
+	if err := sendqueue.WaitReceived(c.Conn, sendqueue.EndTimeout, nil); err != nil {
 		return n, truncated(err)
 	}
 	return n, io.EOF
@@ -130,10 +126,10 @@
 // RoundTrip implements http.RoundTripper.
 func (t *roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	// http.Transport sends a request again on another connection if a kept one failed and the request may be repeated.
-	var current atomic.Pointer[upload]
+	var current atomic.Pointer[sendqueue.Upload]
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			u := newUpload()
+			u := sendqueue.NewUpload()
 			current.Store(u)
 			if c := underlying(info.Conn); c != nil {
 				c.upload.Store(u)
@@ -141,7 +137,7 @@
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if u := current.Load(); u != nil {
-				u.end(info.Err)
+				u.End(info.Err)
 			}
 		},
 	})
@@ -167,32 +163,3 @@
 	own, _ := c.(*conn)
 	return own
 }
-
-// upload is the write of a request on one connection.
-type upload struct {
-	once sync.Once
-	done chan struct{}
-	err  error // valid after done was closed
-}
-
-func newUpload() *upload { return &upload{done: make(chan struct{})} }
-
-// end ends the write with its error.
-func (u *upload) end(err error) {
-	u.once.Do(func() {
-		u.err = err
-		close(u.done)
-	})
-}
-
-// wait waits for the end of the write and returns its error. The end of a request closes its connection, which ends the write.
-func (u *upload) wait() error {
-	timeout := time.NewTimer(uploadEndTimeout)
-	defer timeout.Stop()
-	select {
-	case <-u.done:
-		return u.err
-	case <-timeout.C:
-		return errors.New("the upstream does not read the rest of the request")
-	}
-}
