--- a/review/standin-2/relayedlist.go
+++ b/review/standin-2/relayedlist.go
@@ -14,7 +14,7 @@
 	// drainTime is bounds.drain_ms, the time after which a runner that left must get no request.
 	drainTime = 2 * time.Second
 	// lingerTime is how long the runner serves after its entry was removed: drain_ms and a little longer.
-	lingerTime = drainTime + 2500*time.Millisecond
+	lingerTime = drainTime + 2000*time.Millisecond
 )
 
 // relayedList cuts the router that reads the list of runners for all from the store. One of two runners leaves meanwhile without reporting
