--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-in that the scripts of the second review start.
+# Builds the stand-in that the scripts of the second review start. It is a module of its own without dependencies.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o review/standin-2/bin/standin-2 ./review/standin-2
+cd "$(dirname "$0")/standin-2"
+go build -o bin/standin-2 .
