--- a/review/standin-2/largeanswer.go
+++ b/review/standin-2/largeanswer.go
@@ -25,7 +25,7 @@
 	sendAfterStop = 6350 * time.Millisecond
 	keptClients   = 8
 	// A stream of streamEvents events, one each streamInterval, runs while the router stops and ends before its grace does.
-	streamEvents   = 66
+	streamEvents   = 70
 	streamInterval = 100 * time.Millisecond
 	tokensPerEvent = 13
 )
