--- a/cmd/fulmardoor-router/evacuation_test.go
+++ b/cmd/fulmardoor-router/evacuation_test.go
@@ -11,6 +11,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/platform/platformtest"
 )
 
@@ -23,17 +24,19 @@
 	}
 	var failing bool
 	each := eachIn(store)
-	entries := newUpstreamEntries(func(ctx context.Context, prefix string, visit func(kv.Pair)) error {
+	entries := newUpstreamEntries(func(ctx context.Context, prefix string, visit func(kv.Pair)) (int64, error) {
 		if failing && prefix == "op/evacuate/" {
-			return context.DeadlineExceeded
+			return 0, context.DeadlineExceeded
 		}
 		return each(ctx, prefix, visit)
 	}, zap.NewNop())
 	entries.readEvacuations = true
 	board := placement.NewBoard("north", nil)
+	known := upstreamlist.New(upstreamlist.Options{})
 	update := func() {
-		if pairs, err := entries.list(t.Context()); err == nil {
-			board.Update(entries.upstreams(pairs, nil))
+		if reading, err := entries.list(t.Context()); err == nil {
+			known.Apply(known.Read(reading), time.Time{}, time.Now())
+			board.Update(known.Upstreams())
 		}
 	}
 	wantPicked := func(when string, want map[string]bool) {
--- a/cmd/fulmardoor-router/metrics.go
+++ b/cmd/fulmardoor-router/metrics.go
@@ -18,6 +18,7 @@
 		{"fulmardoor_router_config_version", "Version of the configuration in force; 0 for none.", func() float64 { return float64(r.configVersion()) }},
 		{"fulmardoor_router_store_contact", "Whether the store answered the last call.", func() float64 { return number(r.storeStatus.Health.Available()) }},
 		{"fulmardoor_router_upstream_list_age_seconds", "Time since the list of upstreams was read from the store, by any router.", func() float64 { return r.feed.age().Seconds() }},
+		{"fulmardoor_router_upstreams_missing", "Upstreams that are used although the newest list lacks them, after an outage of the store.", func() float64 { return float64(r.feed.missing()) }},
 		{"fulmardoor_router_relay", "Whether this router passes on the reports of others.", func() float64 { return number(r.mesh.Status().Relay) }},
 		{"fulmardoor_router_members", "Routers in the store.", func() float64 { return float64(r.mesh.Status().Members) }},
 		{"fulmardoor_router_known", "Routers whose reports arrive, this one included.", func() float64 { return float64(r.mesh.Status().Known) }},
@@ -64,13 +65,3 @@
 	}
 	return 0
 }
-
-// age returns the time since the applied list was read from the store; zero before the first.
-func (f *upstreamFeed) age() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.readAt.IsZero() {
-		return 0
-	}
-	return time.Since(f.readAt)
-}
--- a/cmd/fulmardoor-router/router.go
+++ b/cmd/fulmardoor-router/router.go
@@ -40,6 +40,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/relay"
 	"github.com/fulmardoor/fulmardoor/internal/retry"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 	"github.com/fulmardoor/fulmardoor/internal/wait"
 	"github.com/fulmardoor/fulmardoor/platform"
@@ -69,9 +70,13 @@
 	// deployment, one read per second costs as much as 0.003 of the value of all requests.
 	minUpstreamReadInterval = 500 * time.Millisecond
 	// upstreamGrace is the time that upstreams have after an outage of the store to announce themselves again. It is not
-	// longer, because a missing upstream may have left while only this process could not reach the store, and it must get no
+	// longer, because a missing upstream may have left while no connected process could reach the store, and it must get no
 	// requests 2 s after it left.
 	upstreamGrace = 2 * time.Second
+	// An entry lapses after three heartbeats without its upstream. An outage of the store that is shorter than lapseHeartbeats lets none of a running
+	// upstream lapse; leaseHeartbeats after the last one that was written, the entry of an upstream that ended is gone.
+	lapseHeartbeats = 2
+	leaseHeartbeats = 4
 	// memberPrefix is the prefix of the entry processes' keys in the store; memberTTL is the TTL of the leases on these keys.
 	memberPrefix = "fulmardoor/entries/"
 	memberTTL    = 9 * time.Second
@@ -143,6 +148,7 @@
 	storeStatus follow.Status
 	upstreams   *upstreamEntries
 	feed        *upstreamFeed
+	upstreamsMu sync.Mutex // serializes applyUpstreams, so that lists are passed on in their order
 	// refreshConfig triggers a read of the configuration.
 	refreshConfig chan struct{}
 	// newerConfig is the last version that another process reported as newer, and document the document of the current one.
@@ -212,10 +218,11 @@
 			default:
 			}
 		},
-		OnUpstreams: r.applyUpstreams, StoreContact: r.storeStatus.Health.Available, OnStoreRegained: r.storeStatus.Health.TryNow,
+		OnUpstreams: r.receiveUpstreams, UpstreamsCurrent: r.upstreamsCurrent, StoreContact: r.storeStatus.Health.Available, OnStoreRegained: r.storeStatus.Health.TryNow,
 	})
 	r.feed = &upstreamFeed{
 		interval: max(minUpstreamReadInterval, time.Duration(upstreamReadFraction*float64(s.DrainTime))), source: r.mesh.ListsFrom,
+		storeLostAt: r.storeStatus.Health.FailedAt, known: upstreamlist.New(upstreamListOptions(s)),
 	}
 	r.members = follow.NewMembers(follow.MemberOptions{
 		Store: r.store, List: r.listMembers, Check: checkMember, Prefix: memberPrefix, Name: s.Name, Value: []byte(formatMember(r.peerAddress(), s)), LeaderKey: leaderKey, TTL: max(memberTTL, s.LeaseTTLMin),
@@ -317,6 +324,9 @@
 	return configWatchWaitAlone
 }
 
+// upstreamsCurrent reports whether this process is fit to read the list of upstreams for others.
+func (r *router) upstreamsCurrent() bool { return r.storeStatus.Health.Available() && r.feed.current() }
+
 // configVersion returns the version of the current configuration; 0 for none.
 func (r *router) configVersion() int64 {
 	if config := r.gateway.Config(); config != nil {
@@ -408,10 +418,7 @@
 // controller and the periodic cleanup.
 func (r *router) followStore(ctx context.Context) {
 	go follow.WatchKey(ctx, r.store, platform.KeyConfig, r.storeStatus, r.configFollowed, r.applyConfig)
-	go follow.PollList(ctx, follow.PollOptions{
-		List: r.upstreams.list, Due: r.feed.due, Interval: r.feed.interval,
-		Name: "store: upstreams", MissingGrace: upstreamGrace, HistoryChanged: r.store.HistoryChanged, Status: r.storeStatus,
-	}, r.applyRead)
+	go follow.Poll(ctx, follow.PollOptions{Read: r.readUpstreams, Due: r.feed.due, Interval: r.feed.pause, Name: "store: upstreams", Status: r.storeStatus})
 	go follow.Refresh(ctx, r.refreshConfig, "store: newer configuration", r.storeStatus, r.readConfig)
 	go r.members.Run(ctx)
 	go r.prompts.Run(ctx)
--- a/cmd/fulmardoor-router/upstreams.go
+++ b/cmd/fulmardoor-router/upstreams.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/kv"
-	"github.com/fulmardoor/fulmardoor/internal/placement"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/platform"
 )
 
@@ -25,29 +24,27 @@
 // values are not kept, they are parsed again only when they change, and they are logged when their problem changes. It is not safe for
 // concurrent use.
 type upstreamEntries struct {
-	each   func(ctx context.Context, prefix string, visit func(kv.Pair)) error
+	each   func(ctx context.Context, prefix string, visit func(kv.Pair)) (revision int64, err error)
 	logger *zap.Logger
-	// known has the entries of the last list and those that have been missing since an outage of the store, by key.
+	// known has the entries of the last list, by key.
 	known map[string]upstreamEntry
 	// reserved has the addresses of this process and of the store. An entry with one of them names no upstream.
 	reserved map[netip.AddrPort]bool
 	// odd is the number of odd entries that was logged last.
 	odd int
-	// readAt is when the last list began to be read.
-	readAt time.Time
-	// readEvacuations is set where operators may evacuate data centres, and evacuated has those of the last list.
+	// readEvacuations is set where operators may evacuate data centres.
 	readEvacuations bool
-	evacuated       map[string]bool
 }
 
 // upstreamEntry is an entry that names an upstream, or an odd one that names none because of a problem.
 type upstreamEntry struct {
 	valueHash uint64
+	revision  int64 // of the change that wrote the value
 	upstream  *fleet.Upstream
 	problem   string
 }
 
-func newUpstreamEntries(each func(ctx context.Context, prefix string, visit func(kv.Pair)) error, logger *zap.Logger) *upstreamEntries {
+func newUpstreamEntries(each func(ctx context.Context, prefix string, visit func(kv.Pair)) (int64, error), logger *zap.Logger) *upstreamEntries {
 	return &upstreamEntries{each: each, logger: logger, known: make(map[string]upstreamEntry)}
 }
 
@@ -66,45 +63,54 @@
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 }
 
-// list reads the entries. The returned pairs have no values.
-func (e *upstreamEntries) list(ctx context.Context) ([]kv.Pair, error) {
-	began := time.Now()
-	evacuated, err := e.listEvacuated(ctx)
-	if err != nil {
+// list reads the entries.
+func (e *upstreamEntries) list(ctx context.Context) (*upstreamlist.Reading, error) {
+	reading := &upstreamlist.Reading{At: time.Now()}
+	var err error
+	if reading.Evacuated, err = e.listEvacuated(ctx); err != nil {
 		return nil, err
 	}
-	var pairs []kv.Pair
 	listed := make(map[string]upstreamEntry, len(e.known))
-	err = e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
+	var keys []string
+	reading.Revision, err = e.each(ctx, platform.PrefixUpstreams, func(pair kv.Pair) {
 		hash := xxhash.Sum64(pair.Value)
 		entry, ok := e.known[pair.Key]
 		if !ok || entry.valueHash != hash {
 			entry = e.parse(pair)
-			entry.valueHash = hash
+			entry.valueHash, entry.revision = hash, pair.ModRevision
+		}
+		if _, again := listed[pair.Key]; !again {
+			keys = append(keys, pair.Key)
 		}
 		listed[pair.Key] = entry
-		pair.Value = nil
-		pairs = append(pairs, pair)
 	})
+	if err == nil && reading.Revision == 0 {
+		err = errors.Wrap(kv.ErrUnavailable, "the list has no revision")
+	}
 	if err != nil {
 		return nil, err
 	}
-	e.readAt, e.evacuated = began, evacuated
-	e.logOdd(pairs, listed)
-	maps.Copy(e.known, listed)
-	return pairs, nil
+	for _, key := range keys {
+		if upstream := listed[key].upstream; upstream != nil {
+			reading.Upstreams = append(reading.Upstreams, upstream)
+		} else {
+			reading.Odd = append(reading.Odd, strings.TrimPrefix(key, platform.PrefixUpstreams))
+		}
+	}
+	e.logOdd(keys, listed)
+	e.known = listed
+	return reading, nil
 }
 
 // listEvacuated reads the data centres whose upstreams are to get no requests.
-func (e *upstreamEntries) listEvacuated(ctx context.Context) (map[string]bool, error) {
+func (e *upstreamEntries) listEvacuated(ctx context.Context) (dataCentres []string, err error) {
 	if !e.readEvacuations {
 		return nil, nil
 	}
-	evacuated := make(map[string]bool)
-	err := e.each(ctx, platform.PrefixEvacuations, func(pair kv.Pair) {
-		evacuated[strings.TrimPrefix(pair.Key, platform.PrefixEvacuations)] = true
+	_, err = e.each(ctx, platform.PrefixEvacuations, func(pair kv.Pair) {
+		dataCentres = append(dataCentres, strings.TrimPrefix(pair.Key, platform.PrefixEvacuations))
 	})
-	return evacuated, err
+	return dataCentres, err
 }
 
 func (e *upstreamEntries) parse(pair kv.Pair) upstreamEntry {
@@ -119,17 +125,17 @@
 }
 
 // logOdd logs the odd entries that are new or have another problem than in the last list, and the number of all odd ones when it changes.
-func (e *upstreamEntries) logOdd(pairs []kv.Pair, listed map[string]upstreamEntry) {
+func (e *upstreamEntries) logOdd(keys []string, listed map[string]upstreamEntry) {
 	odd, logged := 0, 0
-	for _, pair := range pairs {
-		problem := listed[pair.Key].problem
-		if problem == "" {
+	for _, key := range keys {
+		entry := listed[key]
+		if entry.problem == "" {
 			continue
 		}
 		odd++
-		if problem != e.known[pair.Key].problem && logged < maxOddEntriesLogged {
+		if entry.problem != e.known[key].problem && logged < maxOddEntriesLogged {
 			logged++
-			e.logger.Warn("cannot parse upstream entry", zap.String("key", pair.Key), zap.Int64("revision", pair.ModRevision), zap.String("error", problem))
+			e.logger.Warn("cannot parse upstream entry", zap.String("key", key), zap.Int64("revision", entry.revision), zap.String("error", entry.problem))
 		}
 	}
 	if odd != e.odd {
@@ -138,33 +144,17 @@
 	}
 }
 
-// upstreams returns the upstreams of the pairs that list returned, and of missing ones, which are unconfirmed. It forgets all other entries.
-func (e *upstreamEntries) upstreams(present, missing []kv.Pair) []*fleet.Upstream {
-	list := make([]*fleet.Upstream, 0, len(present)+len(missing))
-	kept := make(map[string]upstreamEntry, len(present)+len(missing))
-	for i, pair := range slices.Concat(present, missing) {
-		entry := e.known[pair.Key]
-		kept[pair.Key] = entry
-		if entry.upstream != nil {
-			upstream := *entry.upstream
-			upstream.Unconfirmed = i >= len(present)
-			upstream.Evacuated = e.evacuated[upstream.DataCentre]
-			list = append(list, &upstream)
-		}
-	}
-	e.known = kept
-	return list
-}
-
-// upstreamFeed keeps the newest list of upstreams, which this process reads from the store or gets from another one.
+// upstreamFeed keeps what is known of the upstreams from the lists that this process reads from the store or gets from other ones.
 type upstreamFeed struct {
 	// interval is the time between two reads of the store.
 	interval time.Duration
 	// source returns the process that passes on the lists to this one, empty for none, and whether this process is a relay.
 	source func() (process string, relay bool)
+	// storeLostAt returns when a call of this process to the store failed last.
+	storeLostAt func() time.Time
 
-	mu     sync.Mutex // guards readAt and serializes apply
-	readAt time.Time  // when the applied list was read from the store
+	mu    sync.Mutex // guards known
+	known *upstreamlist.Known
 }
 
 // The lists that another process passes on may be older than the interval by these shares of it before this process reads the store itself. Relays
@@ -174,6 +164,18 @@
 	otherLateShare = 0.4
 )
 
+// missingIntervalShare times the interval is the time between two reads while upstreams are missing since an outage of the store, to use those soon
+// that announce themselves again.
+const missingIntervalShare = 0.5
+
+// upstreamListOptions returns how entries of upstreams lapse and come back.
+func upstreamListOptions(s *platform.Settings) upstreamlist.Options {
+	return upstreamlist.Options{
+		LapseTime:  lapseHeartbeats * s.UpstreamHeartbeat,
+		ReturnTime: upstreamGrace, LeaseTime: leaseHeartbeats * s.UpstreamHeartbeat, SameHistory: platform.SameHistory,
+	}
+}
+
 // due returns how long this process needs no read of its own.
 func (f *upstreamFeed) due() time.Duration {
 	process, relay := f.source()
@@ -186,39 +188,109 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.interval + time.Duration(late*float64(f.interval)) - time.Since(f.readAt)
+	return f.interval + time.Duration(late*float64(f.interval)) - time.Since(f.known.Contact().ReadAt)
+}
+
+// pause returns the time until this process reads the store again if no other one passes on the lists.
+func (f *upstreamFeed) pause() time.Duration {
+	if f.missing() > 0 {
+		return time.Duration(missingIntervalShare * float64(f.interval))
+	}
+	return f.interval
 }
 
-// update calls apply if a list is newer than the last one. It reports whether it is.
-func (f *upstreamFeed) update(readAt time.Time, apply func()) bool {
+// age returns the time since the newest list was read; zero before the first.
+func (f *upstreamFeed) age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !readAt.After(f.readAt) {
-		return false
+	readAt := f.known.Contact().ReadAt
+	if readAt.IsZero() {
+		return 0
 	}
-	f.readAt = readAt
-	apply()
-	return true
+	return time.Since(readAt)
 }
 
-// applyRead applies the entries of a list that this process read. missing has entries that have been missing since an outage of the store.
-func (r *router) applyRead(present, missing []kv.Pair) {
-	r.applyUpstreams(r.upstreams.upstreams(present, missing), r.upstreams.readAt)
+// missing returns the number of upstreams that are used although the newest list lacks them.
+func (f *upstreamFeed) missing() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known.Missing()
 }
 
-// applyUpstreams updates the upstreams from a list that was read from the store at some time, by this process or another one.
-func (r *router) applyUpstreams(list []*fleet.Upstream, readAt time.Time) {
-	var changes []placement.Change
-	if !r.feed.update(readAt, func() { changes = r.board.Update(list) }) {
+// current reports whether the list has been known without a gap for some seconds.
+func (f *upstreamFeed) current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known.Current(time.Now())
+}
+
+// feedUpdate is what a list changed.
+type feedUpdate struct {
+	// upstreams are the ones to use, and listed is the list for other processes.
+	upstreams []*fleet.Upstream
+	listed    *upstreamlist.List
+	// reasons says why upstreams are not used any more, by id.
+	reasons map[string]upstreamlist.Reason
+	// missingBefore and missing are the numbers of upstreams that the newest list lacks and that are used, before this list and with it.
+	missingBefore, missing int
+}
+
+// apply takes the list that get returns; nil if nothing is learned from it.
+func (f *upstreamFeed) apply(get func(known *upstreamlist.Known) *upstreamlist.List) *feedUpdate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	missingBefore := f.known.Missing()
+	removed, changed := f.known.Apply(get(f.known), f.storeLostAt(), time.Now())
+	if !changed {
+		return nil
+	}
+	update := &feedUpdate{
+		upstreams: f.known.Upstreams(), listed: f.known.Listed(), reasons: make(map[string]upstreamlist.Reason, len(removed)),
+		missingBefore: missingBefore, missing: f.known.Missing(),
+	}
+	for _, r := range removed {
+		update.reasons[r.Upstream.ID] = r.Reason
+	}
+	return update
+}
+
+// readUpstreams reads the list of upstreams from the store and applies it.
+func (r *router) readUpstreams(ctx context.Context) error {
+	reading, err := r.upstreams.list(ctx)
+	if err != nil {
+		return err
+	}
+	r.applyUpstreams("", func(known *upstreamlist.Known) *upstreamlist.List { return known.Read(reading) })
+	return nil
+}
+
+// receiveUpstreams applies a list that another process passed on.
+func (r *router) receiveUpstreams(process string, list *upstreamlist.List) {
+	r.applyUpstreams(process, func(*upstreamlist.Known) *upstreamlist.List { return list })
+}
+
+// applyUpstreams updates the upstreams from a list that this process read or the named one passed on, and passes it on.
+func (r *router) applyUpstreams(process string, get func(known *upstreamlist.Known) *upstreamlist.List) {
+	r.upstreamsMu.Lock()
+	defer r.upstreamsMu.Unlock()
+	update := r.feed.apply(get)
+	if update == nil {
 		return
 	}
-	r.mesh.PublishUpstreams(list, readAt)
+	changes := r.board.Update(update.upstreams)
+	r.mesh.PublishUpstreams(update.listed)
+	if update.missing != update.missingBefore {
+		r.logger.Info("upstreams missing", zap.Int("before", update.missingBefore), zap.Int("now", update.missing), zap.String("from", process),
+			zap.Int64("revision", update.listed.Revision), zap.Time("store_lost_at", r.feed.storeLostAt()))
+	}
 	for _, change := range changes {
 		if change.Kind != "joined" {
 			r.pool.CloseIdle(change.Upstream.Address)
 		}
 		r.logger.Info("upstream", zap.String("change", change.Kind), zap.String("upstream", change.Upstream.ID),
 			zap.String("service", change.Upstream.Service), zap.String("address", change.Upstream.Address),
-			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)), zap.Duration("list_age", time.Since(readAt)))
+			zap.String("data_centre", change.Upstream.DataCentre), zap.Int("stage", int(change.Upstream.Stage)),
+			zap.Duration("list_age", time.Since(update.listed.ReadAt)), zap.String("from", process), zap.Int64("revision", update.listed.Revision),
+			zap.Duration("contact", update.listed.ReadAt.Sub(update.listed.SinceAt)), zap.String("reason", string(update.reasons[change.Upstream.ID])))
 	}
 }
--- a/cmd/fulmardoor-router/upstreams_test.go
+++ b/cmd/fulmardoor-router/upstreams_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,21 +24,86 @@
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamconn"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/platform"
 	"github.com/fulmardoor/fulmardoor/platform/platformtest"
 )
 
 // eachIn returns the each function of an in-memory store.
-func eachIn(store *memory.Store) func(ctx context.Context, prefix string, visit func(kv.Pair)) error {
-	return func(ctx context.Context, prefix string, visit func(kv.Pair)) error {
-		pairs, _, err := store.List(ctx, prefix)
+func eachIn(store *memory.Store) func(ctx context.Context, prefix string, visit func(kv.Pair)) (int64, error) {
+	return func(ctx context.Context, prefix string, visit func(kv.Pair)) (int64, error) {
+		pairs, revision, err := store.List(ctx, prefix)
 		for _, pair := range pairs {
 			visit(pair)
 		}
-		return err
+		return revision, err
 	}
 }
 
+// pollUpstreams reads the upstreams of a store every second, as a process without others does, until ctx ends. It calls apply after each read.
+func pollUpstreams(ctx context.Context, store *memory.Store, apply func(f *upstreamFeed, update *feedUpdate)) {
+	entries := newUpstreamEntries(eachIn(store), zap.NewNop())
+	health := follow.NewHealth(func() time.Duration { return readerStorePause }, func(bool) {})
+	feed := &upstreamFeed{
+		interval: time.Second, storeLostAt: health.FailedAt,
+		known: upstreamlist.New(upstreamListOptions(&platform.Settings{UpstreamHeartbeat: 1200 * time.Millisecond})),
+	}
+	follow.Poll(ctx, follow.PollOptions{
+		Read: func(ctx context.Context) error {
+			reading, err := entries.list(ctx)
+			if err != nil {
+				return err
+			}
+			apply(feed, feed.apply(func(known *upstreamlist.Known) *upstreamlist.List { return known.Read(reading) }))
+			return nil
+		},
+		Interval: feed.pause, Name: "store: upstreams", Status: follow.Status{Logger: zap.NewNop(), Health: health},
+	})
+}
+
+// Guards against sending work to an upstream that left while this process was cut off from the store: after an outage,
+// missing upstreams are kept apart from the listed ones, and dropped after the grace period.
+func TestListAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New(memory.Options{})
+		for _, id := range []string{"a", "b"} {
+			store.Put("servers/"+id, platformtest.Entry{Service: "ledger", Address: "10.0.0.1:80", Zone: "demo", Slots: 6}.Text())
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var listed, missing atomic.Int64
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			pollUpstreams(ctx, store, func(f *upstreamFeed, update *feedUpdate) {
+				listed.Store(int64(len(update.listed.Upstreams)))
+				missing.Store(int64(f.missing()))
+			})
+		}()
+		want := func(p, m int64) {
+			t.Helper()
+			synctest.Wait()
+			if listed.Load() != p || missing.Load() != m {
+				t.Errorf("%d listed and %d missing, want %d and %d", listed.Load(), missing.Load(), p, m)
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		want(2, 0)
+		store.SetFaults(memory.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		store.Remove("servers/b")
+		store.SetFaults(memory.Faults{})
+		time.Sleep(1200 * time.Millisecond)
+		want(1, 1)
+		time.Sleep(3 * time.Second)
+		want(1, 0)
+		store.Remove("servers/a")
+		time.Sleep(2 * time.Second)
+		want(0, 0)
+		cancel()
+		<-done
+	})
+}
+
 // Guards against log lines for each odd entry at every list, twice a second.
 func TestOddEntriesAreLoggedOnce(t *testing.T) {
 	store := memory.New(memory.Options{})
@@ -45,11 +111,11 @@
 	entries := newUpstreamEntries(eachIn(store), zap.New(core))
 	list := func() (found int) {
 		t.Helper()
-		pairs, err := entries.list(t.Context())
+		reading, err := entries.list(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
-		return len(entries.upstreams(pairs, nil))
+		return len(reading.Upstreams)
 	}
 	wantLines := func(what string, most int) {
 		t.Helper()
@@ -109,14 +175,14 @@
 	}
 	before := liveBytes()
 	entries := newUpstreamEntries(store.Each, zap.NewNop())
-	pairs, err := entries.list(t.Context())
-	if err != nil || len(pairs) != pages {
-		t.Fatalf("%d pairs, %v", len(pairs), err)
+	reading, err := entries.list(t.Context())
+	if err != nil || len(reading.Odd) != pages {
+		t.Fatalf("%d odd entries, %v", len(reading.Odd), err)
 	}
 	if kept := int64(liveBytes()) - int64(before); kept > 4*valueBytes {
 		t.Errorf("%d bytes are kept of %d", kept, pages*valueBytes)
 	}
-	runtime.KeepAlive(pairs)
+	runtime.KeepAlive(reading)
 }
 
 // Guards against requests for a runner whose entry turned odd, also within the time after an outage in which the last entry of a missing one counts,
@@ -128,13 +194,11 @@
 			sound := platformtest.Entry{Service: "ledger", Address: "10.0.0.1:80", Zone: "demo", Slots: 6}.Text()
 			store.Put("servers/i-a", sound)
 			board := placement.NewBoard("demo", nil)
-			entries := newUpstreamEntries(eachIn(store), zap.NewNop())
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				follow.PollList(ctx, follow.PollOptions{List: entries.list, Interval: time.Second, MissingGrace: upstreamGrace, Status: follow.Status{Logger: zap.NewNop()}},
-					func(present, missing []kv.Pair) { board.Update(entries.upstreams(present, missing)); board.Sweep() })
+				pollUpstreams(ctx, store, func(_ *upstreamFeed, update *feedUpdate) { board.Update(update.upstreams); board.Sweep() })
 			}()
 			picked := func() bool {
 				_, ok := board.PickPlain(placement.Query{Service: &fleet.Service{Name: "ledger"}, Now: time.Now()})
@@ -193,11 +257,11 @@
 	for i, address := range []string{"10.0.0.9:8360", "[::ffff:10.0.0.9]:8360", "10.0.0.9:8365", "10.0.0.8:8361", "10.0.0.9:7500", "10.0.0.9:8361"} {
 		store.Put(fmt.Sprintf("servers/i-%d", i), platformtest.Entry{Service: "ledger", Address: address, Zone: "demo", Slots: 6}.Text())
 	}
-	pairs, err := entries.list(t.Context())
+	reading, err := entries.list(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if list := entries.upstreams(pairs, nil); len(list) != 1 || list[0].Address != "10.0.0.9:8361" {
+	if list := reading.Upstreams; len(list) != 1 || list[0].Address != "10.0.0.9:8361" {
 		t.Errorf("%d upstreams", len(list))
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,4 +1,4 @@
-// Package follow keeps a process up to date with the data in the key-value service: the configuration, the announced
+// Package follow keeps a process up to date with the data in the key-value service: the configuration, the list of
 // upstreams and the other entry processes. The last known data stays in use while the service is unavailable.
 package follow
 
@@ -85,30 +85,22 @@
 	return nil
 }
 
-// PollOptions configures PollList.
+// PollOptions configures Poll.
 type PollOptions struct {
-	// List reads the current pairs.
-	List func(ctx context.Context) ([]kv.Pair, error)
+	// Read reads the data and applies it.
+	Read func(ctx context.Context) error
 	// Name identifies the dependency in log lines.
-	Name     string
-	Interval time.Duration
-	// Due returns how long no read is needed, because the pairs come from elsewhere; nil if they never do.
+	Name string
+	// Interval returns the time until the next read after a successful one.
+	Interval func() time.Duration
+	// Due returns how long no read is needed, because the data comes from elsewhere; nil if it never does.
 	Due func() time.Duration
-	// MissingGrace is the time after an outage in which missing pairs are still passed to apply: their writers may not
-	// have reconnected to the service yet.
-	MissingGrace time.Duration
-	// HistoryChanged returns a channel that is closed when the store went back to a copy; nil if it cannot. That counts as an outage.
-	HistoryChanged func() <-chan struct{}
 	Status
 }
 
-// PollList reads the pairs every Interval until ctx ends and calls apply with them. For MissingGrace after an outage, it
-// also passes the pairs that were known before and are now missing. It does not call apply after a failed read.
-func PollList(ctx context.Context, options PollOptions, apply func(present, missing []kv.Pair)) {
+// Poll reads the data every Interval until ctx ends.
+func Poll(ctx context.Context, options PollOptions) {
 	dep := &dependency{Status: options.Status, name: options.Name}
-	known := make(map[string]kv.Pair)
-	var recoveredAt time.Time
-	var historyChanged <-chan struct{}
 	for ctx.Err() == nil {
 		if options.Due != nil {
 			if due := options.Due(); due > 0 {
@@ -116,40 +108,11 @@
 				continue
 			}
 		}
-		if historyChanged == nil && options.HistoryChanged != nil {
-			historyChanged = options.HistoryChanged()
-		}
-		pairs, err := options.List(ctx)
-		if err != nil {
+		if err := options.Read(ctx); err != nil {
 			dep.failed(ctx, err)
 			continue
 		}
-		if dep.unavailable || wait.IsClosed(historyChanged) {
-			recoveredAt, historyChanged = time.Now(), nil
-		}
 		dep.succeeded()
-		apply(pairs, updateKnown(known, pairs, time.Since(recoveredAt) < options.MissingGrace))
-		wait.For(ctx, options.Interval)
-	}
-}
-
-// updateKnown updates known to contain pairs. With keep, known pairs that are not in pairs are kept and returned; otherwise
-// they are removed.
-func updateKnown(known map[string]kv.Pair, pairs []kv.Pair, keep bool) (missing []kv.Pair) {
-	listed := make(map[string]bool, len(pairs))
-	for _, pair := range pairs {
-		listed[pair.Key] = true
-		known[pair.Key] = pair
-	}
-	for key, pair := range known {
-		if listed[key] {
-			continue
-		}
-		if keep {
-			missing = append(missing, pair)
-			continue
-		}
-		delete(known, key)
+		wait.For(ctx, options.Interval())
 	}
-	return missing
 }
--- a/internal/follow/health.go
+++ b/internal/follow/health.go
@@ -22,6 +22,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	failing   bool
+	failedAt  time.Time // the last call without an answer
 	pause     time.Duration
 	nextTry   time.Time
 	recovered chan struct{} // closed when the service answers again
@@ -39,6 +40,13 @@
 	return !h.failing
 }
 
+// FailedAt returns when a call was left without an answer last; zero if none was.
+func (h *Health) FailedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failedAt
+}
+
 // TryNow ends the current pause, because the service may answer again.
 func (h *Health) TryNow() {
 	h.mu.Lock()
@@ -60,7 +68,8 @@
 	} else {
 		h.pause = min(2*h.pause, maxPause)
 	}
-	h.nextTry = time.Now().Add(h.pause)
+	h.failedAt = time.Now()
+	h.nextTry = h.failedAt.Add(h.pause)
 	h.mu.Unlock()
 	if lost {
 		h.onChange(false)
--- a/internal/follow/health_test.go
+++ b/internal/follow/health_test.go
@@ -24,16 +24,16 @@
 		var down atomic.Bool
 		var calls [4]atomic.Int64
 		for i := range calls {
-			go PollList(ctx, PollOptions{
-				Name: "list", Interval: time.Second, Status: Status{Logger: zap.NewNop(), Health: health},
-				List: func(context.Context) ([]kv.Pair, error) {
+			go Poll(ctx, PollOptions{
+				Name: "list", Interval: func() time.Duration { return time.Second }, Status: Status{Logger: zap.NewNop(), Health: health},
+				Read: func(context.Context) error {
 					calls[i].Add(1)
 					if down.Load() {
-						return nil, kv.ErrUnavailable
+						return kv.ErrUnavailable
 					}
-					return nil, nil
+					return nil
 				},
-			}, func(_, _ []kv.Pair) {})
+			})
 		}
 		total := func() (sum int64) {
 			for i := range calls {
@@ -76,11 +76,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		health := NewHealth(func() time.Duration { return 2 * time.Second }, func(bool) {})
 		calls := 0
-		poll := func(list func(context.Context) ([]kv.Pair, error)) {
-			go PollList(ctx, PollOptions{Name: "list", Interval: 10 * time.Millisecond, Status: Status{Logger: zap.NewNop(), Health: health}, List: list}, func(_, _ []kv.Pair) {})
+		poll := func(read func(context.Context) error) {
+			go Poll(ctx, PollOptions{
+				Name: "list", Interval: func() time.Duration { return 10 * time.Millisecond }, Status: Status{Logger: zap.NewNop(), Health: health}, Read: read,
+			})
 		}
-		poll(func(context.Context) ([]kv.Pair, error) { return nil, nil })
-		poll(func(context.Context) ([]kv.Pair, error) { calls++; return nil, kv.ErrUnavailable })
+		poll(func(context.Context) error { return nil })
+		poll(func(context.Context) error { calls++; return kv.ErrUnavailable })
 		time.Sleep(10 * time.Second)
 		cancel()
 		synctest.Wait()
--- a/internal/peering/feed.go
+++ b/internal/peering/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,23 +12,24 @@
 	"github.com/fulmardoor/fulmardoor/internal/bounded"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 )
 
-// upstreamList is a list of upstreams as it was read from the store. It is not changed.
-type upstreamList struct {
-	upstreams map[string]fleet.Upstream // by id
-	readAt    time.Time
+// publishedList is a list of upstreams for other processes. It is not changed.
+type publishedList struct {
+	*upstreamlist.List
+	byID map[string]*fleet.Upstream
 }
 
-// PublishUpstreams passes a list of upstreams on to the processes that get it from this one. readAt is when it was read from the store.
-func (m *Mesh) PublishUpstreams(upstreams []*fleet.Upstream, readAt time.Time) {
-	list := &upstreamList{upstreams: make(map[string]fleet.Upstream, len(upstreams)), readAt: readAt}
-	for _, upstream := range upstreams {
-		list.upstreams[upstream.ID] = *upstream
+// PublishUpstreams passes a list of upstreams on to the processes that get it from this one.
+func (m *Mesh) PublishUpstreams(list *upstreamlist.List) {
+	published := &publishedList{list, make(map[string]*fleet.Upstream, len(list.Upstreams))}
+	for _, upstream := range list.Upstreams {
+		published.byID[upstream.ID] = upstream
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.upstreams = list
+	m.upstreams = published
 	close(m.upstreamsChanged)
 	m.upstreamsChanged = make(chan struct{})
 }
@@ -55,7 +58,7 @@
 		defer cancel()
 		_ = stream.Recv(new(wirev1.UpstreamFeed)) // returns when the other process closes the stream
 	}()
-	var sent *upstreamList
+	var sent *publishedList
 	for {
 		m.mu.Lock()
 		list, changed := m.upstreams, m.upstreamsChanged
@@ -75,18 +78,21 @@
 }
 
 // message returns what the receiver of another list, nil for none, must know.
-func (l *upstreamList) message(last *upstreamList, now time.Time) *wirev1.UpstreamList {
-	message := &wirev1.UpstreamList{AgeMs: now.Sub(l.readAt).Milliseconds(), Changes: last != nil}
+func (l *publishedList) message(last *publishedList, now time.Time) *wirev1.UpstreamList {
+	message := &wirev1.UpstreamList{
+		AgeMs: now.Sub(l.ReadAt).Milliseconds(), Revision: l.Revision, ContactSinceRevision: l.Since, ContactMs: l.ReadAt.Sub(l.SinceAt).Milliseconds(),
+		Unusable: l.Unusable, Evacuated: l.Evacuated, Changes: last != nil,
+	}
 	if last == nil {
-		last = &upstreamList{}
+		last = &publishedList{}
 	}
-	for id, upstream := range l.upstreams {
-		if before, ok := last.upstreams[id]; !ok || before != upstream {
-			message.Upstreams = append(message.Upstreams, upstreamMessage(&upstream))
+	for id, upstream := range l.byID {
+		if before, ok := last.byID[id]; !ok || *before != *upstream {
+			message.Upstreams = append(message.Upstreams, upstreamMessage(upstream))
 		}
 	}
-	for id := range last.upstreams {
-		if _, ok := l.upstreams[id]; !ok {
+	for id := range last.byID {
+		if _, ok := l.byID[id]; !ok {
 			message.Gone = append(message.Gone, id)
 		}
 	}
@@ -96,7 +102,7 @@
 func upstreamMessage(u *fleet.Upstream) *wirev1.Upstream {
 	return &wirev1.Upstream{
 		Id: u.ID, Incarnation: u.Incarnation, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: uint32(u.Slots),
-		Leaving: u.Leaving, Unconfirmed: u.Unconfirmed, Evacuated: u.Evacuated, Stage: wirev1.UpstreamStage(u.Stage),
+		Leaving: u.Leaving, Stage: wirev1.UpstreamStage(u.Stage),
 	}
 }
 
@@ -111,7 +117,7 @@
 	return &fleet.Upstream{
 		ID: message.GetId(), Incarnation: message.GetIncarnation(), Service: message.GetService(), Address: message.GetAddress(),
 		DataCentre: message.GetDataCentre(), Slots: bounded.Count(message.GetSlots()), Leaving: message.GetLeaving(),
-		Unconfirmed: message.GetUnconfirmed(), Evacuated: message.GetEvacuated(), Stage: fleet.Stage(message.GetStage()),
+		Stage: fleet.Stage(message.GetStage()),
 	}, true
 }
 
@@ -166,13 +172,12 @@
 			m.options.Logger.Info("no more upstreams", zap.String("peer", l.process), zap.String("error", err.Error()))
 			return
 		}
-		list := updateUpstreams(known, message)
-		m.options.OnUpstreams(list, time.Now().Add(-bounded.Milliseconds(message.GetAgeMs())))
+		m.options.OnUpstreams(l.process, listFromMessage(known, message, time.Now()))
 	}
 }
 
-// updateUpstreams applies a message to the upstreams that are known by id, and returns all.
-func updateUpstreams(known map[string]*fleet.Upstream, message *wirev1.UpstreamList) []*fleet.Upstream {
+// listFromMessage applies a message that arrived at now to the upstreams that are known by id, and returns the list.
+func listFromMessage(known map[string]*fleet.Upstream, message *wirev1.UpstreamList, now time.Time) *upstreamlist.List {
 	if !message.GetChanges() {
 		clear(known)
 	}
@@ -184,9 +189,12 @@
 			known[upstream.ID] = upstream
 		}
 	}
-	list := make([]*fleet.Upstream, 0, len(known))
-	for _, upstream := range known {
-		list = append(list, upstream)
+	readAt := now.Add(-bounded.Milliseconds(message.GetAgeMs()))
+	return &upstreamlist.List{
+		Contact: upstreamlist.Contact{
+			Since: message.GetContactSinceRevision(), Revision: message.GetRevision(),
+			SinceAt: readAt.Add(-bounded.Milliseconds(message.GetContactMs())), ReadAt: readAt,
+		},
+		Upstreams: slices.Collect(maps.Values(known)), Unusable: message.GetUnusable(), Evacuated: message.GetEvacuated(),
 	}
-	return list
 }
--- a/internal/peering/feed_test.go
+++ b/internal/peering/feed_test.go
@@ -10,27 +10,35 @@
 
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 )
 
 // fedList records the lists of upstreams that a process got.
 type fedList struct {
-	mu     sync.Mutex
-	list   []*fleet.Upstream
-	readAt time.Time
-	count  int
+	mu   sync.Mutex
+	list *upstreamlist.List
 }
 
-func (l *fedList) set(list []*fleet.Upstream, readAt time.Time) {
+func (l *fedList) set(list *upstreamlist.List) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list, l.readAt, l.count = list, readAt, l.count+1
+	l.list = list
 }
 
-// ids returns the ids of the upstreams, each with ! if it is leaving.
-func (l *fedList) ids() (ids []string) {
+// last returns the last list; nil for none.
+func (l *fedList) last() *upstreamlist.List {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, upstream := range l.list {
+	return l.list
+}
+
+// ids returns the ids of the upstreams, each with ! if it is leaving.
+func (l *fedList) ids() (ids []string) {
+	list := l.last()
+	if list == nil {
+		return nil
+	}
+	for _, upstream := range list.Upstreams {
 		id := upstream.ID
 		if upstream.Leaving {
 			id += "!"
@@ -51,7 +59,7 @@
 		for i, id := range ids {
 			list = append(list, &fleet.Upstream{ID: id, Incarnation: int64(i), Service: "model", Address: "10.0.0.1:80", Stage: fleet.StageDecode, Leaving: id == "b"})
 		}
-		n.mesh.PublishUpstreams(list, readAt)
+		n.mesh.PublishUpstreams(&upstreamlist.List{Contact: upstreamlist.Contact{Since: 1, Revision: 1, SinceAt: readAt, ReadAt: readAt}, Upstreams: list})
 	}
 	reader := func() *node {
 		for _, n := range f.nodes {
@@ -88,11 +96,10 @@
 			if n == source {
 				continue
 			}
-			n.fed.mu.Lock()
-			if n.fed.readAt.Before(readAt.Add(-10*time.Millisecond)) || n.fed.readAt.After(readAt.Add(250*time.Millisecond)) {
-				t.Errorf("round %d: a list that was read %v ago is taken for one of %v ago", round, time.Since(readAt), time.Since(n.fed.readAt))
+			fed := n.fed.last()
+			if fed.ReadAt.Before(readAt.Add(-10*time.Millisecond)) || fed.ReadAt.After(readAt.Add(250*time.Millisecond)) {
+				t.Errorf("round %d: a list that was read %v ago is taken for one of %v ago", round, time.Since(readAt), time.Since(fed.ReadAt))
 			}
-			n.fed.mu.Unlock()
 		}
 		if round >= 2 {
 			f.stop(t, slices.Index(f.nodes, source))
@@ -115,15 +122,42 @@
 // Guards against an upstream of another process's list that names no upstream, or one with numbers that overflow.
 func TestOddUpstreamMessages(t *testing.T) {
 	sound := &wirev1.Upstream{Id: "a", Service: "model", Address: "10.0.0.1:80", Slots: math.MaxUint32, Stage: wirev1.UpstreamStage_UPSTREAM_STAGE_DECODE}
-	list := updateUpstreams(make(map[string]*fleet.Upstream), &wirev1.UpstreamList{Upstreams: []*wirev1.Upstream{
+	list := listFromMessage(make(map[string]*fleet.Upstream), &wirev1.UpstreamList{Upstreams: []*wirev1.Upstream{
 		sound, nil, {}, {Id: "b"}, {Id: "b", Service: "s"}, {Id: "b", Service: "s", Address: "0.0.0.0:80"}, {Id: "b", Service: "s", Address: "10.0.0.1:80", Stage: 7},
 		{Id: "b", Service: "s", Address: "10.0.0.1:80", Stage: -1},
-	}})
+	}}, time.Now()).Upstreams
 	if len(list) != 1 || list[0].ID != "a" || list[0].Slots <= 0 {
 		t.Errorf("%d upstreams: %+v", len(list), list)
 	}
 }
 
+// Guards against a reader that hears nothing of the upstreams that leave while it is cut off from the store, and against lists that lose their contact or
+// the entries that name no upstream on their way.
+func TestListsComeFromProcessInTouch(t *testing.T) {
+	f := startFleet(t, 3, 1)
+	reads := func(i int) bool { process, _ := f.nodes[i].mesh.ListsFrom(); return process == "" }
+	eventually(t, "the first process reads", func() bool { return reads(0) && !reads(1) && !reads(2) })
+	f.nodes[0].upstreamsLost.Store(true)
+	f.nodes[0].mesh.NotifyStatusChanged()
+	eventually(t, "the second one reads", func() bool { return !reads(0) && reads(1) && !reads(2) })
+	now := time.Now()
+	list := &upstreamlist.List{
+		Contact:   upstreamlist.Contact{Since: 4, Revision: 9, SinceAt: now.Add(-3 * time.Second), ReadAt: now},
+		Upstreams: []*fleet.Upstream{{ID: "a", Service: "model", Address: "10.0.0.1:80"}}, Unusable: []string{"b"}, Evacuated: []string{"dc-7"},
+	}
+	f.nodes[1].mesh.PublishUpstreams(list)
+	for _, i := range []int{0, 2} {
+		eventually(t, "the others get its list", func() bool {
+			got := f.nodes[i].fed.last()
+			return got != nil && got.Since == 4 && got.Revision == 9 && got.ReadAt.Sub(got.SinceAt) == 3*time.Second && len(got.Upstreams) == 1 &&
+				slices.Equal(got.Unusable, list.Unusable) && slices.Equal(got.Evacuated, list.Evacuated)
+		})
+	}
+	f.nodes[0].upstreamsLost.Store(false)
+	f.nodes[0].mesh.NotifyStatusChanged()
+	eventually(t, "the first one reads again", func() bool { return reads(0) && !reads(1) && !reads(2) })
+}
+
 // Guards against processes that do not learn from the reader when the store answers again, and ask it themselves all the time.
 func TestRegainedStoreIsTold(t *testing.T) {
 	f := startFleet(t, 20, 3)
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/relay"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
@@ -48,17 +49,18 @@
 		t.Fatal(err)
 	}
 	n := &node{board: placement.NewBoard(dataCentre, nil), limiter: quota.NewLimiter(quota.Tolerance{Window: time.Second}, time.Now()),
-		prompts: quarantine.NewList(), address: listener.Addr().String(), listener: listener}
+		prompts: quarantine.NewList(), limits: upstreamrate.New(name, time.Now()), address: listener.Addr().String(), listener: listener}
 	n.backlog = backlog.New(func() { n.mesh.NotifyDemandChanged() })
 	n.mesh = New(Options{
 		Backlog: n.backlog, OnDemand: func() { n.demandChanges.Add(1) },
 		Name: name, Host: name, DataCentre: dataCentre, Address: n.address, Cores: cores, Board: n.board, Limiter: n.limiter, Quarantine: n.prompts,
-		Limits: upstreamrate.New(name, time.Now()), Logger: zap.NewNop(),
-		OnUpstreams: func(list []*fleet.Upstream, readAt time.Time) {
-			n.fed.set(list, readAt)
-			n.mesh.PublishUpstreams(list, readAt)
+		Limits: n.limits, Logger: zap.NewNop(),
+		OnUpstreams: func(_ string, list *upstreamlist.List) {
+			n.fed.set(list)
+			n.mesh.PublishUpstreams(list)
 		},
-		StoreContact: func() bool { return !n.storeLost.Load() }, OnStoreRegained: func() {
+		UpstreamsCurrent: func() bool { return !n.upstreamsLost.Load() },
+		StoreContact:     func() bool { return !n.storeLost.Load() }, OnStoreRegained: func() {
 			n.mesh.ListsFrom() // as the followers of the store do
 			n.storeRegained.Add(1)
 		}, Version: n.version.Load, Document: func() []byte { return nil }, OnNewerVersion: func(_ string, version int64) { n.newerVersion.Store(version) },
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -24,6 +24,8 @@
 	heard        bool
 	// storeContact is set if the store answers the other process.
 	storeContact bool
+	// upstreamsCurrent is set if the other process is fit to read the list of upstreams for others.
+	upstreamsCurrent bool
 	// processes is the number of processes whose work the other end reports.
 	processes int
 	// chargesOfGroup says which totals of charges the other end sent last, and totals are these totals; charges has the sum of those that were
@@ -121,7 +123,7 @@
 
 // buildHeartbeat returns the next heartbeat on a session.
 func (m *Mesh) buildHeartbeat(session *transport.Session) *wirev1.Heartbeat {
-	heartbeat := &wirev1.Heartbeat{ConfigRevision: uint64(m.options.Version()), StoreContact: m.options.StoreContact()}
+	heartbeat := &wirev1.Heartbeat{ConfigRevision: uint64(m.options.Version()), StoreContact: m.options.StoreContact(), UpstreamsCurrent: m.options.UpstreamsCurrent()}
 	limits := m.options.Limits.Recent(time.Now()) // not under m.mu, because Limits calls this mesh under its own mutex
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -249,7 +251,7 @@
 		return false
 	}
 	storeRegained = l.heard && !l.storeContact && heartbeat.GetStoreContact()
-	l.storeContact = heartbeat.GetStoreContact()
+	l.storeContact, l.upstreamsCurrent = heartbeat.GetStoreContact(), heartbeat.GetUpstreamsCurrent()
 	before := l.coverage()
 	theirsBefore, processesBefore := l.theirs, l.processes
 	l.heard, l.theirs = true, heartbeat.GetLink()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -15,12 +15,12 @@
 	configv1 "github.com/fulmardoor/fulmardoor/api/config/v1"
 	wirev1 "github.com/fulmardoor/fulmardoor/api/wire/v1"
 	"github.com/fulmardoor/fulmardoor/internal/backlog"
-	"github.com/fulmardoor/fulmardoor/internal/fleet"
 	"github.com/fulmardoor/fulmardoor/internal/placement"
 	"github.com/fulmardoor/fulmardoor/internal/quarantine"
 	"github.com/fulmardoor/fulmardoor/internal/quota"
 	"github.com/fulmardoor/fulmardoor/internal/relay"
 	"github.com/fulmardoor/fulmardoor/internal/transport"
+	"github.com/fulmardoor/fulmardoor/internal/upstreamlist"
 	"github.com/fulmardoor/fulmardoor/internal/upstreamrate"
 )
 
@@ -69,8 +69,10 @@
 	Document func() []byte
 	// OnNewerVersion is called when another process has a newer configuration. It must not block.
 	OnNewerVersion func(process string, version int64)
-	// OnUpstreams is called with each list of upstreams that another process passes on, and the time when it was read from the store.
-	OnUpstreams func(upstreams []*fleet.Upstream, readAt time.Time)
+	// OnUpstreams is called with each list of upstreams that another process passes on.
+	OnUpstreams func(process string, list *upstreamlist.List)
+	// UpstreamsCurrent reports whether this process is fit to read the list of upstreams for others. It must not call this mesh.
+	UpstreamsCurrent func() bool
 	// StoreContact reports whether the store answers this process, and OnStoreRegained is called when it answers another one again. Both must
 	// not block. They may call this mesh.
 	StoreContact    func() bool
@@ -100,7 +102,7 @@
 	// expiring has the lost relays whose reports are still used, until the given time.
 	expiring map[string]time.Time
 	// upstreams is the newest list of upstreams; nil for none. upstreamsChanged and planChanged are closed and replaced with each change.
-	upstreams                     *upstreamList
+	upstreams                     *publishedList
 	upstreamsChanged, planChanged chan struct{}
 	// subscriberCharges and otherCharges are the sums of the charges that subscribers and other processes reported, by account.
 	subscriberCharges, otherCharges map[string]float64
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -23,6 +23,7 @@
 	backlog         *backlog.Backlog
 	demandChanges   atomic.Int64
 	prompts         *quarantine.List
+	limits          *upstreamrate.Limits
 	version         atomic.Int64
 	newerVersion    atomic.Int64
 	capacityChanges atomic.Int64
@@ -30,6 +31,7 @@
 	listener        net.Listener
 	fed             fedList
 	storeLost       atomic.Bool
+	upstreamsLost   atomic.Bool
 	storeRegained   atomic.Int64
 	accepted        atomic.Int64 // connections
 }
--- a/internal/peering/plan.go
+++ b/internal/peering/plan.go
@@ -26,7 +26,7 @@
 		members[m.options.Name] = relay.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Cores: m.options.Cores}
 	}
 	m.forgetLocked()
-	plan := relay.NewPlan(m.options.Name, members, m.stateLocked)
+	plan := relay.NewPlan(m.options.Name, members, m.stateLocked, m.currentListLocked)
 	m.wantLocked(&plan, now)
 	m.dialLocked(&plan)
 	if plan.Relay != m.plan.Relay || plan.SubscribeTo != m.plan.SubscribeTo {
@@ -74,6 +74,15 @@
 	return relay.Unknown
 }
 
+// currentListLocked reports whether a process is fit to read the list of upstreams for others. m.mu must be held.
+func (m *Mesh) currentListLocked(name string) bool {
+	if name == m.options.Name {
+		return m.options.UpstreamsCurrent()
+	}
+	l := m.linkLocked(name)
+	return l != nil && l.upstreamsCurrent
+}
+
 // wantLocked notes when connections were first wanted, and counts those as lost that did not open in time. m.mu must be held.
 func (m *Mesh) wantLocked(plan *relay.Plan, now time.Time) {
 	wanted := make(map[string]bool, len(plan.Peers)+len(plan.Dial))
--- a/internal/processtest/router_stop_test.go
+++ b/internal/processtest/router_stop_test.go
@@ -69,16 +69,20 @@
 	return r
 }
 
-// configureRouter serves the store and writes the settings file of a router, to which it adds the addresses.
+// configureRouter serves the store, unless the settings have the address of one, and writes the settings file of a router, to which it adds the other
+// addresses.
 func configureRouter(t *testing.T, store *memory.Store, settings platformtest.RouterSettings) (*soakCluster, *soakRouter) {
 	t.Helper()
 	trackSources()
-	server := httptest.NewServer(platformtest.NewStore(store))
-	t.Cleanup(server.Close)
+	if settings.Store == "" {
+		server := httptest.NewServer(platformtest.NewStore(store))
+		t.Cleanup(server.Close)
+		settings.Store = server.Listener.Addr().String()
+	}
 	c := &soakCluster{t: t, dir: t.TempDir()}
 	r := &soakRouter{name: settings.Name, callerAddress: freeAddress(t), readyAddress: freeAddress(t), settingsFile: filepath.Join(c.dir, settings.Name+".conf")}
 	host, port := splitAddress(t, freeAddress(t))
-	settings.Host, settings.Zone, settings.Store, settings.RateSlack = host, "here", server.Listener.Addr().String(), soakRateSlack
+	settings.Host, settings.Zone, settings.RateSlack = host, "here", soakRateSlack
 	settings.Callers, settings.Ready, settings.Ports = r.callerAddress, r.readyAddress, port+","+port
 	if err := os.WriteFile(r.settingsFile, settings.Text(), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,9 +56,9 @@
 }
 
 // NewPlan returns the plan of a process. members are all processes by name, this one included. state returns what is known of the
-// connection to another process. All processes with the same list and connections choose the same relays; one that is cut off from the relays of its
+// connection to another process, and current whether a process, this one included, is fit to read the list of upstreams. All processes with the same list and connections choose the same relays; one that is cut off from the relays of its
 // data centre goes on to the next ones in their order, down to itself.
-func NewPlan(self string, members map[string]Member, state func(name string) State) Plan {
+func NewPlan(self string, members map[string]Member, state func(name string) State, current func(name string) bool) Plan {
 	plan := Plan{Peers: make(map[string]bool), Dial: make(map[string]string), Keep: make(map[string]bool)}
 	available := func(name string) bool { return name == self || state(name) != Lost }
 	var wanted []Member // relays, and those before them in their order that were lost
@@ -82,7 +82,7 @@
 	if !plan.Relay {
 		wanted, plan.Peers, plan.SubscribeTo = own, map[string]bool{}, subscribeTo(own, state)
 	}
-	plan.ListFrom = listFrom(self, &plan, members, state)
+	plan.ListFrom = listFrom(self, &plan, members, state, current)
 	for _, m := range wanted {
 		if m.Name == self {
 			continue
@@ -138,19 +138,28 @@
 }
 
 // listFrom returns the process that passes on the list of upstreams to this one: its relay, or the first of the connected relays in an order that is
-// the same everywhere. It is empty for the first one itself.
-func listFrom(self string, plan *Plan, members map[string]Member, state func(name string) State) string {
+// the same everywhere. Those that are fit to read the list come first: one that the store does not answer, or answers again since a moment ago, gets the
+// list from one that was in touch meanwhile. It is empty for the first one itself.
+func listFrom(self string, plan *Plan, members map[string]Member, state func(name string) State, current func(name string) bool) string {
 	if !plan.Relay {
 		return plan.SubscribeTo
 	}
-	first := members[self]
+	first := self
 	for name := range plan.Peers {
-		if state(name) == Connected && compare(members[name], first) < 0 {
-			first = members[name]
+		if state(name) == Connected && readsBefore(members[name], members[first], current) {
+			first = name
 		}
 	}
-	if first.Name == self {
+	if first == self {
 		return ""
 	}
-	return first.Name
+	return first
+}
+
+// readsBefore reports whether a reads the list of upstreams rather than b.
+func readsBefore(a, b Member, current func(name string) bool) bool {
+	if fit := current(a.Name); fit != current(b.Name) {
+		return fit
+	}
+	return compare(a, b) < 0
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,7 +20,9 @@
 type network struct {
 	members map[string]Member
 	down    map[string]bool
-	plans   map[string]Plan
+	// unfit has the processes that are not fit to read the list of upstreams.
+	unfit map[string]bool
+	plans map[string]Plan
 }
 
 // connected reports whether one of two processes dials the other.
@@ -48,7 +50,7 @@
 					return Lost
 				}
 				return Unknown
-			})
+			}, func(name string) bool { return !n.unfit[name] })
 			changed = changed || fmt.Sprint(next[name]) != fmt.Sprint(n.plans[name])
 		}
 		n.plans = next
@@ -90,6 +92,11 @@
 	for name, plan := range n.plans {
 		if plan.ListFrom == "" {
 			readers++
+			for other, plan := range n.plans {
+				if n.unfit[name] && plan.Relay && !n.unfit[other] {
+					t.Fatalf("%s reads the list of upstreams although %s is fit to and it is not", name, other)
+				}
+			}
 		}
 		for hops := 0; plan.ListFrom != ""; hops++ {
 			if hops > 2 {
@@ -111,16 +118,18 @@
 	}
 }
 
-// Guards against processes that hear of another one never or twice: in fleets of all sizes, and after any of them were lost.
+// Guards against processes that hear of another one never or twice, in fleets of all sizes and after any of them were lost, and against a reader of the
+// list of upstreams that the store does not answer while it answers others.
 func TestEachProcessHearsOfEachOtherOnce(t *testing.T) {
 	for _, size := range []struct{ processes, dataCentres int }{{1, 1}, {4, 4}, {12, 3}, {13, 3}, {30, 4}, {103, 6}} {
 		random := rand.New(rand.NewPCG(1, uint64(size.processes)))
-		n := &network{members: fleet(size.processes, size.dataCentres), down: map[string]bool{}, plans: map[string]Plan{}}
+		n := &network{members: fleet(size.processes, size.dataCentres), down: map[string]bool{}, unfit: map[string]bool{}, plans: map[string]Plan{}}
 		n.settle(t)
 		n.check(t)
 		for round := range 8 {
 			for name := range n.members {
 				n.down[name] = random.Float64() < float64(round)/8
+				n.unfit[name] = random.Float64() < float64(round)/8
 			}
 			n.plans = map[string]Plan{}
 			n.settle(t)
