quarantine: a prompt that was cleared is not quarantined again by a process that was cut off

Prompts of a client that had been served again were refused once more when a process that had been cut off came back with its crashes, and that process itself kept the quarantine.

Cause: clearings had no time. The receiver took the time of arrival, prompts by a client's own identity were not remembered as cleared at all, and nobody told the process that returned what had been cleared meanwhile.

Clearings carry their age. Crashes after a clearing still count, earlier ones do not, and a report with crashes that were cleared since is answered with that clearing.

--- a/internal/peering/prompts.go
+++ b/internal/peering/prompts.go
@@ -56,6 +56,9 @@
 func (m *Mesh) applyPromptReport(session *transport.Session, message *wirev1.PromptReport) {
 	now := time.Now()
 	report := quarantine.ReportFromMessage(message, now)
+	if since := m.options.Quarantine.ClearedSince(report); len(since.Cleared) > 0 {
+		go m.sendPromptReport(session, since)
+	}
 	if quarantined := m.options.Quarantine.Apply(report, now); len(quarantined) > 0 {
 		m.options.Logger.Info("prompt parts quarantined", zap.Strings("parts", quarantined), zap.String("peer", session.Remote().GetProcess()))
 	}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -10,7 +10,11 @@
 
 // Message returns the message form of the report at now. A crash without an upstream stands for a probe.
 func (r Report) Message(now time.Time) *wirev1.PromptReport {
-	message := &wirev1.PromptReport{ClearedParts: r.Cleared}
+	message := new(wirev1.PromptReport)
+	for _, c := range r.Cleared {
+		message.ClearedParts = append(message.ClearedParts, c.Part)
+		message.ClearedAgeMs = append(message.ClearedAgeMs, now.Sub(c.At).Milliseconds())
+	}
 	for _, crash := range slices.Concat(r.Crashes, r.Probes) {
 		message.Crashes = append(message.Crashes, &wirev1.PromptCrash{
 			Upstream: crash.Upstream, Incarnation: crash.Incarnation, Request: crash.Request, Parts: crash.Parts,
@@ -31,7 +35,15 @@
 // ReportFromMessage returns the report of a message that was received at now. It takes no more from the message than this package reports, so that
 // one of another writer costs little, and no crash later than now.
 func ReportFromMessage(message *wirev1.PromptReport, now time.Time) Report {
-	report := Report{Cleared: newest(message.GetClearedParts(), maxPartsPerCrash)}
+	var report Report
+	cleared, ages := message.GetClearedParts(), message.GetClearedAgeMs()
+	for i := max(0, len(cleared)-maxPartsPerCrash); i < len(cleared); i++ {
+		at := now
+		if i < len(ages) {
+			at = now.Add(-bounded.Milliseconds(ages[i]))
+		}
+		report.Cleared = append(report.Cleared, Clearing{cleared[i], at})
+	}
 	for _, received := range newestCrashes(message.GetCrashes()) {
 		crash := Crash{
 			Upstream: received.GetUpstream(), Incarnation: received.GetIncarnation(), Request: received.GetRequest(),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -88,8 +88,14 @@
 	// Probes are the quarantined parts for which the sender has just let a request through; the others then let none through. Each
 	// has Parts and At, and no upstream.
 	Probes []Crash
-	// Cleared are the parts that a first event or an answer has cleared.
-	Cleared []string
+	// Cleared are the parts that a first event or an answer has cleared. It says nothing of later crashes.
+	Cleared []Clearing
+}
+
+// Clearing says that a request with a part reached its first event or was answered.
+type Clearing struct {
+	Part string
+	At   time.Time
 }
 
 // List holds the suspected parts. Its methods may be called concurrently.
@@ -144,7 +150,9 @@
 
 // Apply adds the report of another process, received at now, and returns the parts that are quarantined because of it.
 func (l *List) Apply(report Report, now time.Time) (quarantined []string) {
-	l.clear(report.Cleared, now)
+	for _, c := range report.Cleared {
+		l.clear([]string{c.Part}, c.At)
+	}
 	l.addProbes(report.Probes)
 	quarantined = l.addCrashes(report.Crashes, now)
 	if l.sawCrashOf(quarantined) {
@@ -153,6 +161,25 @@
 	return quarantined
 }
 
+// ClearedSince returns a report of the parts in the crashes of another process's report that were cleared since: the other process was not connected at
+// that time, and would keep a quarantine that all others know to be lifted.
+func (l *List) ClearedSince(report Report) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var since Report
+	known := make(map[string]bool)
+	for _, crash := range report.Crashes {
+		for _, part := range crash.Parts {
+			at, cleared := l.survivals[part]
+			if cleared && !known[part] && !crash.At.After(at) && len(since.Cleared) < maxPartsPerCrash {
+				known[part] = true
+				since.Cleared = append(since.Cleared, Clearing{part, at})
+			}
+		}
+	}
+	return since
+}
+
 // sawCrashOf reports whether this process saw a crash for which one of the parts is quarantined. It then counts as one that began the
 // quarantine: if two processes report the last crashes at the same moment, each learns of the quarantine from the other.
 func (l *List) sawCrashOf(parts []string) bool {
@@ -185,11 +212,7 @@
 		if !crash.At.After(l.survivals[part]) {
 			continue
 		}
-		s := l.suspects[part]
-		if s == nil {
-			s = l.insert(part)
-		}
-		if s.add(crash) {
+		if l.suspect(part).add(crash) {
 			quarantined = append(quarantined, part)
 		}
 	}
@@ -221,7 +244,11 @@
 	}
 	cleared, lifted := l.clear(lastParts(parts), now)
 	if len(cleared) > 0 {
-		l.send(Report{Cleared: cleared})
+		report := Report{}
+		for _, part := range cleared {
+			report.Cleared = append(report.Cleared, Clearing{part, now})
+		}
+		l.send(report)
 	}
 	if lifted {
 		l.changed()
@@ -229,35 +256,43 @@
 	return cleared
 }
 
-// clear clears parts. It returns those that were suspected, and whether any was quarantined.
-func (l *List) clear(parts []string, now time.Time) (cleared []string, lifted bool) {
+// clear clears parts of which a request was answered or reached its first event at at. It returns those that were suspected, and whether any was
+// quarantined. Crashes after at still count.
+func (l *List) clear(parts []string, at time.Time) (cleared []string, lifted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, part := range parts {
-		if !isIdentity(part) { // there are too many of them to remember each
-			l.addSurvival(part, now)
+		s := l.suspects[part]
+		if s != nil || !isIdentity(part) { // there are too many identities to remember each
+			l.addSurvival(part, at)
 		}
-		if s := l.suspects[part]; s != nil {
-			lifted = lifted || s.quarantined()
-			l.remove(part, s)
-			cleared = append(cleared, part)
+		if s == nil || s.firstCrash().After(at) {
+			continue
+		}
+		lifted = lifted || s.quarantined()
+		l.remove(part, s)
+		cleared = append(cleared, part)
+		for _, crash := range slices.Concat(s.evidence, s.crashes) {
+			if crash.At.After(at) {
+				l.suspect(part).add(crash)
+			}
 		}
 	}
-	if len(cleared) == 0 {
-		return nil, false
-	}
-	for _, s := range l.suspects {
-		s.clear(cleared)
+	sound := slices.DeleteFunc(slices.Clone(cleared), func(part string) bool { return l.suspects[part] != nil })
+	if len(sound) > 0 {
+		for _, s := range l.suspects {
+			s.clear(sound)
+		}
 	}
 	return cleared, lifted
 }
 
 // addSurvival records a first event. If the memory is full, it drops those that have expired, or else any.
-func (l *List) addSurvival(part string, now time.Time) {
+func (l *List) addSurvival(part string, at time.Time) {
 	if _, ok := l.survivals[part]; !ok && len(l.survivals) >= maxSurvivals {
-		l.makeRoomForSurvival(now)
+		l.makeRoomForSurvival(at)
 	}
-	l.survivals[part] = now
+	l.survivals[part] = later(l.survivals[part], at)
 }
 
 func (l *List) makeRoomForSurvival(now time.Time) {
@@ -396,8 +431,11 @@
 	return report
 }
 
-// insert adds a suspect for a part.
-func (l *List) insert(part string) *suspect {
+// suspect returns the suspect for a part, and adds it if there is none.
+func (l *List) suspect(part string) *suspect {
+	if s := l.suspects[part]; s != nil {
+		return s
+	}
 	s := new(suspect)
 	if isIdentity(part) {
 		s.identity = part
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -217,13 +217,33 @@
 	}
 }
 
-// Guards against a quarantine because of crashes that a process which was cut off reports after requests reached their first event.
+// Guards against a quarantine because of crashes that a process which was cut off reports after requests reached their first event, against one that it
+// keeps itself, and against the loss of crashes after that.
 func TestLateReportsOfSoundParts(t *testing.T) {
-	l, cutOff := NewList(), NewList()
-	last := crashes(cutOff, start, 5, "sound")
-	l.RecordFirstEvent([]string{"sound"}, last.Add(time.Second))
-	if l.Apply(cutOff.Known(), last.Add(2*time.Second)); isBlocked(l, last.Add(2*time.Second), "sound") {
-		t.Error("blocked because of crashes before a first event")
+	for _, part := range []string{"sound", sound} {
+		inTouch, cutOff := NewList(), NewList()
+		last := crashes(cutOff, start, 5, part)
+		inTouch.Apply(cutOff.Known(), last)
+		if !isBlocked(inTouch, last, part) {
+			t.Fatalf("%s: not blocked", part)
+		}
+		inTouch.RecordFirstEvent([]string{part}, last.Add(time.Second))
+		reconnected := last.Add(2 * time.Second)
+		report := ReportFromMessage(cutOff.Known().Message(reconnected), reconnected)
+		since := inTouch.ClearedSince(report)
+		if inTouch.Apply(report, reconnected); isBlocked(inTouch, reconnected, part) {
+			t.Errorf("%s: blocked because of crashes before a first event", part)
+		}
+		if !isBlocked(cutOff, reconnected, part) {
+			t.Fatalf("%s: the process that was cut off does not block", part)
+		}
+		if cutOff.Apply(ReportFromMessage(since.Message(reconnected), reconnected), reconnected); isBlocked(cutOff, reconnected, part) {
+			t.Errorf("%s: the process that was cut off blocks because of crashes before a first event", part)
+		}
+		last = crashes(cutOff, reconnected, 5, part)
+		if cutOff.Apply(since, last); !isBlocked(cutOff, last, part) {
+			t.Errorf("%s: crashes after a first event are forgotten", part)
+		}
 	}
 }
 
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -226,6 +226,16 @@
 // size returns the number of crashes.
 func (s *suspect) size() int { return len(s.evidence) + len(s.crashes) }
 
+func (s *suspect) firstCrash() time.Time {
+	var first time.Time
+	for _, crash := range slices.Concat(s.evidence, s.crashes) {
+		if first.IsZero() || crash.At.Before(first) {
+			first = crash.At
+		}
+	}
+	return first
+}
+
 func (s *suspect) lastCrash() time.Time {
 	if len(s.crashes) > 0 {
 		return s.crashes[len(s.crashes)-1].At
