follow: a test of leadership with one process of three cut off

Section 13.7 of docs/design.md asks for a test of each fact with one process cut off and two in touch. Leadership had none: TestLeaderThatWasCutOff checks that the leader does not give orders after its return, that orders of two leaders are at least 3 s apart and that fencing numbers grow.

--- a/internal/follow/members_test.go
+++ b/internal/follow/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
@@ -92,3 +94,64 @@
 		})
 	}
 }
+
+// Guards against a leader that was cut off from the store and gives orders when it returns, although another process took over, against orders of both
+// within the time that the platform asks for between them, and against a fencing number that does not grow.
+func TestLeaderThatWasCutOff(t *testing.T) {
+	const ttl = 1800 * time.Millisecond
+	shared := memory.New(memory.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var gates []*kvtest.Gate
+	var processes []*Members
+	var running sync.WaitGroup
+	for i := range 3 {
+		gate := kvtest.NewGate(shared)
+		members := NewMembers(MemberOptions{
+			Store: gate, List: gate.List, Prefix: "entries/", Name: fmt.Sprintf("front-%d", i), Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: ttl,
+			HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.NewNop()},
+		}, func(int) {}, func(map[string]string) {})
+		gates, processes = append(gates, gate), append(processes, members)
+		running.Go(func() { members.Run(ctx) })
+	}
+	type order struct {
+		process int
+		fence   int64
+		at      time.Time
+	}
+	var last order
+	// watch notes who may give orders, until done returns true.
+	watch := func(what string, done func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(4 * (ttl + TakeoverDelay)); !done(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: did not happen; the last one to give orders is process %d", what, last.process)
+			}
+			for i, members := range processes {
+				fence, ok := members.Leadership().Fence()
+				if !ok {
+					continue
+				}
+				if next := (order{i, fence, time.Now()}); next.fence != last.fence {
+					if next.fence < last.fence || last.fence != 0 && next.at.Sub(last.at) < 3*time.Second {
+						t.Errorf("process %d may give orders with fence %d, process %d with %d %v before", i, fence, last.process, last.fence, next.at.Sub(last.at))
+					}
+					last = next
+				}
+				last.at = time.Now()
+			}
+		}
+	}
+	watch("a process leads", func() bool { return last.fence != 0 })
+	cut := last.process
+	gates[cut].Set(kvtest.CutOff)
+	watch("another one leads", func() bool { return last.process != cut })
+	gates[cut].Set(kvtest.Open)
+	returned := time.Now()
+	watch("some time passes", func() bool { return time.Since(returned) > ttl+TakeoverDelay })
+	if _, ok := processes[cut].Leadership().Fence(); ok || last.process == cut {
+		t.Error("the process that was cut off leads again, beside the other one")
+	}
+	cancel()
+	running.Wait()
+}
--- a/internal/kv/kvtest/gate.go
+++ b/internal/kv/kvtest/gate.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fulmardoor/fulmardoor/internal/kv"
 )
@@ -18,10 +19,12 @@
 	Refused
 	// WatchesStalled fails calls with kv.ErrUnavailable and keeps open watches, but drops their updates.
 	WatchesStalled
+	// CutOff is like WatchesStalled, but fails lease calls too.
+	CutOff
 )
 
 // Gate is a kv.Store through which one process reaches a shared store. Its state affects gets, lists, swaps and watches;
-// deletes and lease calls always pass.
+// deletes always pass, and lease calls unless the state is CutOff.
 type Gate struct {
 	kv.Store
 	// OnCall, if not nil, is called before and after each get, list, swap and start of a watch, whatever the state. It may
@@ -96,6 +99,22 @@
 	return callIfOpen(g, func() (int64, error) { return g.Store.CompareAndSwap(ctx, key, value, revision, lease) })
 }
 
+// GrantLease implements kv.Store.
+func (g *Gate) GrantLease(ctx context.Context, ttl time.Duration) (int64, error) {
+	if state, _ := g.current(); state == CutOff {
+		return 0, kv.ErrUnavailable
+	}
+	return g.Store.GrantLease(ctx, ttl)
+}
+
+// RenewLease implements kv.Store.
+func (g *Gate) RenewLease(ctx context.Context, lease int64) error {
+	if state, _ := g.current(); state == CutOff {
+		return kv.ErrUnavailable
+	}
+	return g.Store.RenewLease(ctx, lease)
+}
+
 // Watch implements kv.Store.
 func (g *Gate) Watch(ctx context.Context, prefix string, revision int64) (<-chan kv.WatchUpdate, error) {
 	return callIfOpen(g, func() (<-chan kv.WatchUpdate, error) {
@@ -126,7 +145,7 @@
 			if !ok {
 				return
 			}
-			if state, _ := g.current(); state == WatchesStalled {
+			if state, _ := g.current(); state == WatchesStalled || state == CutOff {
 				continue
 			}
 			select {
