--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -99,8 +99,10 @@
 	})
 }
 
-// refuse answers a request that is beyond the limit of requests.
+// refuse answers a request that is beyond the limit of requests. It closes the connection, because reading and refusing the requests that are pipelined on
+// it allocates faster than the garbage collector frees.
 func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
 	w.Header().Set("Retry-After", "1")
 	http.Error(w, "too many requests are served at the same time", http.StatusServiceUnavailable)
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -639,7 +639,8 @@
 	}
 }
 
-// Guards against more requests at a time than the limit, against a refusal without Retry-After, and against requests that count after their end.
+// Guards against more requests at a time than the limit, against a refusal without Retry-After, against requests that count after their end, and against
+// a client whose pipelined requests are each read and refused.
 func TestRequestsBeyondLimitAreRefused(t *testing.T) {
 	limits := testLimits()
 	limits.MaxRequests = 2
@@ -669,6 +670,11 @@
 	if got, retryAfter := status(s.connect()); got != "503 Service Unavailable" || retryAfter == "" {
 		t.Errorf("beyond the limit: %s, Retry-After %q", got, retryAfter)
 	}
+	pipelined := s.connect()
+	pipelined.send(get + get)
+	if text, _ := io.ReadAll(pipelined.Conn); strings.Count(string(text), "503 Service Unavailable") != 1 { // ends with a reset if bytes are left
+		t.Errorf("pipelined requests beyond the limit: %q, want one answer", text)
+	}
 	close(release)
 	running.Wait()
 	if got, _ := status(s.connect()); got != "200 OK" {
