transport: a closed session counts until its streams have ended

A crowd at a listener for other processes ("joined, unread bytes on streams") took an entry to 131 MB of 120 on a busy machine. A session that was closed for its unread bytes stopped counting at once, and the next sessions took its memory before its streams had ended and released it.

Closed sessions now count until their readers have ended, and a session that sends more waits for that for 500 ms at most; if they do not end in time, the largest open session is closed. TestClosedSessionCountsUntilItsStreamsEnd failed before. TestSessionWithMostUnreadBytesIsClosed releases the session that it closed, as its readers do; its steps and bounds are as before.

--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -121,6 +121,8 @@
 	dialled bool
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// readers are the goroutines that read the control stream and the streams that the other process opens.
+	readers sync.WaitGroup
 
 	mu              sync.Mutex // guards lastHeartbeat and lastHeartbeatAt
 	lastHeartbeat   *wirev1.Heartbeat
@@ -144,15 +146,29 @@
 
 // Server starts yamux on an accepted connection, performs the handshake and starts the session.
 func Server(conn net.Conn, opts *Options) (*Session, error) {
-	frames := &frameConn{Conn: conn}
-	if opts.Limits != nil {
-		frames.received.account = opts.Limits.unread.open(conn)
+	if opts.Limits == nil {
+		return serve(&frameConn{Conn: conn}, opts)
 	}
-	mux, err := yamux.Server(frames, muxConfig())
+	account := opts.Limits.unread.account(conn)
+	session, err := serve(&frameConn{Conn: conn, received: frameScanner{account: account}}, opts)
+	if err != nil {
+		account.close()
+		account.release()
+		return nil, err
+	}
+	go func() {
+		session.readers.Wait()
+		account.release()
+	}()
+	return session, nil
+}
+
+func serve(conn *frameConn, opts *Options) (*Session, error) {
+	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "start yamux server")
 	}
-	if account := frames.received.account; account != nil {
+	if account := conn.received.account; account != nil {
 		return ServerMux(accountedMux{mux, account}, opts)
 	}
 	return ServerMux(mux, opts)
@@ -193,9 +209,9 @@
 		opts.OnOpen(s)
 	}
 	go s.sendHeartbeats()
-	go s.receiveHeartbeats()
+	s.readers.Go(s.receiveHeartbeats)
 	go s.closeOnHeartbeatTimeout()
-	go s.acceptStreams()
+	s.readers.Go(s.acceptStreams)
 	return s, nil
 }
 
@@ -371,10 +387,10 @@
 			s.opts.Limits.report(causeStreams)
 			excess.Close()
 		}
-		go func() {
+		s.readers.Go(func() {
 			defer s.opts.Limits.closeStream(s)
 			s.serveStream(newStream(conn, s.opts.Limits))
-		}()
+		})
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -21,19 +21,41 @@
 func connectedSessions(t *testing.T, server Handler) (client, accepted *Session, mux *memnet.Mux) {
 	t.Helper()
 	local, remote := memnet.NewMuxPair("client", "server", time.Millisecond)
+	client, accepted = startSessions(t,
+		func() (*Session, error) { return ClientMux(local, testOptions("client", nil)) },
+		func() (*Session, error) { return ServerMux(remote, testOptions("server", server)) })
+	return client, accepted, local
+}
+
+// yamuxSessions returns the sessions of the two ends of a connection. They are closed at the end of the test.
+func yamuxSessions(t *testing.T, local, remote net.Conn, server *Options) (client, accepted *Session) {
+	t.Helper()
+	client, accepted = startSessions(t,
+		func() (*Session, error) { return Client(local, testOptions("client", nil)) },
+		func() (*Session, error) { return Server(remote, server) })
+	t.Cleanup(client.Close)
+	t.Cleanup(accepted.Close)
+	return client, accepted
+}
+
+func startSessions(t *testing.T, dial, accept func() (*Session, error)) (client, accepted *Session) {
+	t.Helper()
 	result := make(chan *Session, 1)
 	go func() {
-		s, err := ServerMux(remote, testOptions("server", server))
+		s, err := accept()
 		if err != nil {
 			t.Errorf("server: %v", err)
 		}
 		result <- s
 	}()
-	client, err := ClientMux(local, testOptions("client", nil))
+	client, err := dial()
 	if err != nil {
 		t.Fatalf("client: %v", err)
 	}
-	return client, <-result, local
+	if accepted = <-result; accepted == nil {
+		t.FailNow()
+	}
+	return client, accepted
 }
 
 // Guards against a call that loses its reply, or that sends a request of the wrong kind.
@@ -81,12 +103,7 @@
 	handler := HandlerFunc(func(_ context.Context, _ *Session, _ *wirev1.StreamOpen, stream *Stream) {
 		_ = stream.Send(&wirev1.NonceReply{Nonce: &wirev1.Nonce{Incarnation: 3}})
 	})
-	go func() { _, _ = Server(remote, testOptions("server", handler)) }()
-	client, err := Client(local, testOptions("client", nil))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	client, _ := yamuxSessions(t, local, remote, testOptions("server", handler))
 	reply := new(wirev1.NonceReply)
 	open := &wirev1.StreamOpen{Kind: &wirev1.StreamOpen_Nonce{Nonce: &wirev1.NonceRequest{}}}
 	if err := client.Call(t.Context(), open, reply); err != nil {
--- a/internal/transport/unread.go
+++ b/internal/transport/unread.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
@@ -11,22 +12,30 @@
 // errUnread ends a session that has more unread bytes than all others when there are too many.
 var errUnread = errors.New("too many bytes of the other process are not read")
 
+// releaseTimeout is how long a session waits for the memory of closed ones. It is less than the heartbeat timeout.
+const releaseTimeout = 500 * time.Millisecond
+
 // unreadBytes bounds what yamux keeps for streams until it is read, over all accepted sessions: it grants 256 KiB to each stream, and allocates what the
-// header of a frame announces.
+// header of a frame announces. A closed session counts until its streams have ended, because its buffers stay in memory until then.
 type unreadBytes struct {
 	most int64
 	// report is called with the cause for which a session is closed.
 	report func(cause string)
 
-	mu       sync.Mutex // guards the fields below and those of the accounts
-	total    int64
-	accounts map[*unreadAccount]struct{}
+	mu    sync.Mutex // guards the fields below and those of the accounts
+	total int64
+	// totalOfClosed is the part of total that closed sessions have.
+	totalOfClosed int64
+	open          map[*unreadAccount]struct{}
+	// changed is signalled when total falls or a session is closed.
+	changed *sync.Cond
 }
 
 // unreadAccount has the unread bytes of the streams that the other process of a session opened.
 type unreadAccount struct {
 	of      *unreadBytes
 	conn    net.Conn
+	closed  bool
 	streams map[uint32]unreadStream
 	total   int64
 }
@@ -38,38 +47,28 @@
 const keptBufferBytes = 16 << 10
 
 func newUnreadBytes(most int64) *unreadBytes {
-	return &unreadBytes{most: most, report: func(string) {}, accounts: make(map[*unreadAccount]struct{})}
+	u := &unreadBytes{most: most, report: func(string) {}, open: make(map[*unreadAccount]struct{})}
+	u.changed = sync.NewCond(&u.mu)
+	return u
 }
 
-func (u *unreadBytes) open(conn net.Conn) *unreadAccount {
+// account returns the account of an accepted session. When the session has ended, close and then release must be called.
+func (u *unreadBytes) account(conn net.Conn) *unreadAccount {
 	a := &unreadAccount{of: u, conn: conn, streams: make(map[uint32]unreadStream)}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.accounts[a] = struct{}{}
+	u.open[a] = struct{}{}
 	return a
 }
 
-// announce counts a frame whose header has arrived. If there are too many unread bytes, it closes the connection that has most of them; an error
-// means that it is that of the account.
+// announce counts a frame whose header has arrived, before yamux allocates its memory. While open sessions have too many unread bytes, it closes the one
+// that has most. It then waits for the memory of closed sessions. An error means that the session of the account was closed.
 func (a *unreadAccount) announce(stream uint32, length int64) error {
-	excess := a.of.add(a, stream, length)
-	if excess == nil {
-		return nil
-	}
-	a.of.report(causeUnreadBytes)
-	if excess == a {
-		return errUnread
-	}
-	_ = excess.conn.Close() // ends the session
-	excess.close()
-	return nil
-}
-
-func (u *unreadBytes) add(a *unreadAccount, stream uint32, length int64) (excess *unreadAccount) {
+	u := a.of
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if _, open := u.accounts[a]; !open {
-		return a
+	if a.closed {
+		return errUnread
 	}
 	unread := a.streams[stream]
 	unread.bytes += length
@@ -77,16 +76,53 @@
 	a.streams[stream] = unread
 	a.total += length
 	u.total += length
-	if u.total <= u.most {
-		return nil
+	for u.total-u.totalOfClosed > u.most {
+		u.closeLargest(a)
+	}
+	if !a.closed && u.total > u.most {
+		u.awaitRelease(a)
+	}
+	if a.closed {
+		return errUnread
+	}
+	return nil
+}
+
+// awaitRelease waits until closed sessions have released what exceeds the limit, or the session of the account is closed. If they do not release it in
+// time, it closes one more session. mu must be held; it is not held during the wait.
+func (u *unreadBytes) awaitRelease(a *unreadAccount) {
+	late := false
+	timer := time.AfterFunc(releaseTimeout, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		late = true
+		u.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for !a.closed && u.total > u.most && !late {
+		u.changed.Wait()
 	}
-	excess = a
-	for other := range u.accounts {
-		if other.total > excess.total {
-			excess = other
+	if !a.closed && u.total > u.most {
+		u.closeLargest(a)
+	}
+}
+
+// closeLargest closes the open session that has most unread bytes; that of the caller's account ends by an error. mu must be held.
+func (u *unreadBytes) closeLargest(caller *unreadAccount) {
+	var largest *unreadAccount
+	for a := range u.open {
+		if largest == nil || a.total > largest.total {
+			largest = a
 		}
 	}
-	return excess
+	if largest == nil {
+		return
+	}
+	u.report(causeUnreadBytes)
+	largest.closeLocked()
+	if largest != caller {
+		go func() { _ = largest.conn.Close() }() // with TLS, it may block
+	}
 }
 
 // read counts bytes of a stream that were read. It reports whether the buffer of the stream is empty and large.
@@ -96,8 +132,7 @@
 	unread := a.streams[stream]
 	n = min(n, unread.bytes)
 	unread.bytes -= n
-	a.total -= n
-	a.of.subtract(a, n)
+	a.subtract(n)
 	if unread.bytes > 0 {
 		a.streams[stream] = unread
 		return false
@@ -110,24 +145,44 @@
 func (a *unreadAccount) forget(stream uint32) {
 	a.of.mu.Lock()
 	defer a.of.mu.Unlock()
-	n := a.streams[stream].bytes
+	a.subtract(a.streams[stream].bytes)
 	delete(a.streams, stream)
-	a.total -= n
-	a.of.subtract(a, n)
 }
 
-func (u *unreadBytes) subtract(a *unreadAccount, n int64) {
-	if _, open := u.accounts[a]; open {
-		u.total -= n
+// subtract must be called with mu held.
+func (a *unreadAccount) subtract(n int64) {
+	u := a.of
+	a.total -= n
+	u.total -= n
+	if a.closed {
+		u.totalOfClosed -= n
 	}
+	u.changed.Broadcast()
 }
 
-// close is called when the session has ended. It may be called more than once.
+// close is called when the session ends. It may be called more than once.
 func (a *unreadAccount) close() {
 	a.of.mu.Lock()
 	defer a.of.mu.Unlock()
-	a.of.subtract(a, a.total)
-	delete(a.of.accounts, a)
+	a.closeLocked()
+}
+
+func (a *unreadAccount) closeLocked() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	delete(a.of.open, a)
+	a.of.totalOfClosed += a.total
+	a.of.changed.Broadcast()
+}
+
+// release is called when nothing uses the streams of a closed session any more.
+func (a *unreadAccount) release() {
+	a.of.mu.Lock()
+	defer a.of.mu.Unlock()
+	a.subtract(a.total)
+	clear(a.streams)
 }
 
 // accountedMux is an accepted session whose streams count what is read of them.
--- a/internal/transport/unread_test.go
+++ b/internal/transport/unread_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,10 +25,16 @@
 	open := func() (*unreadAccount, net.Conn) {
 		near, far := net.Pipe()
 		t.Cleanup(func() { _ = near.Close() })
-		return unread.open(near), far
+		return unread.account(near), far
 	}
 	large, largeConn := open()
 	small, smallConn := open()
+	largeEnded := make(chan error, 1)
+	go func() {
+		_, err := largeConn.Read(make([]byte, 1))
+		large.release()
+		largeEnded <- err
+	}()
 	for i, step := range []struct {
 		account *unreadAccount
 		length  int64
@@ -37,7 +44,7 @@
 			t.Errorf("step %d: %v, want %v", i, err, step.want)
 		}
 	}
-	if _, err := largeConn.Read(make([]byte, 1)); err != io.EOF {
+	if err := <-largeEnded; err != io.EOF {
 		t.Errorf("the session with most unread bytes: %v", err)
 	}
 	_ = smallConn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
@@ -47,8 +54,54 @@
 	small.read(1, 5000)
 	small.close()
 	small.close()
-	if unread.total != 0 {
-		t.Errorf("%d bytes count after the end of all sessions", unread.total)
+	small.release()
+	if unread.total != 0 || unread.totalOfClosed != 0 {
+		t.Errorf("%d and %d bytes count after the end of all sessions", unread.total, unread.totalOfClosed)
+	}
+}
+
+// Guards against sessions that fill the memory of closed ones before these have released it, and against one that waits for that for ever or loses its own
+// session.
+func TestClosedSessionCountsUntilItsStreamsEnd(t *testing.T) {
+	const size, less = 200_000, 5_000
+	for _, inTime := range []bool{true, false} {
+		handled, ended, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		end := sync.OnceFunc(func() { close(release) })
+		t.Cleanup(end)
+		options := testOptions("server", HandlerFunc(func(ctx context.Context, _ *Session, _ *wirev1.StreamOpen, _ *Stream) { // reads nothing
+			close(handled)
+			<-ctx.Done()
+			close(ended)
+			<-release
+		}))
+		options.Limits = NewLimits(10, 2*(2*size-2*less)) // half of it is for unread bytes
+		local, remote := net.Pipe()
+		session, _ := yamuxSessions(t, local, remote, options)
+		sendUnread(t, session, size)
+		<-handled
+		otherNear, _ := net.Pipe()
+		t.Cleanup(func() { _ = otherNear.Close() })
+		other, result := options.Limits.unread.account(otherNear), make(chan error, 1)
+		go func() { result <- other.announce(1, size-less) }()
+		<-ended
+		want := errUnread // closed sessions have all the memory, and no other session is open
+		if inTime {
+			want = nil
+			select {
+			case err := <-result:
+				t.Fatalf("bytes were taken beside those of a stream that has not ended: %v", err)
+			case <-time.After(releaseTimeout / 5):
+			}
+			end()
+		}
+		select {
+		case err := <-result:
+			if err != want {
+				t.Errorf("released in time %v: %v, want %v", inTime, err, want)
+			}
+		case <-time.After(4 * releaseTimeout):
+			t.Errorf("released in time %v: still waiting", inTime)
+		}
 	}
 }
 
@@ -57,25 +110,15 @@
 func TestUnreadBytesOfEndedStreams(t *testing.T) {
 	const streams, size = 50, 20_000
 	limits := NewLimits(1000, 1<<20)
-	near, far := net.Pipe()
 	handled := make(chan struct{}, streams)
-	server := &Options{Limits: limits, Hello: testHello("server"), Logger: zap.NewNop(), Handler: HandlerFunc(
+	options := testOptions("server", HandlerFunc(
 		func(context.Context, *Session, *wirev1.StreamOpen, *Stream) { handled <- struct{}{} }, // returns without reading the rest
-	)}
-	go func() { _, _ = Server(near, server) }()
-	session, err := Client(far, &Options{Hello: testHello("client"), Logger: zap.NewNop()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer session.Close()
+	))
+	options.Limits = limits
+	local, remote := net.Pipe()
+	session, _ := yamuxSessions(t, local, remote, options)
 	for range streams {
-		stream, err := session.Open(&wirev1.StreamOpen{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := stream.conn.Write(make([]byte, size)); err != nil {
-			t.Fatal(err)
-		}
+		stream := sendUnread(t, session, size)
 		<-handled
 		_ = stream.Close()
 	}
@@ -100,8 +143,17 @@
 	}
 }
 
-func testHello(process string) *wirev1.Hello {
-	return &wirev1.Hello{Process: process, ProtocolVersion: ProtocolVersion}
+// sendUnread opens a stream and sends bytes that its handler does not read.
+func sendUnread(t *testing.T, session *Session, size int) *Stream {
+	t.Helper()
+	stream, err := session.Open(&wirev1.StreamOpen{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stream.conn.Write(make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	return stream
 }
 
 // Guards against limits that end streams and sessions without a trace, and against messages that take more memory than there is.
@@ -121,7 +173,7 @@
 		_, _ = far.Write([]byte{0, frameTypePing, 0, 1, 0, 0, 0, 0, 0, 0, 0, 1})
 	}()
 	conn := frameConn{Conn: near}
-	conn.received.account = limits.unread.open(near)
+	conn.received.account = limits.unread.account(near)
 	if _, err := conn.Read(make([]byte, 100)); !errors.Is(err, errPing) {
 		t.Errorf("a ping: %v", err)
 	}
