transport: streams of closed sessions do not poll

After a crowd of sessions at a listener for other processes ("joined, beginnings of huge messages"), an entry answered no hello for 40 s, and processes took up to 161 MB of 120.

Cause: from the close of a yamux session until yamux has ended each stream, the reads and writes of the streams poll, and allocate timers: 909,692 and 941,849 allocations while a session of 20 streams ended. A dump of an entry 30 s after the crowd had about 750 goroutines ready to run in such reads, and 1,078 that waited for the garbage collector; what ends the sessions and accepts connections waited behind them, and the process used 2.2 processors.

A mux now ends the calls of its streams before yamux closes the session: when it is closed, or its connection ends. Received bytes can still be read. Calls that start later end at once.

--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	mux, err := yamux.Client(&frameConn{Conn: conn}, muxConfig())
+	mux, err := newConnMux(yamux.Client, &frameConn{Conn: conn})
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "start yamux client")
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -26,8 +25,6 @@
 	HeartbeatTimeoutIntervals = 3
 	// HandshakeTimeout limits the exchange of the Hello messages.
 	HandshakeTimeout = 3 * time.Second
-
-	acceptBacklog = 1024
 )
 
 // ErrSessionClosed is returned when a stream is opened on a session that has ended.
@@ -98,7 +95,7 @@
 	return DefaultHeartbeatInterval
 }
 
-// Mux multiplexes streams over one connection. *yamux.Session implements it.
+// Mux multiplexes streams over one connection.
 type Mux interface {
 	Open() (net.Conn, error)
 	Accept() (net.Conn, error)
@@ -132,7 +129,7 @@
 
 // Client starts yamux on a dialled connection, performs the handshake and starts the session.
 func Client(conn net.Conn, opts *Options) (*Session, error) {
-	mux, err := yamux.Client(&frameConn{Conn: conn}, muxConfig())
+	mux, err := newConnMux(yamux.Client, &frameConn{Conn: conn})
 	if err != nil {
 		return nil, errors.Wrap(err, "start yamux client")
 	}
@@ -164,7 +161,7 @@
 }
 
 func serve(conn *frameConn, opts *Options) (*Session, error) {
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := newConnMux(yamux.Server, conn)
 	if err != nil {
 		return nil, errors.Wrap(err, "start yamux server")
 	}
@@ -181,14 +178,6 @@
 	return startSession(mux, opts, false, mux.Accept)
 }
 
-func muxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.EnableKeepAlive = false // replaced by the heartbeats on the control stream
-	cfg.AcceptBacklog = acceptBacklog
-	cfg.LogOutput = io.Discard
-	return cfg
-}
-
 func startSession(mux Mux, opts *Options, dialled bool, openControl func() (net.Conn, error)) (*Session, error) {
 	conn, err := openControl()
 	if err != nil {
--- a/internal/transport/unread.go
+++ b/internal/transport/unread.go
@@ -187,7 +187,7 @@
 
 // accountedMux is an accepted session whose streams count what is read of them.
 type accountedMux struct {
-	*yamux.Session
+	connMux
 	account *unreadAccount
 }
 
@@ -197,20 +197,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &accountedStream{Stream: stream, account: m.account}, nil
+	return &accountedStream{muxStream: &muxStream{Stream: stream, calls: m.calls}, account: m.account}, nil
 }
 
-// Open implements Mux.
-func (m accountedMux) Open() (net.Conn, error) { return m.Session.Open() }
-
 type accountedStream struct {
-	*yamux.Stream
+	*muxStream
 	account *unreadAccount
 }
 
 // Read implements net.Conn.
 func (s *accountedStream) Read(p []byte) (int, error) {
-	n, err := s.Stream.Read(p)
+	n, err := s.muxStream.Read(p)
 	if n > 0 && s.account.read(s.StreamID(), int64(n)) {
 		s.Shrink()
 	}
