fleet, transport, tests: one type for starts of upstreams, one relay for cuts

- upstreamlist.departures and placement.leavingStarts were the same bounded map of starts; both are now fleet.StartMap.
- platformtest.StoreGate cut a router off from the store, as the relay of processtest does; the relay gets another target for new connections instead, and the gate is gone.
- Streams of a mux are wrapped in one place.

--- a/internal/follow/members_test.go
+++ b/internal/follow/members_test.go
@@ -14,10 +14,18 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fulmardoor/fulmardoor/internal/fleet"
+	"github.com/fulmardoor/fulmardoor/internal/kv"
 	"github.com/fulmardoor/fulmardoor/internal/kv/kvtest"
 	"github.com/fulmardoor/fulmardoor/internal/kv/memory"
 )
 
+func newTestMembers(store kv.Store, name string, ttl time.Duration) *Members {
+	return NewMembers(MemberOptions{
+		Store: store, List: store.List, Prefix: "entries/", Name: name, Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: ttl,
+		HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.NewNop()},
+	}, func(int) {}, func(map[string]string) {})
+}
+
 // Guards against entries of another writer that count as members: each takes a share of the fleet's limits and is dialled again and again, and
 // one whose name sorts first leaves the fleet without a leader. Guards against a log line for each at every list, too.
 func TestOddMembersAreNone(t *testing.T) {
@@ -77,10 +85,7 @@
 			if _, err := store.CompareAndSwap(t.Context(), "leader", []byte("[[["), 0, lease); err != nil {
 				t.Fatal(err)
 			}
-			members := NewMembers(MemberOptions{
-				Store: store, List: store.List, Prefix: "entries/", Name: "front-1", Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: 9 * time.Second,
-				HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.NewNop()},
-			}, func(int) {}, func(map[string]string) {})
+			members := newTestMembers(store, "front-1", 9*time.Second)
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
 			go func() { defer close(done); members.Run(ctx) }()
@@ -107,10 +112,7 @@
 	var running sync.WaitGroup
 	for i := range 3 {
 		gate := kvtest.NewGate(shared)
-		members := NewMembers(MemberOptions{
-			Store: gate, List: gate.List, Prefix: "entries/", Name: fmt.Sprintf("front-%d", i), Value: []byte("10.0.0.1:7500"), LeaderKey: "leader", TTL: ttl,
-			HistoryChanged: func() <-chan struct{} { return nil }, Status: Status{Logger: zap.NewNop()},
-		}, func(int) {}, func(map[string]string) {})
+		members := newTestMembers(gate, fmt.Sprintf("front-%d", i), ttl)
 		gates, processes = append(gates, gate), append(processes, members)
 		running.Go(func() { members.Run(ctx) })
 	}
--- a/internal/peering/cut_off_test.go
+++ b/internal/peering/cut_off_test.go
@@ -28,11 +28,7 @@
 			n.mesh.SetMembers(others)
 		}
 	}
-	cut.mesh.mu.Lock()
-	for session := range cut.mesh.links {
-		session.Close()
-	}
-	cut.mesh.mu.Unlock()
+	cut.closeSessions()
 	eventually(t, name+" is cut off", func() bool {
 		for _, n := range f.nodes {
 			if known := n.mesh.KnownProcesses(); n == cut && known != 1 || n != cut && known != len(f.nodes)-1 {
--- a/internal/peering/fleet_test.go
+++ b/internal/peering/fleet_test.go
@@ -92,6 +92,10 @@
 	f.nodes = append(f.nodes[:i:i], f.nodes[i+1:]...)
 	_ = n.listener.Close()
 	n.mesh.SetMembers(nil)
+	n.closeSessions()
+}
+
+func (n *node) closeSessions() {
 	n.mesh.mu.Lock()
 	defer n.mesh.mu.Unlock()
 	for session := range n.mesh.links {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -125,7 +125,9 @@
 	peers map[string]map[string]Share
 	// ownChangedAt has the upstreams at which the work of this process changed since the last call of TakeOwnChanges.
 	ownChangedAt map[string]bool
-	leaving      leavingStarts
+	// leaving has the starts of upstreams that said in an answer that they leave. It outlasts their states, because a store that goes back to a copy may
+	// list one again that was gone.
+	leaving fleet.StartMap[struct{}]
 }
 
 // NewBoard returns an empty board for a process in dataCentre. With a nil source it uses a random seed.
@@ -275,7 +277,8 @@
 
 // newState returns the state of a newly announced upstream, including the work that other processes reported for it.
 func (b *Board) newState(info *fleet.Upstream) *state {
-	s := &state{info: info, saysLeaving: b.leaving.known[startKeyOf(info)]}
+	_, leaving := b.leaving.Get(info.Start())
+	s := &state{info: info, saysLeaving: leaving}
 	for _, shares := range b.peers {
 		s.others.add(shares[info.ID], 1)
 	}
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/fulmardoor/fulmardoor/platform/platformtest"
 )
 
 // relayDialTimeout is longer than a machine that is short of processor time delays a connection. After it the relay closes the other side, which is a fault
@@ -17,9 +19,9 @@
 // while new ones work, and answers can be delayed or dropped.
 type relay struct {
 	address string
-	target  string
 
 	mu          sync.Mutex // guards the fields below
+	target      string     // empty to reset new connections
 	connections map[*relayedConnection]struct{}
 	// dropAnswersTrigger, if not empty, sets answersDropped once a request that contains all its strings is forwarded.
 	dropAnswersTrigger []string
@@ -81,7 +83,12 @@
 }
 
 func (r *relay) forward(in net.Conn) {
-	out, err := net.DialTimeout("tcp", r.target, relayDialTimeout)
+	target := r.currentTarget()
+	if target == "" {
+		platformtest.ResetConn(in)
+		return
+	}
+	out, err := net.DialTimeout("tcp", target, relayDialTimeout)
 	if err != nil {
 		_ = in.Close()
 		return
@@ -215,6 +222,19 @@
 	r.reset()
 }
 
+func (r *relay) currentTarget() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// setTarget makes the relay forward new connections to another target; it resets them if the target is empty.
+func (r *relay) setTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 func (rc *relayedConnection) close() {
 	_ = rc.in.Close()
 	_ = rc.out.Close()
--- a/internal/processtest/router_cut_off_test.go
+++ b/internal/processtest/router_cut_off_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,7 +33,8 @@
 type cutOffCluster struct {
 	t       *testing.T
 	store   *memory.Store
-	gates   []*platformtest.StoreGate
+	server  string   // the address of the store
+	relays  []*relay // to the store, by router
 	routers []*soakRouter
 	runners []*platformtest.Runner
 	lastID  atomic.Int64
@@ -41,19 +43,18 @@
 func startCutOffCluster(t *testing.T, runners int) *cutOffCluster {
 	t.Helper()
 	c := &cutOffCluster{t: t, store: memory.New(memory.Options{})}
+	server := httptest.NewServer(platformtest.NewStore(c.store))
+	t.Cleanup(server.Close)
+	c.server = server.Listener.Addr().String()
 	c.store.Put("op/config", []byte(platformtest.StopConfig))
 	for i := range runners {
 		c.runners = append(c.runners, platformtest.NewRunner(t, fmt.Sprintf("i-%d", i), ""))
 		c.announce(i)
 	}
 	for i := range 3 {
-		gate := platformtest.NewStoreGate(platformtest.NewStore(c.store))
-		server := httptest.NewServer(gate)
-		t.Cleanup(server.Close)
-		t.Cleanup(func() { gate.Set(platformtest.GateReset) }) // ends the requests that wait
-		c.gates = append(c.gates, gate)
+		c.relays = append(c.relays, startRelay(t, c.server))
 		c.routers = append(c.routers, startRouterWith(t, c.store, platformtest.RouterSettings{
-			Name: fmt.Sprintf("router-%d", i), Store: server.Listener.Addr().String(), StopGraceS: int(routerStopGrace.Seconds()),
+			Name: fmt.Sprintf("router-%d", i), Store: c.relays[i].address, StopGraceS: int(routerStopGrace.Seconds()),
 		}))
 	}
 	for _, r := range c.routers {
@@ -90,10 +91,42 @@
 	}
 }
 
+// cutFault is how a relay cuts a router off from the store.
+type cutFault func(t *testing.T, r *relay)
+
+func resetCut(_ *testing.T, r *relay) {
+	r.setTarget("")
+	r.reset()
+}
+
+// silentCut makes open and new connections deliver nothing.
+func silentCut(t *testing.T, r *relay) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // does not accept
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	r.setTarget(silent.Addr().String())
+	r.blackhole()
+}
+
+// refusedCut makes each call to the store end with 503.
+func refusedCut(t *testing.T, r *relay) {
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	t.Cleanup(busy.Close)
+	r.setTarget(busy.Listener.Addr().String())
+	r.reset()
+}
+
+func (c *cutOffCluster) endCut(router int) {
+	c.relays[router].setTarget(c.server)
+	c.relays[router].reset()
+}
+
 // storeCut cuts a router off from the store for some time after the begin of a test.
 type storeCut struct {
 	router   int
-	how      platformtest.GateState
+	how      cutFault
 	from, to time.Duration
 	// restartAt is when the process is killed and started again; zero if it is not.
 	restartAt time.Duration
@@ -103,12 +136,12 @@
 // for one that lapsed, and routers that were in touch all the time learn from it that the runner is there.
 func TestRunnerStaysGoneAfterRouterWasCutOff(t *testing.T) {
 	for name, cuts := range map[string][]storeCut{
-		"reset":               {{router: 0, how: platformtest.GateReset, to: 4 * time.Second}},
-		"silent":              {{router: 0, how: platformtest.GateSilent, to: 4 * time.Second}},
-		"refused":             {{router: 0, how: platformtest.GateBusy, to: 4 * time.Second}},
-		"one after the other": {{router: 0, how: platformtest.GateReset, to: 4 * time.Second}, {router: 1, how: platformtest.GateSilent, from: time.Second, to: 4500 * time.Millisecond}},
-		"killed meanwhile":    {{router: 0, how: platformtest.GateReset, to: 4 * time.Second, restartAt: 2 * time.Second}},
-		"not the reader":      {{router: 1, how: platformtest.GateReset, to: 4 * time.Second}},
+		"reset":               {{router: 0, how: resetCut, to: 4 * time.Second}},
+		"silent":              {{router: 0, how: silentCut, to: 4 * time.Second}},
+		"refused":             {{router: 0, how: refusedCut, to: 4 * time.Second}},
+		"one after the other": {{router: 0, how: resetCut, to: 4 * time.Second}, {router: 1, how: silentCut, from: time.Second, to: 4500 * time.Millisecond}},
+		"killed meanwhile":    {{router: 0, how: resetCut, to: 4 * time.Second, restartAt: 2 * time.Second}},
+		"not the reader":      {{router: 1, how: resetCut, to: 4 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -147,32 +180,32 @@
 }
 
 func (c *cutOffCluster) play(cut storeCut, began time.Time) {
-	gate, r := c.gates[cut.router], c.routers[cut.router]
+	r := c.routers[cut.router]
 	time.Sleep(time.Until(began.Add(cut.from)))
-	gate.Set(cut.how)
+	cut.how(c.t, c.relays[cut.router])
 	if cut.restartAt > 0 {
 		time.Sleep(time.Until(began.Add(cut.restartAt)))
 		r.process.kill()
 		r.start(&soakCluster{t: c.t, dir: c.t.TempDir()})
 	}
 	time.Sleep(time.Until(began.Add(cut.to)))
-	gate.Set(platformtest.GateOpen)
+	c.endCut(cut.router)
 }
 
 // Guards against routers that refuse bookings after an outage of the store in which all entries lapsed, or that still use a runner that does not come back.
 func TestRunnersAreUsedAfterOutageOfStore(t *testing.T) {
-	for name, how := range map[string]platformtest.GateState{"reset": platformtest.GateReset, "silent": platformtest.GateSilent} {
+	for name, how := range map[string]cutFault{"reset": resetCut, "silent": silentCut} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := startCutOffCluster(t, 2)
-			for _, gate := range c.gates {
-				gate.Set(how)
+			for _, r := range c.relays {
+				how(t, r)
 			}
 			time.Sleep(4 * time.Second)
 			c.store.Remove(c.key(0))
 			c.store.Remove(c.key(1))
-			for _, gate := range c.gates {
-				gate.Set(platformtest.GateOpen)
+			for i := range c.routers {
+				c.endCut(i)
 			}
 			back := time.Now()
 			announced := back.Add(outageReturnTime - 200*time.Millisecond)
@@ -203,7 +236,7 @@
 func TestConfigurationWhileRouterIsCutOff(t *testing.T) {
 	t.Parallel()
 	c := startCutOffCluster(t, 1)
-	c.gates[0].Set(platformtest.GateSilent)
+	silentCut(t, c.relays[0])
 	c.store.Put("op/config", []byte(strings.NewReplacer(`"version":1`, `"version":2`, `"/book/"`, `"/order/"`).Replace(platformtest.StopConfig)))
 	written := time.Now()
 	statuses := func(r *soakRouter) [2]int { return [2]int{r.statusOf(t, "/order/x"), r.statusOf(t, "/book/x")} }
@@ -221,7 +254,7 @@
 		}
 	}
 	time.Sleep(time.Until(written.Add(configApplyTime + skewTime)))
-	c.gates[0].Set(platformtest.GateOpen)
+	c.endCut(0)
 	for returned := time.Now(); time.Since(returned) < cutOffWatchTime; time.Sleep(cutOffInterval) {
 		for _, r := range c.routers {
 			if got := statuses(r); got != inForce {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,8 +56,9 @@
 }
 
 // NewPlan returns the plan of a process. members are all processes by name, this one included. state returns what is known of the
-// connection to another process, and current whether a process, this one included, is fit to read the list of upstreams. All processes with the same list and connections choose the same relays; one that is cut off from the relays of its
-// data centre goes on to the next ones in their order, down to itself.
+// connection to another process, and current whether a process, this one included, is fit to read the list of upstreams. All processes with the
+// same list and connections choose the same relays; one that is cut off from the relays of its data centre goes on to the next ones in their order,
+// down to itself.
 func NewPlan(self string, members map[string]Member, state func(name string) State, current func(name string) bool) Plan {
 	plan := Plan{Peers: make(map[string]bool), Dial: make(map[string]string), Keep: make(map[string]bool)}
 	available := func(name string) bool { return name == self || state(name) != Lost }
--- a/internal/transport/mux.go
+++ b/internal/transport/mux.go
@@ -35,16 +35,25 @@
 }
 
 // Open implements Mux.
-func (m connMux) Open() (net.Conn, error) { return m.stream(m.Session.OpenStream()) }
+func (m connMux) Open() (net.Conn, error) {
+	stream, err := m.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	return m.wrap(stream), nil
+}
 
 // Accept implements Mux.
-func (m connMux) Accept() (net.Conn, error) { return m.stream(m.Session.AcceptStream()) }
-
-func (m connMux) stream(stream *yamux.Stream, err error) (net.Conn, error) {
+func (m connMux) Accept() (net.Conn, error) {
+	stream, err := m.AcceptStream()
 	if err != nil {
 		return nil, err
 	}
-	return &muxStream{Stream: stream, calls: m.calls}, nil
+	return m.wrap(stream), nil
+}
+
+func (m connMux) wrap(stream *yamux.Stream) *muxStream {
+	return &muxStream{Stream: stream, calls: m.calls}
 }
 
 // Close implements Mux.
--- a/internal/transport/unread.go
+++ b/internal/transport/unread.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &accountedStream{muxStream: &muxStream{Stream: stream, calls: m.calls}, account: m.account}, nil
+	return &accountedStream{muxStream: m.wrap(stream), account: m.account}, nil
 }
 
 type accountedStream struct {
--- a/internal/upstreamlist/known.go
+++ b/internal/upstreamlist/known.go
@@ -48,7 +48,8 @@
 	entries   map[string]*entry
 	unusable  map[string]bool
 	evacuated []string
-	departed  departures
+	// departed has the starts of upstreams that have left, with the store's revision at which their entries were missing.
+	departed fleet.StartMap[int64]
 }
 
 // entry is an upstream that is listed, or missing from the newest list without evidence that it left.
@@ -228,7 +229,7 @@
 		if k.fromCopy(upstream, list) {
 			continue
 		}
-		k.departed.forget(startOf(upstream))
+		k.departed.Delete(upstream.Start())
 		k.entries[upstream.ID] = &entry{upstream: upstream, revision: list.Revision, listedAt: list.ReadAt}
 	}
 }
@@ -236,7 +237,7 @@
 // fromCopy reports whether a listed upstream is one that this process knows to have left, whose entry came back with a copy of the store. After LeaseTime
 // only a running upstream still has its entry.
 func (k *Known) fromCopy(upstream *fleet.Upstream, list *List) bool {
-	departedAt, ok := k.departed.revisions[startOf(upstream)]
+	departedAt, ok := k.departed.Get(upstream.Start())
 	return ok && !k.options.SameHistory(departedAt, list.Revision) && list.ReadAt.Sub(k.historyAt) < k.options.LeaseTime
 }
 
@@ -261,7 +262,7 @@
 	for id, e := range k.entries {
 		if reason, ok := decide(e); ok {
 			delete(k.entries, id)
-			k.departed.add(startOf(e.upstream), k.contact.Revision)
+			k.departed.Set(e.upstream.Start(), k.contact.Revision)
 			removed = append(removed, Removal{e.upstream, reason})
 		}
 	}
